--- /dev/null
+++ b/celeryrun/claims/_key.py
@@ -0,0 +1,60 @@
+"""Idempotency keys that carry their own time of birth."""
+
+from __future__ import annotations
+
+import uuid
+
+__all__ = ["key_age", "new_key"]
+
+VERSION = 7
+
+
+def key_age(key: str, now: float) -> float | None:
+    """Return the age of a key in seconds, or None if it is no UUIDv7.
+
+    Parameters
+    ----------
+    key : str
+        UUID of version 7.
+    now : float
+        Seconds since the epoch.
+
+    Examples
+    --------
+    >>> key_age("00000000-03e8-7000-8000-000000000000", 3.0)
+    2.0
+    >>> key_age("booking-1", 3.0) is None
+    True
+
+    References
+    ----------
+    .. [1] RFC 9562, "Universally Unique IDentifiers (UUIDs)", section 5.7.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != VERSION or str(parsed) != key.lower():
+        return None
+    return now - (parsed.int >> 80) / 1000
+
+
+def new_key(now: float, random_bits: int) -> str:
+    """Build a key.
+
+    Parameters
+    ----------
+    now : float
+        Seconds since the epoch.
+    random_bits : int
+        At least 74 random bits.
+
+    Examples
+    --------
+    >>> new_key(1.0, 0)
+    '00000000-03e8-7000-8000-000000000000'
+    """
+    milliseconds = int(now * 1000) & ((1 << 48) - 1)
+    high = (random_bits >> 62) & 0xFFF
+    low = random_bits & ((1 << 62) - 1)
+    return str(uuid.UUID(int=milliseconds << 80 | 7 << 76 | high << 64 | 2 << 62 | low))
--- /dev/null
+++ b/celeryrun/configuration/_lists.py
@@ -0,0 +1,138 @@
+"""The two lists as files, and the change between two states."""
+
+from __future__ import annotations
+
+import configparser
+from typing import Any
+
+from celeryrun.configuration._model import Call, Change, Configuration, Plan, Pool
+from celeryrun.exception import SettingsError
+from celeryrun.settings._kinds import Choice, Kind, Text, Whole, parse_value
+from celeryrun.settings._load import read_ini
+
+__all__ = ["diff_lists", "parse_lists"]
+
+KEY_HASH_CHARS = 64
+
+
+def parse_lists(
+    plans_text: str, uses_text: str, plans_file: str = "plans", uses_file: str = "uses"
+) -> Configuration:
+    """Check both lists and return them as a configuration of version 0.
+
+    Parameters
+    ----------
+    plans_text : str
+        One section a workspace: ``plan``, ``tier``, ``key_hash``, ``max_outstanding``.
+    uses_text : str
+        One section a pool: ``kind``, ``plans``, ``non_idempotent``, ``fencing``.
+
+    Raises
+    ------
+    SettingsError
+        At the first fault, with file, section, key and what is allowed.
+
+    Examples
+    --------
+    >>> uses = "[drafts]\\nkind = engine\\nplans = sales"
+    >>> parse_lists("", uses).pools_by_name["drafts"].plans
+    ('sales',)
+    """
+    plan_sections = read_ini(plans_text, plans_file)
+    plans = [_Section(plan_sections, name, plans_file) for name in plan_sections.sections()]
+    use_sections = read_ini(uses_text, uses_file)
+    uses = [_Section(use_sections, name, uses_file) for name in use_sections.sections()]
+    configuration = Configuration.from_lists(
+        0, tuple(map(_read_plan, plans)), tuple(map(_read_pool, uses))
+    )
+    known = {plan.plan for plan in configuration.plans}
+    for pool in configuration.pools:
+        for plan in pool.plans:
+            if known and plan not in known:
+                allowed = f"plan {plan!r} is in no workspace; known: {', '.join(sorted(known))}"
+                raise SettingsError(uses_file, pool.name, "plans", allowed)
+    fault = configuration.fault()
+    if fault is not None:
+        raise SettingsError(plans_file, "-", "-", fault)
+    return configuration
+
+
+def diff_lists(old: Configuration, new: Configuration, change_id: str) -> Change:
+    """Return the change that leads from one configuration to another."""
+    plans = tuple(plan for plan in new.plans if old.plans_by_workspace.get(plan.workspace) != plan)
+    pools = tuple(pool for pool in new.pools if old.pools_by_name.get(pool.name) != pool)
+    return Change(
+        change_id,
+        old.version,
+        plans,
+        tuple(name for name in old.plans_by_workspace if name not in new.plans_by_workspace),
+        pools,
+        tuple(name for name in old.pools_by_name if name not in new.pools_by_name),
+    )
+
+
+class _Section:
+    """One section of a list, from which every key must be taken."""
+
+    __slots__ = ("_file", "_values", "name")
+
+    def __init__(self, parser: configparser.ConfigParser, name: str, file: str) -> None:
+        self.name = name
+        self._file = file
+        self._values = dict(parser[name])
+
+    def take(self, key: str, kind: Kind, default: str | None = None) -> Any:
+        text = self._values.pop(key, default)
+        if text is None:
+            raise SettingsError(self._file, self.name, key, "is required")
+        try:
+            return parse_value(kind, text)
+        except ValueError as error:
+            raise SettingsError(self._file, self.name, key, str(error)) from error
+
+    def take_words(self, key: str, default: str | None = None) -> tuple[str, ...]:
+        text = self._values.pop(key, default)
+        if text is None:
+            raise SettingsError(self._file, self.name, key, "is required, separated by commas")
+        return tuple(word.strip() for word in text.split(",") if word.strip())
+
+    def fail(self, key: str, allowed: str) -> SettingsError:
+        return SettingsError(self._file, self.name, key, allowed)
+
+    def close(self, allowed: str) -> None:
+        for key in self._values:
+            raise SettingsError(self._file, self.name, key, f"unknown key; allowed: {allowed}")
+
+
+def _read_plan(section: _Section) -> Plan:
+    key_hash = section.take("key_hash", Text(KEY_HASH_CHARS))
+    if len(key_hash) != KEY_HASH_CHARS:
+        raise section.fail("key_hash", "the SHA-256 of the key, 64 hexadecimal digits")
+    plan = Plan(
+        section.name,
+        section.take("plan", Text()),
+        section.take("tier", Whole(1, 3)),
+        key_hash,
+        section.take("max_outstanding", Whole(1, 100_000), "100"),
+    )
+    section.close("plan, tier, key_hash, max_outstanding")
+    return plan
+
+
+def _read_pool(section: _Section) -> Pool:
+    pool = Pool(
+        section.name,
+        section.take("kind", Choice(("engine", "application"))),
+        section.take_words("plans"),
+        tuple(_read_call(section, word) for word in section.take_words("non_idempotent", "")),
+        section.take("fencing", Choice(("yes", "no")), "no") == "yes",
+    )
+    section.close("kind, plans, non_idempotent, fencing")
+    return pool
+
+
+def _read_call(section: _Section, text: str) -> Call:
+    method, _, path = text.partition(" ")
+    if method not in ("GET", "POST", "PUT", "PATCH", "DELETE") or not path.startswith("/"):
+        raise section.fail("non_idempotent", f"METHOD /path, separated by commas; found {text!r}")
+    return Call(method, path)
--- /dev/null
+++ b/celeryrun/front/_answers.py
@@ -0,0 +1,129 @@
+"""Running and finished answers, kept in memory for callers that come back."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from celeryrun.settings import LimitSettings
+
+__all__ = ["AnswerBook", "Exchange", "Head"]
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Head of an answer to a caller."""
+
+    status: int
+    outcome: str
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Exchange:
+    """One request's answer while it grows; any number of callers may read it."""
+
+    __slots__ = ("_changed", "_chunks", "finished", "head", "size", "whole")
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._chunks: list[bytes] = []
+        self.head: Head | None = None
+        self.finished: float | None = None
+        self.whole = False
+        self.size = 0
+
+    def begin(self, head: Head) -> None:
+        """Set the head."""
+        with self._changed:
+            self.head = head
+            self._changed.notify_all()
+
+    def add(self, chunk: bytes) -> None:
+        """Append to the body."""
+        with self._changed:
+            self._chunks.append(chunk)
+            self.size += len(chunk)
+            self._changed.notify_all()
+
+    def since(self, position: int) -> list[bytes]:
+        """Return the chunks from a position on."""
+        with self._changed:
+            return self._chunks[position:]
+
+    def finish(self, whole: bool) -> None:
+        """End the body."""
+        with self._changed:
+            self.whole = whole
+            self.finished = time.monotonic()
+            self._changed.notify_all()
+
+    def wait_head(self, deadline: float) -> Head | None:
+        """Block until the head is there; None at the monotonic deadline."""
+        with self._changed:
+            self._changed.wait_for(lambda: self.head is not None, deadline - time.monotonic())
+            return self.head
+
+    def read(self, deadline: float) -> Iterator[bytes]:
+        """Yield the body from its start until it is finished or the monotonic deadline."""
+        position = 0
+        ended = False
+        while not ended:
+            chunks, ended = self._wait_for_more(position, deadline)
+            position += len(chunks)
+            yield from chunks
+
+    def _wait_for_more(self, position: int, deadline: float) -> tuple[list[bytes], bool]:
+        with self._changed:
+            self._changed.wait_for(
+                lambda: len(self._chunks) > position or self.finished is not None,
+                deadline - time.monotonic(),
+            )
+            ended = self.finished is not None or time.monotonic() >= deadline
+            return self._chunks[position:], ended
+
+
+class AnswerBook:
+    """Exchanges by workspace and request id, bounded in bytes and age."""
+
+    __slots__ = ("_age", "_lock", "_memory", "exchange_by_id")
+
+    def __init__(self, memory: int, age: float) -> None:
+        self._memory = memory
+        self._age = age
+        self._lock = threading.Lock()
+        self.exchange_by_id: OrderedDict[tuple[str, str], Exchange] = OrderedDict()
+
+    @classmethod
+    def from_config(cls, limits: LimitSettings) -> AnswerBook:
+        """Build the book from settings."""
+        return cls(limits.answer_memory, limits.answer_age)
+
+    def open(self, workspace: str, request_id: str) -> tuple[Exchange, bool]:
+        """Return the exchange under an id, and whether it is new."""
+        with self._lock:
+            self._evict()
+            known = self.exchange_by_id.get((workspace, request_id))
+            if known is not None:
+                return known, False
+            exchange = self.exchange_by_id[workspace, request_id] = Exchange()
+            return exchange, True
+
+    def drop(self, workspace: str, request_id: str, exchange: Exchange) -> None:
+        """Forget an exchange, so that the id may be tried again."""
+        with self._lock:
+            if self.exchange_by_id.get((workspace, request_id)) is exchange:
+                del self.exchange_by_id[workspace, request_id]
+
+    def _evict(self) -> None:
+        oldest = time.monotonic() - self._age
+        size = sum(exchange.size for exchange in self.exchange_by_id.values())
+        for key, exchange in list(self.exchange_by_id.items()):
+            if exchange.finished is None:
+                continue
+            if exchange.finished > oldest and size <= self._memory:
+                continue
+            size -= exchange.size
+            del self.exchange_by_id[key]
--- /dev/null
+++ b/celeryrun/front/_door.py
@@ -0,0 +1,180 @@
+"""Callers' listener."""
+
+from __future__ import annotations
+
+import http.client
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import cheroot.wsgi
+import logbook
+
+from celeryrun.exception import Refusal
+from celeryrun.front._answers import AnswerBook, Exchange, Head
+from celeryrun.front._request import Request, admit
+from celeryrun.front._runner import Runner, refusal_head
+from celeryrun.kernel import Kernel
+from celeryrun.observe import request_context
+from celeryrun.settings import Settings
+
+__all__ = ["FrontDoor", "serve"]
+
+THREAD_STACK_BYTES = 256 * 1024
+ACCEPT_QUEUE = 512
+KEEP_ALIVE = 60  # s
+SOCKET_KEY = "celeryrun.socket"
+KEY_WINDOW_SHARE = 0.5  # of the log's retention
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+log = logbook.Logger("front")
+
+
+class _Gateway(cheroot.wsgi.Gateway_10):
+    """Adds the caller's socket to the environment."""
+
+    def get_environ(self) -> Any:
+        environ: Any = super().get_environ()
+        environ[SOCKET_KEY] = self.req.conn.socket
+        return environ
+
+
+def serve(address: tuple[str, int], app: Any, threads: int, timeout: int) -> Any:
+    """Start a WSGI server with a fixed number of threads and return it."""
+    server = cheroot.wsgi.Server(
+        address,
+        app,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=ACCEPT_QUEUE,
+        timeout=timeout,
+        server_name="celeryrun",
+    )
+    server.gateway = _Gateway
+    server.shutdown_timeout = 1
+    server.prepare()
+    threading.Thread(target=server.serve, name="accept", daemon=True).start()
+    return server
+
+
+class FrontDoor:
+    """Service that takes callers' requests."""
+
+    __slots__ = ("_active", "_kernel", "_lock", "_server", "_settings", "answers", "draining")
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._active = 0
+        self._server: Any = None
+        self.answers = AnswerBook.from_config(settings.limits)
+        self.draining = False
+
+    @classmethod
+    def from_config(cls, kernel: Kernel, settings: Settings) -> FrontDoor:
+        """Build the service from settings."""
+        return cls(kernel, settings)
+
+    @property
+    def active(self) -> int:
+        """Requests taken and not yet answered."""
+        return self._active
+
+    def start(self) -> None:
+        """Listen for callers."""
+        threading.stack_size(THREAD_STACK_BYTES)
+        address = self._settings.node.caller_address
+        self._server = serve(
+            (address.host, address.port), self._app, self._settings.node.threads, KEEP_ALIVE
+        )
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+
+    def drain(self) -> None:
+        """Finish all that is held; the caller of this waits until nothing is active."""
+        self.draining = True
+
+    def _app(self, environ: dict[str, Any], start_response: StartResponse) -> Iterator[bytes]:
+        with self._lock:
+            self._active += 1
+        try:
+            yield from self._handle(environ, start_response)
+        finally:
+            with self._lock:
+                self._active -= 1
+
+    def _handle(self, environ: dict[str, Any], start: StartResponse) -> Iterator[bytes]:
+        configuration = self._kernel.find("configuration").current
+        window = self._settings.platform.retention * KEY_WINDOW_SHARE
+        request = admit(environ, configuration, self._settings.limits, window)
+        if isinstance(request, Refusal):
+            head, body = refusal_head(request)
+            self._start(start, head, "", len(body))
+            yield body
+            return
+        with request_context(request.request_id, request.plan.workspace):
+            exchange, is_new = self.answers.open(request.plan.workspace, request.request_id)
+            if is_new:
+                yield from self._run(environ, start, request, exchange)
+            else:
+                yield from self._attach(environ, start, request, exchange)
+
+    def _run(
+        self, environ: dict[str, Any], start: StartResponse, request: Request, exchange: Exchange
+    ) -> Iterator[bytes]:
+        runner = Runner(self._kernel, request, exchange, environ.get(SOCKET_KEY)).run()
+        position = 0
+        try:
+            for _ in runner:
+                if position == 0:
+                    self._start_exchange(start, request, exchange)
+                chunks = exchange.since(position)
+                position += len(chunks)
+                yield b"".join(chunks)
+        finally:
+            runner.close()
+            if exchange.head is None or exchange.head.outcome == "not-run":
+                self.answers.drop(request.plan.workspace, request.request_id, exchange)
+        self._cut_if_short(environ, exchange)
+
+    def _attach(
+        self, environ: dict[str, Any], start: StartResponse, request: Request, exchange: Exchange
+    ) -> Iterator[bytes]:
+        if exchange.wait_head(request.expires) is None:
+            remedy = "the request is still running; ask again under the same id"
+            refused, body = refusal_head(Refusal(504, "still-running", remedy, 1.0))
+            head = Head(504, "unknown", refused.headers)
+            self._start(start, head, request.request_id, len(body))
+            yield body
+            return
+        self._start_exchange(start, request, exchange)
+        yield from exchange.read(request.expires)
+        self._cut_if_short(environ, exchange)
+
+    def _cut_if_short(self, environ: dict[str, Any], exchange: Exchange) -> None:
+        # Without its last chunk the caller sees that the body is short.
+        connection = environ.get(SOCKET_KEY)
+        if connection is not None and not exchange.whole:
+            connection.shutdown(socket.SHUT_RDWR)
+
+    def _start_exchange(self, start: StartResponse, request: Request, exchange: Exchange) -> None:
+        assert exchange.head is not None
+        length = exchange.size if exchange.finished and exchange.whole else None
+        self._start(start, exchange.head, request.request_id, length)
+
+    def _start(self, start: StartResponse, head: Head, request_id: str, length: int | None) -> None:
+        reason = http.client.responses.get(head.status, "Refused")
+        headers = [*head.headers, ("Celeryrun-Outcome", head.outcome)]
+        if request_id:
+            headers.append(("Request-Id", request_id))
+        if length is not None:
+            headers.append(("Content-Length", str(length)))
+        if self.draining:
+            headers.append(("Connection", "close"))
+        start(f"{head.status} {reason}", headers)
--- /dev/null
+++ b/celeryrun/front/_operators.py
@@ -0,0 +1,178 @@
+"""Operators' listener: health, metrics and status, apart from the callers' threads."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from celeryrun.front._door import serve
+from celeryrun.kernel import Kernel, violations
+from celeryrun.settings import Settings
+
+__all__ = ["OperatorDoor", "Status"]
+
+THREADS = 4
+KEEP_ALIVE = 10  # s
+
+
+class TierStatus(msgspec.Struct):
+    """One tier of a pool that this node keeps."""
+
+    tier: int
+    waiting: int
+
+
+class TargetStatus(msgspec.Struct):
+    """One target as this node sees it."""
+
+    name: str
+    zone: str
+    leaving: bool
+    in_flight: int
+    slots: float
+
+
+class PoolStatus(msgspec.Struct):
+    """One pool."""
+
+    name: str
+    keeper: str
+    tiers: list[TierStatus]
+    targets: list[TargetStatus]
+
+
+class MemberStatus(msgspec.Struct):
+    """One node as this node sees it."""
+
+    name: str
+    zone: str
+    state: str
+    operator: str
+
+
+class Status(msgspec.Struct):
+    """What ``celeryrun status`` shows of one node."""
+
+    node: str
+    zone: str
+    version: int
+    digest: str
+    ready: bool
+    draining: bool
+    active: int
+    waiting: int
+    holding: int
+    members: list[MemberStatus]
+    pools: list[PoolStatus]
+    violations: dict[str, int]
+
+
+class OperatorDoor:
+    """Service that answers operators and the platform's balancer."""
+
+    __slots__ = ("_kernel", "_server", "_settings", "on_drain")
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._server: Any = None
+        self.on_drain: Callable[[], None] = lambda: None
+
+    @classmethod
+    def from_config(cls, kernel: Kernel, settings: Settings) -> OperatorDoor:
+        """Build the service from settings."""
+        return cls(kernel, settings)
+
+    def start(self) -> None:
+        """Listen."""
+        address = self._settings.node.operator_address
+        self._server = serve((address.host, address.port), self._app, THREADS, KEEP_ALIVE)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        caught_up = self._kernel.find("configuration").caught_up.is_set()
+        return caught_up and not self._kernel.find("front").draining
+
+    def status(self) -> Status:
+        """Return the status of this node."""
+        front = self._kernel.find("front")
+        members = self._kernel.find("members")
+        current = self._kernel.find("configuration").current
+        waiting, holding = self._kernel.find("pools").outstanding()
+        return Status(
+            self._settings.node.name,
+            self._settings.node.zone,
+            current.version,
+            current.digest,
+            self.is_ready(),
+            front.draining,
+            front.active,
+            waiting,
+            holding,
+            [
+                MemberStatus(member.name, member.zone, member.state, member.operator)
+                for member in list(members.by_name.values())
+            ],
+            [self._pool_status(name) for name in current.pools_by_name],
+            dict(violations),
+        )
+
+    def _pool_status(self, name: str) -> PoolStatus:
+        keepers = self._kernel.find("keepers")
+        keeper = self._kernel.find("members").duty(f"pool/{name}") or ""
+        targets = [
+            TargetStatus(
+                target.name,
+                target.zone,
+                target.leaving,
+                keepers.in_flight(name, target.name),
+                keepers.slots(name, target.name),
+            )
+            for target in self._kernel.find("targets").of_pool(name)
+        ]
+        waiting_by_tier = keepers.waiting_by_tier(name)
+        tiers = [TierStatus(tier, waiting) for tier, waiting in waiting_by_tier.items()]
+        return PoolStatus(name, keeper, tiers, targets)
+
+    def _app(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        call = (environ["REQUEST_METHOD"], environ.get("PATH_INFO", "/"))
+        match call:
+            case ("GET", "/livez"):
+                return _answer(start, "200 OK", b"alive\n", "text/plain")
+            case ("GET", "/readyz"):
+                ready = self.is_ready()
+                status = "200 OK" if ready else "503 Service Unavailable"
+                return _answer(start, status, b"ready\n" if ready else b"not ready\n", "text/plain")
+            case ("GET", "/metrics"):
+                self._set_gauges()
+                text = self._kernel.find("metrics").text()
+                return _answer(start, "200 OK", text, "text/plain; version=0.0.4")
+            case ("GET", "/status"):
+                body = msgspec.json.encode(self.status())
+                return _answer(start, "200 OK", body, "application/json")
+            case ("POST", "/drain"):
+                self.on_drain()
+                return _answer(start, "202 Accepted", b"draining\n", "text/plain")
+        return _answer(start, "404 Not Found", b"try /status\n", "text/plain")
+
+    def _set_gauges(self) -> None:
+        gauges = self._kernel.find("metrics").gauges
+        waiting, holding = self._kernel.find("pools").outstanding()
+        gauges.labels("waiting").set(waiting)
+        gauges.labels("holding").set(holding)
+        gauges.labels("version").set(self._kernel.find("configuration").current.version)
+        gauges.labels("invariant violations").set(sum(violations.values()))
+        for what, count in self._kernel.find("peers").counts.items():
+            gauges.labels(f"peer messages {what}").set(count)
+
+
+def _answer(start: Any, status: str, body: bytes, content_type: str) -> Iterable[bytes]:
+    start(status, [("Content-Type", content_type), ("Content-Length", str(len(body)))])
+    return [body]
--- /dev/null
+++ b/celeryrun/front/_request.py
@@ -0,0 +1,197 @@
+"""Parsing and admitting callers' requests."""
+
+from __future__ import annotations
+
+import re
+import time
+import uuid
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from celeryrun.claims import key_age
+from celeryrun.configuration import Configuration, Plan, Pool, hash_key
+from celeryrun.exception import Refusal
+from celeryrun.settings import LimitSettings
+
+__all__ = ["Prompt", "Request", "admit"]
+
+ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+MAX_PROMPT_TOKENS = 1_000_000
+CHARS_PER_TOKEN = 4
+GENERATE_PATH = "/v1/generate"
+APPLICATION_COST = 50.0  # tokens that a call of an application counts as
+
+
+class Prompt(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a request to an engine."""
+
+    prompt: str
+    max_tokens: int = 256
+    stream: bool = False
+
+
+@dataclass(slots=True)
+class Request:
+    """One admitted request.
+
+    Parameters
+    ----------
+    named : bool
+        Whether the caller chose the request id, so that it may come back for the answer.
+    expires : float
+        Monotonic deadline in seconds.
+    key : str
+        Idempotency key, empty for an idempotent call.
+    """
+
+    plan: Plan
+    pool: Pool
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    request_id: str
+    named: bool
+    arrived: float
+    expires: float
+    key: str
+    prompt: Prompt | None
+
+    @property
+    def cost(self) -> float:
+        """Estimated work, in tokens or their equal."""
+        if self.prompt is None:
+            return APPLICATION_COST
+        return len(self.prompt.prompt) / CHARS_PER_TOKEN + self.prompt.max_tokens
+
+
+def admit(
+    environ: dict[str, Any], configuration: Configuration, limits: LimitSettings, window: float
+) -> Request | Refusal:
+    """Check everything that can be checked before a request may wait.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+    window : float
+        Seconds for which an idempotency key is good.
+    """
+    arrived = time.monotonic()
+    plan = _find_plan(environ, configuration)
+    if isinstance(plan, Refusal):
+        return plan
+    pool_name, _, rest = environ.get("PATH_INFO", "/").lstrip("/").partition("/")
+    pool = configuration.pools_by_name.get(pool_name)
+    if pool is None:
+        return Refusal(404, "unknown-pool", "no such pool; use one that your plan lists")
+    if plan.plan not in pool.plans:
+        return Refusal(403, "not-allowed", f"plan {plan.plan!r} may not use {pool_name!r}")
+    body = _read_body(environ, limits.max_body)
+    if isinstance(body, Refusal):
+        return body
+    seconds = _read_deadline(environ, limits)
+    if isinstance(seconds, Refusal):
+        return seconds
+    request_id = environ.get("HTTP_REQUEST_ID", "")
+    if request_id and not ID_PATTERN.fullmatch(request_id):
+        return Refusal(400, "bad-request-id", "Request-Id: 1 to 128 letters, digits or . _ : -")
+    method, path = environ["REQUEST_METHOD"], "/" + rest
+    if environ.get("QUERY_STRING"):
+        path += "?" + environ["QUERY_STRING"]
+    prompt = _read_prompt(pool, method, path, body)
+    if isinstance(prompt, Refusal):
+        return prompt
+    key = _read_key(environ, pool, method, path, window)
+    if isinstance(key, Refusal):
+        return key
+    return Request(
+        plan,
+        pool,
+        method,
+        path,
+        body,
+        environ.get("CONTENT_TYPE", "") or "application/octet-stream",
+        request_id or uuid.uuid4().hex,
+        bool(request_id),
+        arrived,
+        arrived + seconds,
+        key,
+        prompt,
+    )
+
+
+def _find_plan(environ: dict[str, Any], configuration: Configuration) -> Plan | Refusal:
+    scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        return Refusal(401, "no-key", "send Authorization: Bearer with your workspace's key")
+    plan = configuration.plans_by_key_hash.get(hash_key(key.strip()))
+    if plan is None:
+        return Refusal(401, "bad-key", "the key is not known; check it with your operator")
+    return plan
+
+
+def _read_body(environ: dict[str, Any], max_body: int) -> bytes | Refusal:
+    too_large = Refusal(413, "body-too-large", f"the body may have at most {max_body} bytes")
+    length = environ.get("CONTENT_LENGTH") or ""
+    chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
+    if not length and not chunked:
+        return b""
+    if length and not length.isdigit():
+        return Refusal(400, "bad-length", "Content-Length must be a whole number")
+    if length and int(length) > max_body:
+        return too_large
+    body = environ["wsgi.input"].read(int(length) if length else max_body + 1)
+    if len(body) > max_body:
+        return too_large
+    if length and len(body) < int(length):
+        return Refusal(400, "short-body", "the body is shorter than its Content-Length")
+    return body
+
+
+def _read_deadline(environ: dict[str, Any], limits: LimitSettings) -> float | Refusal:
+    text = environ.get("HTTP_REQUEST_TIMEOUT", "")
+    if not text:
+        return limits.default_deadline
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 < seconds <= limits.max_deadline:
+        remedy = f"Request-Timeout must be seconds above 0 and up to {limits.max_deadline:g}"
+        return Refusal(400, "bad-timeout", remedy)
+    return seconds
+
+
+def _read_prompt(pool: Pool, method: str, path: str, body: bytes) -> Prompt | None | Refusal:
+    if pool.kind != "engine":
+        return None
+    if (method, path) != ("POST", GENERATE_PATH):
+        return Refusal(404, "unknown-call", f"an engine takes POST {GENERATE_PATH} only")
+    try:
+        prompt = msgspec.json.decode(body, type=Prompt)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Refusal(400, "bad-body", f"send JSON with prompt, max_tokens, stream: {error}")
+    if not 1 <= prompt.max_tokens <= MAX_PROMPT_TOKENS:
+        return Refusal(400, "bad-body", f"max_tokens must be from 1 to {MAX_PROMPT_TOKENS}")
+    return prompt
+
+
+def _read_key(
+    environ: dict[str, Any], pool: Pool, method: str, path: str, window: float
+) -> str | Refusal:
+    if pool.is_idempotent(method, path):
+        return ""
+    key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    age = key_age(key, time.time())
+    if age is None:
+        remedy = "this call may not be repeated: send Idempotency-Key with a new UUIDv7"
+        return Refusal(400, "bad-idempotency-key", remedy)
+    if age > window:
+        remedy = f"the key is older than {window:g} s, so what became of it is not known any more"
+        return Refusal(409, "idempotency-key-too-old", remedy)
+    if age < -60:
+        return Refusal(400, "bad-idempotency-key", "the key's time is in the future; set the clock")
+    return key.lower()
--- /dev/null
+++ b/celeryrun/kernel/_invariant.py
@@ -0,0 +1,52 @@
+"""Invariants checked while the program runs."""
+
+from __future__ import annotations
+
+import os
+from collections import Counter
+
+import logbook
+
+from celeryrun.exception import InvariantViolatedError
+
+__all__ = ["check", "set_strict", "violations"]
+
+EXIT_INVARIANT = 70
+
+log = logbook.Logger("invariant")
+violations: Counter[str] = Counter()
+_strict = False
+
+
+def set_strict(strict: bool) -> None:
+    """Choose whether a violated invariant ends the process (tests) or is counted (production)."""
+    global _strict
+    _strict = strict
+
+
+def check(holds: bool, invariant: str, **facts: object) -> None:
+    """Record a violation unless the invariant holds.
+
+    Parameters
+    ----------
+    holds : bool
+        The condition.
+    invariant : str
+        Name of the invariant, as in ``docs/promises.md``.
+    **facts
+        What to log beside it.
+
+    Raises
+    ------
+    InvariantViolatedError
+        In strict mode inside a test process; a strict node process exits with status 70.
+    """
+    if holds:
+        return
+    violations[invariant] += 1
+    log.critical("invariant {} violated: {}", invariant, facts)
+    if not _strict:
+        return
+    if os.environ.get("CELERYRUN_STRICT_EXIT"):
+        os._exit(EXIT_INVARIANT)
+    raise InvariantViolatedError(f"{invariant}: {facts}; report this with the log")
--- /dev/null
+++ b/celeryrun/membership/__init__.py
@@ -0,0 +1,6 @@
+"""Which nodes live, and which of them has a duty."""
+
+from celeryrun.membership._rendezvous import choose, rank
+from celeryrun.membership._swim import Member, Members
+
+__all__ = ["Member", "Members", "choose", "rank"]
--- /dev/null
+++ b/celeryrun/membership/_rendezvous.py
@@ -0,0 +1,42 @@
+"""Rendezvous hashing."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+__all__ = ["choose", "rank"]
+
+WEIGHT_BYTES = 8
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Order names by their weight for a key, heaviest first.
+
+    Parameters
+    ----------
+    key : str
+        What is placed.
+    names : iterable of str
+        Where it may be placed.
+
+    Examples
+    --------
+    >>> rank("pool", ["a", "b", "c"]) == rank("pool", ["c", "b", "a"])
+    True
+
+    References
+    ----------
+    .. [1] Thaler, Ravishankar, "A Name-Based Mapping Scheme for Rendezvous",
+       University of Michigan CSE-TR-316-96, 1996.
+    """
+    return sorted(names, key=lambda name: (_weight(key, name), name), reverse=True)
+
+
+def choose(key: str, names: Iterable[str]) -> str | None:
+    """Return the heaviest name for a key, or None if there are no names."""
+    return max(names, key=lambda name: (_weight(key, name), name), default=None)
+
+
+def _weight(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=WEIGHT_BYTES).digest()
--- /dev/null
+++ b/celeryrun/node/__init__.py
@@ -0,0 +1,5 @@
+"""The node process."""
+
+from celeryrun.node._node import Node
+
+__all__ = ["Node"]
--- /dev/null
+++ b/celeryrun/node/_node.py
@@ -0,0 +1,89 @@
+"""Assembly of the node's services, and its life from start to drained."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import logbook
+
+from celeryrun.claims import ClaimBook
+from celeryrun.configuration import ConfigurationService
+from celeryrun.front import FrontDoor, OperatorDoor
+from celeryrun.front._hangup import HangupWatch
+from celeryrun.kernel import Kernel
+from celeryrun.membership import Members
+from celeryrun.observe import Metrics
+from celeryrun.platform import VmList
+from celeryrun.pool import Keepers, PoolClient, Targets
+from celeryrun.settings import Settings
+from celeryrun.wire import Peers
+
+__all__ = ["Node"]
+
+DRAIN_PERIOD = 0.1  # s
+READY_PATIENCE = 10.0  # s
+
+log = logbook.Logger("node")
+
+
+class Node:
+    """One node: a kernel with all its services.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        With every service registered.
+    settings : Settings
+        Checked settings.
+    """
+
+    __slots__ = ("_draining", "_drained", "_settings", "kernel")
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        self.kernel = kernel
+        self._settings = settings
+        self._draining = threading.Event()
+        self._drained = threading.Event()
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> Node:
+        """Assemble a node from settings."""
+        kernel = Kernel()
+        node = cls(kernel, settings)
+        operators = OperatorDoor.from_config(kernel, settings)
+        operators.on_drain = node.drain
+        kernel.register("metrics", Metrics())
+        kernel.register("peers", Peers.from_config(settings))
+        kernel.register("vms", VmList.from_config(settings.platform))
+        kernel.register("members", Members.from_config(kernel, settings))
+        kernel.register("targets", Targets(kernel))
+        kernel.register("configuration", ConfigurationService.from_config(kernel, settings))
+        kernel.register("keepers", Keepers.from_config(kernel, settings))
+        kernel.register("pools", PoolClient(kernel))
+        kernel.register("claims", ClaimBook.from_config(settings))
+        kernel.register("hangups", HangupWatch())
+        kernel.register("operators", operators)
+        kernel.register("front", FrontDoor.from_config(kernel, settings))
+        return node
+
+    def run(self) -> None:
+        """Start, serve until drained, and stop."""
+        self.kernel.start()
+        log.info("node {} serves", self._settings.node.name)
+        self._draining.wait()
+        self._finish()
+        self.kernel.stop()
+        log.info("node {} has finished all it held", self._settings.node.name)
+
+    def drain(self) -> None:
+        """Begin to leave: no request that is held or still arrives is cut."""
+        self._draining.set()
+
+    def _finish(self) -> None:
+        front = self.kernel.find("front")
+        front.drain()
+        self.kernel.find("members").drain()
+        until = time.monotonic() + self._settings.node.drain_lag
+        while time.monotonic() < until or front.active:
+            time.sleep(DRAIN_PERIOD)
--- /dev/null
+++ b/celeryrun/observe/_metrics.py
@@ -0,0 +1,85 @@
+"""Metrics for each workspace and tier."""
+
+from __future__ import annotations
+
+import threading
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+__all__ = ["Metrics"]
+
+MAX_WORKSPACE_LABELS = 64
+OTHER = "other"
+SECONDS_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.32, 0.5, 1, 2, 5, 15, 60)
+
+
+class Metrics:
+    """Service that holds the metrics.
+
+    The first workspaces seen get a label of their own and all later ones share ``other``, so that
+    memory stays bounded.
+    """
+
+    __slots__ = (
+        "_labels",
+        "_lock",
+        "answers",
+        "first_byte",
+        "gauges",
+        "queue_wait",
+        "registry",
+        "whole",
+    )
+
+    def __init__(self) -> None:
+        self._labels: set[str] = set()
+        self._lock = threading.Lock()
+        self.registry = CollectorRegistry()
+        labels = ("workspace", "tier")
+        self.queue_wait = self._histogram("queue_wait", "wait for a slot", labels)
+        self.first_byte = self._histogram("first_byte", "arrival to first byte", labels)
+        self.whole = self._histogram("whole_answer", "arrival to end of answer", labels)
+        self.answers = Counter(
+            "celeryrun_answers",
+            "Answers by outcome",
+            ("workspace", "tier", "outcome"),
+            registry=self.registry,
+        )
+        self.gauges = Gauge(
+            "celeryrun_state", "State of the node", ("what",), registry=self.registry
+        )
+
+    def start(self) -> None:
+        """Nothing runs."""
+
+    def stop(self) -> None:
+        """Nothing is held."""
+
+    def label(self, workspace: str) -> str:
+        """Return the label value for a workspace.
+
+        Examples
+        --------
+        >>> Metrics().label("cajas")
+        'cajas'
+        """
+        with self._lock:
+            if workspace in self._labels:
+                return workspace
+            if len(self._labels) < MAX_WORKSPACE_LABELS:
+                self._labels.add(workspace)
+                return workspace
+            return OTHER
+
+    def text(self) -> bytes:
+        """Return all metrics in the exposition format."""
+        return generate_latest(self.registry)
+
+    def _histogram(self, name: str, note: str, labels: tuple[str, ...]) -> Histogram:
+        return Histogram(
+            f"celeryrun_{name}_seconds",
+            note.capitalize(),
+            labels,
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/celeryrun/pool/_choice.py
@@ -0,0 +1,34 @@
+"""Choice of the target for an ask."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from celeryrun.pool._queue import Waiting
+from celeryrun.pool._targets import Target
+
+if TYPE_CHECKING:
+    from celeryrun.pool._state import PoolState
+
+__all__ = ["choose_target"]
+
+
+def choose_target(state: PoolState, waiting: Waiting, free: list[Target]) -> Target:
+    """Return the target with the longest prefix believed cached, then the least loaded.
+
+    Parameters
+    ----------
+    state : PoolState
+        The pool.
+    waiting : Waiting
+        The ask to be served.
+    free : list of Target
+        Targets with a free slot, at least one.
+    """
+
+    def preference(target: Target) -> tuple[int, float, str]:
+        cached = state.belief.cached_blocks(target.name, waiting.prefix)
+        load = state.in_flight(target.name) / state.limit_by_target[target.name].slots
+        return (-cached, load, target.name)
+
+    return min(free, key=preference)
--- /dev/null
+++ b/celeryrun/pool/_state.py
@@ -0,0 +1,156 @@
+"""What a keeper knows of its pool, and its decisions."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import time
+from dataclasses import dataclass
+
+from celeryrun.pool._choice import choose_target
+from celeryrun.pool._limit import SlotLimit
+from celeryrun.pool._prefix import PrefixBelief
+from celeryrun.pool._queue import FairQueue, Waiting
+from celeryrun.pool._targets import Target
+from celeryrun.wire import Done, Hold
+
+__all__ = ["Granted", "PoolState"]
+
+SLOTS_BY_KIND = {"engine": 8.0, "application": 16.0}
+
+
+@dataclass(slots=True)
+class Granted:
+    """A slot in use.
+
+    Parameters
+    ----------
+    expires : float
+        Monotonic end of the lease in seconds.
+    """
+
+    node: str
+    target: str
+    tier: int
+    workspace: str
+    cost: float
+    expires: float
+
+
+class PoolState:
+    """Queue, grants and limits of one pool; nodes' heartbeats can build all of it anew.
+
+    Parameters
+    ----------
+    name : str
+        The pool.
+    lease : float
+        Seconds that a grant lives without heartbeat.
+    """
+
+    __slots__ = (
+        "_ids",
+        "_in_flight_by_target",
+        "_lease",
+        "belief",
+        "epoch",
+        "granted_by_id",
+        "limit_by_target",
+        "name",
+        "queue",
+        "started",
+    )
+
+    def __init__(self, name: str, lease: float) -> None:
+        self.name = name
+        self.epoch = random.getrandbits(31)
+        self.started = time.monotonic()
+        self.queue = FairQueue()
+        self.granted_by_id: dict[int, Granted] = {}
+        self.limit_by_target: dict[str, SlotLimit] = {}
+        self.belief = PrefixBelief()
+        self._lease = lease
+        self._ids = itertools.count(1)
+        self._in_flight_by_target: dict[str, int] = {}
+
+    def in_flight(self, target: str) -> int:
+        """Count the slots of a target in use."""
+        return self._in_flight_by_target.get(target, 0)
+
+    def outstanding(self, workspace: str) -> int:
+        """Count a workspace's requests that wait or run."""
+        running = sum(1 for held in self.granted_by_id.values() if held.workspace == workspace)
+        return running + self.queue.of_workspace(workspace)
+
+    def next_grant(self, kind: str, targets: list[Target]) -> tuple[int, Waiting, Target] | None:
+        """Grant a slot to the ask served next, or return None if nothing can be granted.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the pool.
+        targets : list of Target
+            All targets of the pool.
+        """
+        free = [target for target in targets if self._has_slot(kind, target)]
+        waiting = self.queue.pop() if free else None
+        if waiting is None:
+            return None
+        target = choose_target(self, waiting, free)
+        self.belief.note(target.name, waiting.prefix)
+        grant = self.epoch << 32 | next(self._ids)
+        self._add(
+            grant,
+            Granted(
+                waiting.node,
+                target.name,
+                waiting.tier,
+                waiting.workspace,
+                waiting.cost,
+                time.monotonic() + self._lease,
+            ),
+        )
+        return grant, waiting, target
+
+    def renew(self, node: str, holds: tuple[Hold, ...]) -> None:
+        """Renew the leases of grants that a node holds; unknown ones are adopted."""
+        expires = time.monotonic() + self._lease
+        for hold in holds:
+            granted = self.granted_by_id.get(hold.grant)
+            if granted is None:
+                granted = Granted(node, hold.target, hold.tier, hold.workspace, hold.cost, expires)
+                self._add(hold.grant, granted)
+            granted.expires = expires
+
+    def finish(self, done: Done) -> None:
+        """Free a slot and learn from the work done."""
+        granted = self.granted_by_id.get(done.grant)
+        if granted is None:
+            return
+        self.queue.correct(granted.tier, granted.workspace, done.used - granted.cost)
+        limit = self.limit_by_target.get(granted.target)
+        if done.first >= 0 and limit is not None:
+            busy = self.in_flight(granted.target) >= int(limit.slots)
+            limit.observe(done.first, busy)
+        self._remove(done.grant)
+
+    def lapse(self) -> list[Granted]:
+        """Free the slots whose lease has lapsed."""
+        now = time.monotonic()
+        lapsed = [grant for grant, item in self.granted_by_id.items() if item.expires <= now]
+        return [self._remove(grant) for grant in lapsed]
+
+    def _has_slot(self, kind: str, target: Target) -> bool:
+        limit = self.limit_by_target.get(target.name)
+        if limit is None:
+            limit = self.limit_by_target[target.name] = SlotLimit(SLOTS_BY_KIND[kind])
+        return target.is_usable() and self.in_flight(target.name) < int(limit.slots)
+
+    def _add(self, grant: int, granted: Granted) -> None:
+        self.granted_by_id[grant] = granted
+        self._in_flight_by_target[granted.target] = self.in_flight(granted.target) + 1
+
+    def _remove(self, grant: int) -> Granted:
+        granted = self.granted_by_id.pop(grant)
+        self._in_flight_by_target[granted.target] -= 1
+        return granted
--- /dev/null
+++ b/celeryrun/settings/_kinds.py
@@ -0,0 +1,209 @@
+"""Kinds of setting: what text each accepts."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = [
+    "Address",
+    "AddressKind",
+    "Choice",
+    "Duration",
+    "Kind",
+    "Secret",
+    "Size",
+    "Text",
+    "Url",
+    "Whole",
+    "parse_seconds",
+    "parse_value",
+]
+
+SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+BYTES_BY_UNIT = {"B": 1, "KiB": 1024, "MiB": 1024 * 1024}
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def from_text(cls, text: str) -> Address:
+        """Parse ``IP:PORT``.
+
+        Raises
+        ------
+        ValueError
+            If the host is no IP number or the port is out of range.
+
+        Examples
+        --------
+        >>> Address.from_text("127.0.0.1:80")
+        Address(host='127.0.0.1', port=80)
+        """
+        host, _, port = text.rpartition(":")
+        ipaddress.ip_address(host)
+        if not 0 < int(port) < 65536:
+            raise ValueError(text)
+        return cls(host, int(port))
+
+
+@dataclass(frozen=True, slots=True)
+class Text:
+    """A name: letters, digits, dot, dash and underscore."""
+
+    max_chars: int = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Secret:
+    """A shared secret of at least some length."""
+
+    min_chars: int
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A whole number within bounds."""
+
+    low: int
+    high: int
+
+
+@dataclass(frozen=True, slots=True)
+class Duration:
+    """A number of seconds within bounds, written with its unit."""
+
+    low: float
+    high: float
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """A number of bytes within bounds, written with its unit."""
+
+    low: int
+    high: int
+
+
+@dataclass(frozen=True, slots=True)
+class AddressKind:
+    """``IP:PORT``."""
+
+
+@dataclass(frozen=True, slots=True)
+class Url:
+    """``http://IP:PORT``."""
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """One of a few words."""
+
+    words: tuple[str, ...]
+
+
+Kind = Text | Secret | Whole | Duration | Size | AddressKind | Url | Choice
+
+
+def parse_seconds(text: str) -> float:
+    """Parse a duration with its unit into seconds.
+
+    Examples
+    --------
+    >>> parse_seconds("250ms")
+    0.25
+    """
+    return _with_unit(text, SECONDS_BY_UNIT)
+
+
+def parse_value(kind: Kind, text: str) -> Any:
+    """Parse one value.
+
+    Parameters
+    ----------
+    kind : Kind
+        What is expected.
+    text : str
+        What the file holds.
+
+    Raises
+    ------
+    ValueError
+        With a message that says what is allowed.
+
+    Examples
+    --------
+    >>> parse_value(Whole(1, 5), "3")
+    3
+    >>> parse_value(Duration(0, 10), "3")
+    Traceback (most recent call last):
+    ...
+    ValueError: a duration with its unit from 0s to 10s, such as 250ms or 5s; found '3'
+    """
+    match kind:
+        case Text(max_chars):
+            allowed = f"1 to {max_chars} letters, digits, '.', '-' or '_'"
+            fits = re.fullmatch(r"[A-Za-z0-9._-]+", text) and len(text) <= max_chars
+            return text if fits else _deny(allowed, text)
+        case Secret(min_chars):
+            return text if len(text) >= min_chars else _deny(f"at least {min_chars} characters", "")
+        case Whole(low, high):
+            allowed = f"a whole number from {low} to {high}"
+            return _bounded(_try(int, text, allowed), low, high, allowed, text)
+        case Duration(low, high):
+            allowed = f"a duration with its unit from {low:g}s to {high:g}s, such as 250ms or 5s"
+            return _bounded(_try(parse_seconds, text, allowed), low, high, allowed, text)
+        case Size(low, high):
+            allowed = f"a size with its unit (B, KiB, MiB) from {low}B to {high}B"
+            return _bounded(_try(_parse_bytes, text, allowed), low, high, allowed, text)
+        case AddressKind():
+            return _try(Address.from_text, text, "IP:PORT, such as 10.0.0.5:8000")
+        case Url():
+            return _try(_parse_url, text, "http://IP:PORT")
+        case Choice(words):
+            return text if text in words else _deny("one of " + ", ".join(words), text)
+
+
+def _deny(allowed: str, text: str) -> Any:
+    found = f"; found {text!r}" if text else ""
+    raise ValueError(allowed + found)
+
+
+def _try(parse: Any, text: str, allowed: str) -> Any:
+    try:
+        return parse(text)
+    except ValueError:
+        return _deny(allowed, text)
+
+
+def _bounded(value: Any, low: float, high: float, allowed: str, text: str) -> Any:
+    return value if low <= value <= high else _deny(allowed, text)
+
+
+def _with_unit(text: str, factor_by_unit: dict[str, Any]) -> Any:
+    found = re.fullmatch(r"([0-9.]+)\s*([A-Za-z]+)", text.strip())
+    if found is None or found[2] not in factor_by_unit:
+        raise ValueError(text)
+    return float(found[1]) * factor_by_unit[found[2]]
+
+
+def _parse_bytes(text: str) -> int:
+    return int(_with_unit(text, BYTES_BY_UNIT))
+
+
+def _parse_url(text: str) -> str:
+    scheme, _, rest = text.partition("://")
+    if scheme not in ("http", "https"):
+        raise ValueError(text)
+    Address.from_text(rest.rstrip("/"))
+    return text.rstrip("/")
--- /dev/null
+++ b/celeryrun/settings/_load.py
@@ -0,0 +1,103 @@
+"""Reading and checking a settings file."""
+
+from __future__ import annotations
+
+import configparser
+import dataclasses
+import typing
+from pathlib import Path
+from typing import Any
+
+from celeryrun.exception import SettingsError
+from celeryrun.settings._kinds import parse_value
+from celeryrun.settings._schema import Settings
+
+__all__ = ["load_settings", "parse_settings", "read_ini"]
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read a settings file.
+
+    Parameters
+    ----------
+    path : str or Path
+        The INI file.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or any value is wrong; names the place and what is allowed.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(path), "-", "-", f"a readable UTF-8 file ({error})") from error
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, file: str = "<text>") -> Settings:
+    """Check the text of a settings file.
+
+    Parameters
+    ----------
+    text : str
+        INI text.
+    file : str
+        Name for messages.
+
+    Raises
+    ------
+    SettingsError
+        At the first wrong section, key or value.
+    """
+    parser = read_ini(text, file)
+    types_by_section = typing.get_type_hints(Settings)
+    for section in parser.sections():
+        if section not in types_by_section:
+            allowed = "unknown section; allowed are " + ", ".join(sorted(types_by_section))
+            raise SettingsError(file, section, "-", allowed)
+    sections = {
+        section: _read_section(parser, section, section_type, file)
+        for section, section_type in types_by_section.items()
+    }
+    return Settings(**sections)
+
+
+def read_ini(text: str, file: str) -> configparser.ConfigParser:
+    """Parse INI text without interpolation and with keys as written.
+
+    Raises
+    ------
+    SettingsError
+        If the text is no INI, or a section or key stands twice.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, file)
+    except configparser.Error as error:
+        raise SettingsError(file, "-", "-", f"well-formed INI ({error.message})") from error
+    return parser
+
+
+def _read_section(
+    parser: configparser.ConfigParser, section: str, section_type: Any, file: str
+) -> Any:
+    given = dict(parser[section]) if parser.has_section(section) else {}
+    values = {}
+    for spec in dataclasses.fields(section_type):
+        note = spec.metadata["note"]
+        if spec.name in given:
+            values[spec.name] = _read_value(spec, given.pop(spec.name), file, section)
+        elif spec.default is dataclasses.MISSING:
+            raise SettingsError(file, section, spec.name, f"is required: {note}")
+    if given:
+        allowed = ", ".join(spec.name for spec in dataclasses.fields(section_type))
+        raise SettingsError(file, section, next(iter(given)), f"unknown key; allowed: {allowed}")
+    return section_type(**values)
+
+
+def _read_value(spec: Any, text: str, file: str, section: str) -> Any:
+    try:
+        return parse_value(spec.metadata["kind"], text)
+    except ValueError as error:
+        raise SettingsError(file, section, spec.name, str(error)) from error
--- /dev/null
+++ b/celeryrun/tests/builders.py
@@ -0,0 +1,92 @@
+"""Builders of test data."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+
+from celeryrun.claims._key import new_key
+from celeryrun.configuration import Call, Change, Plan, Pool, hash_key
+from celeryrun.configuration._model import encode_record
+from celeryrun.platform import Page, Record
+from celeryrun.pool import Waiting
+
+__all__ = [
+    "build_change",
+    "build_page",
+    "build_plan",
+    "build_pool",
+    "build_settings",
+    "build_waiting",
+    "fresh_key",
+]
+
+FAR_FUTURE = 1e12
+
+
+def build_plan(workspace: str = "cajas", tier: int = 1, max_outstanding: int = 100) -> Plan:
+    """Build a plan whose key is ``key-WORKSPACE``."""
+    return Plan(workspace, workspace, tier, hash_key(f"key-{workspace}"), max_outstanding)
+
+
+def build_pool(name: str = "drafts", kind: str = "engine", plans: tuple[str, ...] = ()) -> Pool:
+    """Build a pool; applications have one call that may not be repeated."""
+    calls = (Call("POST", "/bookings"),) if kind == "application" else ()
+    return Pool(name, kind, plans, calls)
+
+
+def build_change(base: int = 0, change_id: str = "", **content: tuple[object, ...]) -> Change:
+    """Build a change with a random id."""
+    return Change(change_id or secrets.token_hex(4), base, **content)  # type: ignore[arg-type]
+
+
+def build_page(*contents: object, first: int = 0) -> Page:
+    """Build a page of records; bytes are taken as they are."""
+    records = tuple(
+        Record(first + index, 0.0, content if isinstance(content, bytes) else _encode(content))
+        for index, content in enumerate(contents)
+    )
+    return Page(first, first + len(records), 0.0, records)
+
+
+def _encode(content: object) -> bytes:
+    return encode_record(content)  # type: ignore[arg-type]
+
+
+def build_waiting(
+    ask: int, tier: int = 1, workspace: str = "cajas", cost: float = 10.0, node: str = "node"
+) -> Waiting:
+    """Build an ask that waits."""
+    return Waiting(node, ask, tier, workspace, cost, (), FAR_FUTURE)
+
+
+def build_settings(**changes: str) -> str:
+    """Build the text of a settings file; a change is ``section__key=value``, None drops it."""
+    sections = {
+        "node": {
+            "name": "node-0",
+            "zone": "zone-0",
+            "caller_address": "127.0.0.1:8000",
+            "operator_address": "127.0.0.1:8001",
+            "peer_address": "127.0.0.1:8002",
+        },
+        "platform": {
+            "log_url": "http://127.0.0.1:9000",
+            "list_url": "http://127.0.0.1:9001",
+        },
+        "peers": {"key": "0123456789abcdef"},
+    }
+    for place, value in changes.items():
+        section, _, key = place.partition("__")
+        sections.setdefault(section, {})[key] = value
+    return "\n".join(
+        f"[{section}]\n" + "".join(f"{k} = {v}\n" for k, v in values.items() if v is not None)
+        for section, values in sections.items()
+    )
+
+
+def fresh_key(seed: int | None = None) -> str:
+    """Build an idempotency key born now."""
+    bits = random.Random(seed).getrandbits(74) if seed is not None else secrets.randbits(74)
+    return new_key(time.time(), bits)
--- /dev/null
+++ b/celeryrun/wire/_envelope.py
@@ -0,0 +1,97 @@
+"""Signed envelopes around messages."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+import msgspec
+
+from celeryrun.exception import CeleryrunError
+from celeryrun.wire._messages import Message
+
+__all__ = ["Envelope", "ForeignMessageError", "Sealer"]
+
+MAC_BYTES = 16
+
+
+class ForeignMessageError(CeleryrunError):
+    """Bytes on the peer port that no node of this system signed; check ``[peers] key``."""
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """One message with what its link needs.
+
+    Parameters
+    ----------
+    sender : str
+        Name of the sending node.
+    address : str
+        The sender's peer address.
+    receiver : str
+        Name of the node it is for.
+    boot : int
+        Changes when the sender restarts.
+    seq : int
+        Rises with each message from the sender to the receiver.
+    seen_boot, seen : int
+        Highest ``seq`` that the sender has from the receiver, and of which boot.
+    """
+
+    sender: str
+    address: str
+    receiver: str
+    boot: int
+    seq: int
+    seen_boot: int
+    seen: int
+    message: Message
+
+
+class Sealer:
+    """Encodes and signs envelopes, checks and decodes them.
+
+    Parameters
+    ----------
+    key : str
+        Secret shared by all nodes.
+
+    Examples
+    --------
+    >>> from celeryrun.wire import ConfigurationPull
+    >>> sealer = Sealer("0123456789abcdef")
+    >>> envelope = Envelope("a", "127.0.0.1:1", "b", 1, 1, 0, 0, ConfigurationPull(7))
+    >>> sealer.open(sealer.seal(envelope)).message.version
+    7
+    """
+
+    __slots__ = ("_decoder", "_encoder", "_key")
+
+    def __init__(self, key: str) -> None:
+        self._key = hashlib.blake2b(key.encode()).digest()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+
+    def seal(self, envelope: Envelope) -> bytes:
+        """Encode and sign."""
+        body = self._encoder.encode(envelope)
+        return self._mac(body) + body
+
+    def open(self, data: bytes) -> Envelope:
+        """Check the signature and decode.
+
+        Raises
+        ------
+        ForeignMessageError
+            If the signature does not fit or the content is no message.
+        """
+        mac, body = data[:MAC_BYTES], data[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._mac(body)):
+            raise ForeignMessageError("signature does not fit; check [peers] key on both nodes")
+        try:
+            return self._decoder.decode(body)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise ForeignMessageError(f"unknown message ({error}); upgrade this node") from error
+
+    def _mac(self, body: bytes) -> bytes:
+        return hashlib.blake2b(body, key=self._key[:64], digest_size=MAC_BYTES).digest()
--- /dev/null
+++ b/celeryrun/wire/_messages.py
@@ -0,0 +1,199 @@
+"""Typed messages between nodes."""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = [
+    "Ask",
+    "ConfigurationPull",
+    "ConfigurationState",
+    "Done",
+    "Grant",
+    "Hold",
+    "KeeperBeat",
+    "Message",
+    "News",
+    "Ping",
+    "PingAck",
+    "PingRequest",
+    "PoolBeat",
+    "Shed",
+    "Withdraw",
+]
+
+
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """What one node believes of a member.
+
+    Parameters
+    ----------
+    state : str
+        ``alive``, ``suspect``, ``draining`` or ``dead``.
+    incarnation : int
+        Raised by the member alone; the higher one is believed.
+    """
+
+    name: str
+    zone: str
+    address: str
+    operator: str
+    state: str
+    incarnation: int
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Membership probe with piggybacked news and the configuration version in force."""
+
+    probe: int
+    version: int
+    news: tuple[News, ...]
+
+
+class PingAck(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answer to a probe."""
+
+    probe: int
+    version: int
+    news: tuple[News, ...]
+
+
+class PingRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Request to probe a third member."""
+
+    probe: int
+    member: str
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Request for a slot on a target of a pool.
+
+    Parameters
+    ----------
+    ask : int
+        Unique on the asking node.
+    cost : float
+        Estimated work, in tokens or their equal.
+    prefix : tuple of int
+        Hashes of the prompt's leading blocks, longest last.
+    remaining : float
+        Seconds to the request's deadline.
+    """
+
+    pool: str
+    ask: int
+    tier: int
+    workspace: str
+    cost: float
+    prefix: tuple[int, ...]
+    remaining: float
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """A slot on a target, leased to the asking node."""
+
+    pool: str
+    ask: int
+    grant: int
+    target: str
+
+
+class Shed(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """The keeper refuses an ask."""
+
+    pool: str
+    ask: int
+    kind: str
+    retry_after: float
+
+
+class Withdraw(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The ask is no longer wanted."""
+
+    pool: str
+    ask: int
+
+
+class Done(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """A slot is free again.
+
+    Parameters
+    ----------
+    used : float
+        Work done, in tokens or their equal.
+    first : float
+        Seconds to the first byte of the answer, or a negative number if none came.
+    elapsed : float
+        Seconds from dispatch to the end.
+    whole : bool
+        Whether the target gave a whole answer.
+    """
+
+    pool: str
+    grant: int
+    used: float
+    first: float
+    elapsed: float
+    whole: bool
+
+
+class Hold(msgspec.Struct, frozen=True, array_like=True):
+    """A grant that a node uses."""
+
+    grant: int
+    target: str
+    tier: int
+    workspace: str
+    cost: float
+
+
+class PoolBeat(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Heartbeat of a node to a pool's keeper; renews the leases of the grants held."""
+
+    pool: str
+    waiting: int
+    holds: tuple[Hold, ...]
+
+
+class KeeperBeat(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Answer to a PoolBeat.
+
+    Parameters
+    ----------
+    epoch : int
+        Changes when the keeper has lost its state.
+    waiting : int
+        Asks of the receiver that the keeper knows.
+    """
+
+    pool: str
+    epoch: int
+    waiting: int
+
+
+class ConfigurationPull(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Request for the configuration, if newer than a version."""
+
+    version: int
+
+
+class ConfigurationState(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """The configuration in force, as an encoded snapshot record."""
+
+    body: bytes
+
+
+Message = (
+    Ping
+    | PingAck
+    | PingRequest
+    | Ask
+    | Grant
+    | Shed
+    | Withdraw
+    | Done
+    | PoolBeat
+    | KeeperBeat
+    | ConfigurationPull
+    | ConfigurationState
+)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what celeryrun meets: the platform, model engines and applications."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,320 @@
+"""Starts a whole fleet on loopback: platform, targets and nodes, each a process of its own."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import urllib3
+
+from celeryrun.configuration import hash_key
+
+__all__ = ["Fleet", "FleetPlan", "free_ports"]
+
+PEER_KEY = "stand-in-peer-key-0123456789"
+START_PATIENCE = 30.0  # s
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@dataclass(slots=True)
+class FleetPlan:
+    """What to start.
+
+    Parameters
+    ----------
+    engines, applications : int
+        Targets of the pools ``drafts`` and ``warehouse``.
+    plans : dict
+        Tier by workspace; each workspace's key is ``key-WORKSPACE``.
+    extra : dict
+        Further keys of a node's settings, by section.
+    """
+
+    nodes: int = 3
+    engines: int = 2
+    applications: int = 2
+    zones: int = 3
+    plans: dict[str, int] = field(
+        default_factory=lambda: {"bookings": 1, "routes": 2, "contracts": 3}
+    )
+    max_outstanding: int = 100
+    engine_step: float = 0.005
+    application_seconds: float = 0.005
+    retention: float = 3600.0
+    lag: float = 0.3
+    threads: int = 100
+    strict: bool = True
+    extra: dict[str, dict[str, str]] = field(default_factory=dict)
+
+
+class Fleet:
+    """The running processes; use as a context manager."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self.plan = plan
+        self.http = urllib3.PoolManager(retries=False, maxsize=64)
+        self.folder = Path(tempfile.mkdtemp(prefix="celeryrun-"))
+        self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+        self.command_by_name: dict[str, list[str]] = {}
+        self.port_by_name: dict[str, int] = {}
+        self.operator_by_name: dict[str, int] = {}
+        self.vms: list[dict[str, Any]] = []
+
+    def __enter__(self) -> Fleet:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    @property
+    def nodes(self) -> list[str]:
+        """Names of the nodes."""
+        return list(self.operator_by_name)
+
+    def start(self) -> None:
+        """Start everything, publish the lists, and wait until every node is ready."""
+        self.start_standins()
+        for number in range(self.plan.nodes):
+            self.add_node(f"node-{number}")
+        self.show_vms()
+        self.publish()
+        self.wait_ready()
+
+    def start_standins(self) -> None:
+        plan = self.plan
+        arguments = ["--retention", str(plan.retention), "--lag", str(plan.lag)]
+        self.add_standin("platform", "standins.platform", arguments)
+        for number in range(plan.engines):
+            name = f"engine-{number}"
+            self.add_standin(name, "standins.engine", ["--step", str(plan.engine_step)])
+            self.add_target(name, "drafts", number)
+        for number in range(plan.applications):
+            name = f"application-{number}"
+            seconds = ["--seconds", str(plan.application_seconds)]
+            self.add_standin(name, "standins.application", seconds)
+            self.add_target(name, "warehouse", number)
+
+    def add_standin(self, name: str, module: str, arguments: list[str]) -> None:
+        (port,) = free_ports(1)
+        self.port_by_name[name] = port
+        common = ["-m", module, "--port", str(port), "--name", name]
+        self.spawn(name, [sys.executable, *common, *arguments])
+        self.wait_port(port)
+
+    def add_target(self, name: str, pool: str, number: int) -> None:
+        self.vms.append(
+            {
+                "name": name,
+                "zone": f"zone-{number % self.plan.zones}",
+                "address": f"127.0.0.1:{self.port_by_name[name]}",
+                "state": "live",
+                "role": "target",
+                "pool": pool,
+            }
+        )
+
+    def add_node(self, name: str) -> None:
+        """Start a node."""
+        caller, operator, peer = free_ports(3)
+        zone = f"zone-{len(self.operator_by_name) % self.plan.zones}"
+        sections = {
+            "node": {
+                "name": name,
+                "zone": zone,
+                "caller_address": f"127.0.0.1:{caller}",
+                "operator_address": f"127.0.0.1:{operator}",
+                "peer_address": f"127.0.0.1:{peer}",
+                "threads": str(self.plan.threads),
+                "drain_lag": "1s",
+            },
+            "platform": {
+                "log_url": self.url("platform"),
+                "list_url": self.url("platform"),
+                "list_period": "300ms",
+                "retention": f"{self.plan.retention:g}s",
+            },
+            "peers": {"key": PEER_KEY},
+        }
+        for section, values in self.plan.extra.items():
+            sections.setdefault(section, {}).update(values)
+        lines = []
+        for section, values in sections.items():
+            lines.append(f"[{section}]")
+            lines.extend(f"{key} = {value}" for key, value in values.items())
+        path = self.settings_path(name)
+        path.write_text("\n".join(lines) + "\n")
+        self.port_by_name[name] = caller
+        self.operator_by_name[name] = operator
+        self.vms.append(
+            {
+                "name": name,
+                "zone": zone,
+                "address": f"127.0.0.1:{peer}",
+                "state": "live",
+                "role": "node",
+                "operator": f"127.0.0.1:{operator}",
+            }
+        )
+        strict = ["--strict"] if self.plan.strict else []
+        self.spawn(name, [sys.executable, "-m", "celeryrun", "node", str(path), *strict])
+
+    def settings_path(self, name: str) -> Path:
+        """Return the path of a node's settings."""
+        return self.folder / f"{name}.ini"
+
+    def spawn(self, name: str, command: list[str]) -> None:
+        self.command_by_name[name] = command
+        environment = {**os.environ, "CELERYRUN_STRICT_EXIT": "1"}
+        with open(self.folder / f"{name}.log", "ab") as output:
+            self.process_by_name[name] = subprocess.Popen(
+                command, stdout=output, stderr=output, env=environment
+            )
+
+    def show_vms(self) -> None:
+        """Put the list of VMs as it is now on the platform."""
+        self.call("PUT", "platform", "/vms", self.vms)
+
+    def set_state(self, name: str, state: str) -> None:
+        """Change a VM's state on the platform's list."""
+        for vm in self.vms:
+            if vm["name"] == name:
+                vm["state"] = state
+        self.show_vms()
+
+    def publish(self, *options: str, check: bool = True) -> subprocess.CompletedProcess[str]:
+        """Publish the plan's lists through the command line."""
+        plans, uses = self.write_lists()
+        command = [sys.executable, "-m", "celeryrun", "publish"]
+        settings = str(self.settings_path(self.nodes[0]))
+        lists = ["--plans", str(plans), "--uses", str(uses)]
+        return subprocess.run(
+            [*command, settings, *lists, *options], capture_output=True, text=True, check=check
+        )
+
+    def write_lists(self) -> tuple[Path, Path]:
+        plans, uses = self.folder / "plans.ini", self.folder / "uses.ini"
+        plans.write_text(
+            "".join(
+                f"[{workspace}]\nplan = {workspace}\ntier = {tier}\n"
+                f"key_hash = {hash_key('key-' + workspace)}\n"
+                f"max_outstanding = {self.plan.max_outstanding}\n\n"
+                for workspace, tier in self.plan.plans.items()
+            )
+        )
+        everyone = ", ".join(self.plan.plans)
+        uses.write_text(
+            f"[drafts]\nkind = engine\nplans = {everyone}\n\n"
+            f"[warehouse]\nkind = application\nplans = {everyone}\n"
+            "non_idempotent = POST /bookings\n"
+        )
+        return plans, uses
+
+    def wait_ready(self, names: list[str] | None = None) -> None:
+        """Wait until nodes are ready, know each other and their targets."""
+        until = time.monotonic() + START_PATIENCE
+        for name in names or self.nodes:
+            while not self.is_settled(name):
+                if time.monotonic() > until:
+                    log = (self.folder / f"{name}.log").read_text()[-3000:]
+                    raise TimeoutError(f"{name} is not ready: {log}")
+                time.sleep(0.1)
+
+    def is_settled(self, name: str) -> bool:
+        try:
+            status = self.status(name)
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return False
+        live = sum(1 for vm in self.vms if vm["role"] == "node" and vm["state"] == "live")
+        targets = sum(len(pool["targets"]) for pool in status["pools"])
+        wanted = sum(1 for vm in self.vms if vm["role"] == "target")
+        return bool(status["ready"] and len(status["members"]) >= live and targets >= wanted)
+
+    def status(self, name: str) -> Any:
+        """Return a node's status."""
+        url = f"http://127.0.0.1:{self.operator_by_name[name]}/status"
+        return json.loads(self.http.request("GET", url, timeout=2.0).data)
+
+    def url(self, name: str) -> str:
+        """Return the base URL of a process."""
+        return f"http://127.0.0.1:{self.port_by_name[name]}"
+
+    def call(self, method: str, name: str, path: str, content: Any = None) -> Any:
+        """Call a stand-in and return its JSON."""
+        body = None if content is None else json.dumps(content).encode()
+        response = self.http.request(method, self.url(name) + path, body=body, timeout=10.0)
+        return json.loads(response.data or b"{}")
+
+    def fault(self, name: str, **faults: Any) -> None:
+        """Command faults of a stand-in."""
+        self.call("POST", name, "/control", faults)
+
+    def request(
+        self,
+        node: str,
+        workspace: str,
+        method: str,
+        path: str,
+        content: Any = None,
+        timeout: float = 30.0,
+        **headers: str,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a caller's request through a node; header names take ``_`` for ``-``."""
+        body = None if content is None else json.dumps(content).encode()
+        all_headers = {"Authorization": f"Bearer key-{workspace}"}
+        all_headers.update({key.replace("_", "-"): value for key, value in headers.items()})
+        return self.http.request(
+            method, self.url(node) + path, body=body, headers=all_headers, timeout=timeout
+        )
+
+    def kill(self, name: str, signal_number: int = signal.SIGKILL) -> None:
+        """Send a signal to a process that this fleet started."""
+        self.process_by_name[name].send_signal(signal_number)
+
+    def restart(self, name: str) -> None:
+        """Start a killed process again with the same command."""
+        self.process_by_name[name].wait()
+        self.spawn(name, self.command_by_name[name])
+        self.wait_port(self.port_by_name[name])
+
+    def wait_port(self, port: int) -> None:
+        until = time.monotonic() + START_PATIENCE
+        while time.monotonic() < until:
+            try:
+                socket.create_connection(("127.0.0.1", port), 1.0).close()
+                return
+            except OSError:
+                time.sleep(0.02)
+        raise TimeoutError(f"nothing listens on port {port}")
+
+    def stop(self) -> None:
+        """End every process that this fleet started."""
+        for process in self.process_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.process_by_name.values():
+            process.wait()
