Keep threads spare for urgent work on a full node

Cause: each waiting request holds one of the server's threads; with all of them waiting, an urgent request or one for another pool stood in the accept queue, where no tier is seen. Ruled out: growing the thread pool (it does not grow by itself, and memory is bounded). Change: one thread in ten, at least four, is kept for deciding; a newcomer displaces the last waiting request of a lower tier, or is refused as not run (node-full). Before: with 16 threads and 32 drafts, a lookup did not get an answer within 4 s (test failed). After: it is answered; the test passes. Conclusion: a node that is itself full sheds in its own tier order; across nodes the keeper's order holds.

--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -24,6 +24,11 @@
 THREAD_STACK_BYTES = 256 * 1024
 ACCEPT_QUEUE = 512
 KEEP_ALIVE = 60  # s
+MIN_SPARE_THREADS = 4
+SPARE_THREADS_SHARE = 10  # one thread in so many is kept for refusing
+NODE_FULL = Refusal(
+    503, "node-full", "this node has no thread free; retry, another node will take it", 1.0
+)
 SOCKET_KEY = "celeryrun.socket"
 KEY_WINDOW_SHARE = 0.5  # of the log's retention
 
@@ -118,6 +123,13 @@
             self._start(start, head, "", len(body))
             yield body
             return
+        if self._is_full() and not self._kernel.find("pools").displace(
+            request.plan.tier, NODE_FULL
+        ):
+            head, body = refusal_head(NODE_FULL)
+            self._start(start, head, request.request_id, len(body))
+            yield body
+            return
         with request_context(request.request_id, request.plan.workspace):
             exchange, is_new = self.answers.open(request.plan.workspace, request.request_id)
             if is_new:
@@ -125,6 +137,10 @@
             else:
                 yield from self._attach(environ, start, request, exchange)
 
+    def _is_full(self) -> bool:
+        threads = self._settings.node.threads
+        return self._active > threads - max(MIN_SPARE_THREADS, threads // SPARE_THREADS_SHARE)
+
     def _run(
         self, environ: dict[str, Any], start: StartResponse, request: Request, exchange: Exchange
     ) -> Iterator[bytes]:
--- a/celeryrun/pool/_client.py
+++ b/celeryrun/pool/_client.py
@@ -129,6 +129,22 @@
             waiter.answered.set()
         self._tell_keeper(waiter.ask.pool, Withdraw(waiter.ask.pool, waiter.ask.ask))
 
+    def displace(self, tier: int, refusal: Refusal) -> bool:
+        """Make the last request of the lowest tier below another give up, if any waits here.
+
+        Parameters
+        ----------
+        tier : int
+            Tier of the request that needs room.
+        """
+        with self._lock:
+            waiting = [item for item in self._waiter_by_ask.values() if item.result is None]
+            lowest = max(waiting, key=lambda item: (item.ask.tier, item.ask.ask), default=None)
+        if lowest is None or lowest.ask.tier <= tier:
+            return False
+        self.withdraw(lowest, refusal)
+        return True
+
     def release(self, grant: Grant, used: float, first: float, elapsed: float, whole: bool) -> None:
         """Give a slot back.
 
