End every wait on a target at the deadline, and resume what only looks broken

Cause: a read's timeout began anew with each byte, so a target that trickled outlived the deadline; an engine's refusal was resumed eight times and then called unknown; eight silences of two seconds ended a stream whose engine was only long over its prompt; nothing noticed the caller of a plain draft hang up; an answer without length was taken as whole; HEAD answers had a body. Ruled out: a timer task for each exchange (one thread more a request); a pool of connections.

--- a/celeryrun/dispatch/_engine.py
+++ b/celeryrun/dispatch/_engine.py
@@ -2,34 +2,30 @@
 
 from __future__ import annotations
 
-import http.client
+import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
+from dataclasses import dataclass
 
 import msgspec
 import urllib3
 
-from celeryrun.dispatch._application import LEAVING_HEADER
-from celeryrun.dispatch._connection import connect, exchange
-from celeryrun.dispatch._results import NotDispatched, Token, Unknown, Usage
+from celeryrun.dispatch._answer import MAX_ANSWER_BYTES, is_leaving, read_answer
+from celeryrun.dispatch._connection import BROKEN, TargetConnection, connect, is_silence
+from celeryrun.dispatch._events import Event, MalformedStreamError, read_events
+from celeryrun.dispatch._results import Answer, NotDispatched, Token, Unknown, Usage
 
 __all__ = ["EngineStream", "cancel_stream"]
 
-SILENCE_LIMIT = 2.0  # s between two events before the stream is resumed
-RESUME_PAUSE = 0.1  # s
-MAX_RESUMES = 8
+GENERATE_PATH = "/v1/generate"
+HEAD_SILENCE = 5.0  # s until a dispatch without a head is asked for on a new connection
+SILENCE = 2.0  # s between two events before the stream is resumed
+MAX_SILENCE = 16.0  # s, reached by doubling while a live engine has nothing to say
+RESUME_PAUSE = 0.1  # s, doubled after each failure
+MAX_FAILURES = 5  # resumes in a row without a new token
 CANCEL_TIMEOUT = 1.0  # s
-EVENT_PREFIX = b"data: "
-
-
-class _Event(msgspec.Struct):
-    id: str
-    index: int
-    text: str = ""
-    done: bool = False
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-    completion_tokens: int = 0
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
 
 
 class _Body(msgspec.Struct):
@@ -38,7 +34,25 @@
     max_tokens: int
 
 
-_decoder = msgspec.json.Decoder(_Event)
+@dataclass(frozen=True, slots=True)
+class _Broken:
+    """Sentinel: this connection gives no more; another may.
+
+    Parameters
+    ----------
+    silent : bool
+        Whether it was opened and then nothing came.
+    refused : bool
+        Whether nothing listens at the engine's address.
+    """
+
+    reason: str
+    silent: bool = False
+    refused: bool = False
+
+
+_End = Usage | Answer | NotDispatched | Unknown
+_Part = Generator[Token, None, _End | _Broken]
 
 
 class EngineStream:
@@ -61,129 +75,174 @@
     ----------
     first : float
         Seconds to the first event, negative while there is none.
+    resumes : int
+        How often it was resumed.
+
+    Notes
+    -----
+    A silent connection and an engine that is long over a prompt look alike. So after a silence the
+    stream is resumed on a new connection, and as long as the engine takes that one, the silence
+    allowed doubles and nothing is held against the engine.
     """
 
-    __slots__ = ("_address", "_body", "_deadline", "_next", "_resumes", "first", "stream_id")
+    __slots__ = (
+        "_aborted",
+        "_address",
+        "_body",
+        "_connection",
+        "_deadline",
+        "_failures",
+        "_next",
+        "_reached",
+        "_silence",
+        "_size",
+        "_started",
+        "first",
+        "resumes",
+        "stream_id",
+    )
 
     def __init__(
         self, address: str, stream_id: str, prompt: str, max_tokens: int, deadline: float
     ) -> None:
         self.stream_id = stream_id
         self.first = -1.0
+        self.resumes = 0
+        self._aborted = threading.Event()
         self._address = address
         self._body = msgspec.json.encode(_Body(stream_id, prompt, max_tokens))
+        self._connection: TargetConnection | None = None
         self._deadline = deadline
+        self._failures = 0
         self._next = 0
-        self._resumes = 0
+        self._reached = False
+        self._silence = SILENCE
+        self._size = 0
+        self._started = 0.0
 
-    def events(self) -> Iterator[Token | Usage | NotDispatched | Unknown]:
+    def events(self) -> Iterator[Token | Usage | Answer | NotDispatched | Unknown]:
         """Dispatch, and yield each token once and in order.
 
         Yields
         ------
-        Token or Usage or NotDispatched or Unknown
-            The last item is never a `Token`: a `Usage` says that the answer is whole.
+        Token or Usage or Answer or NotDispatched or Unknown
+            Only the last item is no `Token`. A `Usage` says that the answer is whole; an `Answer`
+            is the engine's own refusal.
         """
-        started = time.monotonic()
-        path, body = "/v1/generate", self._body
-        while True:
-            end: Usage | NotDispatched | Unknown | None = None
-            for item in self._read(path, body):
-                if self.first < 0 and isinstance(item, Token):
-                    self.first = time.monotonic() - started
-                if not isinstance(item, Token):
-                    end = item
-                    break
-                yield item
-            ends = isinstance(end, Usage) or (isinstance(end, NotDispatched) and body)
-            if end is not None and ends:
-                yield end
+        self._started = time.monotonic()
+        end = yield from self._read("POST", GENERATE_PATH, HEAD_SILENCE)
+        while isinstance(end, _Broken):
+            if not self._may_resume(end):
+                yield Unknown(end.reason, target_died=end.refused)
                 return
-            if not self._may_resume():
-                yield end if isinstance(end, Unknown) else Unknown("the stream broke off")
-                return
-            path, body = f"/v1/streams/{self.stream_id}?from={self._next}", b""
-
-    def _may_resume(self) -> bool:
-        self._resumes += 1
-        if self._resumes > MAX_RESUMES or time.monotonic() >= self._deadline:
+            end = yield from self._resume()
+        yield end
+
+    def abort(self) -> None:
+        """Stop waiting for the engine, from any thread."""
+        self._aborted.set()
+        connection = self._connection
+        if connection is not None:
+            connection.abort()
+
+    def _may_resume(self, broken: _Broken) -> bool:
+        if broken.silent:
+            self._silence = min(MAX_SILENCE, self._silence * 2)
+        else:
+            self._failures += 1
+        if self._failures > MAX_FAILURES:
             return False
-        time.sleep(RESUME_PAUSE)
-        return True
-
-    def _read(self, path: str, body: bytes) -> Iterator[Token | Usage | NotDispatched | Unknown]:
-        patience = min(self._deadline - time.monotonic(), self._patience(body))
-        connection = connect(self._address, patience)
+        pause = 0.0 if broken.silent else RESUME_PAUSE * 2**self._failures
+        remaining = self._deadline - time.monotonic()
+        return remaining > pause and not self._aborted.wait(pause)
+
+    def _resume(self) -> _Part:
+        self.resumes += 1
+        path = f"/v1/streams/{self.stream_id}?from={self._next}"
+        end = yield from self._read("GET", path, self._silence)
+        if isinstance(end, NotDispatched):
+            return _Broken(end.reason, refused=end.refused)
+        return end
+
+    def _read(self, method: str, path: str, head_silence: float) -> _Part:
+        connection = connect(self._address, self._deadline)
         if isinstance(connection, NotDispatched):
-            yield connection
-            return
-        sock = connection.sock
+            return connection
+        self._connection = connection
         try:
-            headers = {"Request-Id": self.stream_id, "Content-Type": "application/json"}
-            method = "POST" if body else "GET"
-            response = exchange(connection, method, path, body or None, headers)
-            if response.status != 200:
-                yield self._refused(response)
-                return
-            sock.settimeout(SILENCE_LIMIT)
-            yield from self._parse(response)
-        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError) as error:
-            yield Unknown(f"the stream broke off ({type(error).__name__})")
+            if self._aborted.is_set():
+                return Unknown("the wait was ended")
+            connection.set_silence(head_silence)
+            response = self._exchange(connection, method, path)
+            if response.status != HTTP_OK:
+                return self._refused(response, method)
+            self._reached = True
+            connection.set_silence(self._silence)
+            return (yield from self._tokens(response))
+        except BROKEN as error:
+            silent = is_silence(error)
+            self._reached = self._reached or not silent
+            return _Broken(f"the stream broke off ({type(error).__name__})", silent)
+        except MalformedStreamError as error:
+            return _Broken(str(error))
         finally:
+            self._connection = None
             connection.close()
 
-    def _patience(self, body: bytes) -> float:
-        return self._deadline - time.monotonic() if body else SILENCE_LIMIT
-
-    def _refused(self, response: urllib3.BaseHTTPResponse) -> NotDispatched | Unknown:
-        if response.status == 503 and response.headers.get(LEAVING_HEADER):
-            return NotDispatched("the target is leaving", leaving=True)
-        return Unknown(f"the engine answered status {response.status}")
-
-    def _parse(self, response: urllib3.BaseHTTPResponse) -> Iterator[Token | Usage | Unknown]:
-        for line in _lines(response):
+    def _exchange(
+        self, connection: TargetConnection, method: str, path: str
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {"Request-Id": self.stream_id, "Content-Type": "application/json"}
+        return connection.exchange(method, path, self._body if method == "POST" else None, headers)
+
+    def _refused(
+        self, response: urllib3.BaseHTTPResponse, method: str
+    ) -> Answer | NotDispatched | Unknown | _Broken:
+        if method == "POST":
+            if is_leaving(response):
+                return NotDispatched("the target is leaving", leaving=True)
+            return read_answer(response, self.stream_id, method)
+        if response.status == HTTP_NOT_FOUND:
+            # An engine that never got the request does not know the stream either.
+            reason = "the engine does not know the stream"
+            return Unknown(reason, target_died=self._reached)
+        return _Broken(f"the engine answered status {response.status}")
+
+    def _tokens(self, response: urllib3.BaseHTTPResponse) -> _Part:
+        for event in read_events(response):
             if time.monotonic() > self._deadline:
-                yield Unknown("the answer was not whole before the deadline")
-                return
-            if not line.startswith(EVENT_PREFIX):
-                continue
-            try:
-                event = _decoder.decode(line[len(EVENT_PREFIX) :])
-            except msgspec.MsgspecError:
-                yield Unknown("the engine sent an unreadable event")
-                return
+                return Unknown("the answer was not whole before the deadline")
             if event.id != self.stream_id or event.index > self._next:
-                yield Unknown("the engine sent an event of another stream or left one out")
-                return
+                return _Broken("the engine sent an event of another stream or left one out")
             if event.index < self._next:
                 continue
             if event.done:
-                yield Usage(event.prompt_tokens, event.cached_tokens, event.completion_tokens)
-                return
-            self._next += 1
-            yield Token(event.index, event.text)
-        yield Unknown("the stream ended early")
-
-
-def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    rest = b""
-    while True:
-        part = response.read1()
-        if not part:
-            return
-        *lines, rest = (rest + part).split(b"\n")
-        yield from lines
+                return Usage(event.prompt_tokens, event.cached_tokens, event.completion_tokens)
+            token = self._accept(event)
+            if self._size > MAX_ANSWER_BYTES:
+                return Unknown(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
+            yield token
+        return _Broken("the stream ended early")
+
+    def _accept(self, event: Event) -> Token:
+        if self.first < 0:
+            self.first = time.monotonic() - self._started
+        self._next += 1
+        self._failures = 0
+        self._silence = SILENCE
+        self._size += len(event.text)
+        return Token(event.index, event.text)
 
 
 def cancel_stream(address: str, stream_id: str) -> bool:
     """Ask an engine to stop a stream; return whether it said that it did."""
-    connection = connect(address, CANCEL_TIMEOUT)
+    connection = connect(address, time.monotonic() + CANCEL_TIMEOUT)
     if isinstance(connection, NotDispatched):
         return False
     try:
         path = f"/v1/streams/{stream_id}"
-        return exchange(connection, "DELETE", path, None, {}).status == 200
-    except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError):
+        return connection.exchange("DELETE", path, None, {}).status == HTTP_OK
+    except BROKEN:
         return False
     finally:
         connection.close()
--- a/celeryrun/dispatch/_results.py
+++ b/celeryrun/dispatch/_results.py
@@ -9,32 +9,51 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """A whole answer of an application."""
+    """A whole answer of a target.
+
+    Parameters
+    ----------
+    headers : tuple of (str, str)
+        Those that are passed on.
+    has_body : bool
+        Whether an answer of this kind has a body at all, be it empty.
+    """
 
     status: int
-    content_type: str
+    headers: tuple[tuple[str, str], ...]
     body: bytes
+    has_body: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class NotDispatched:
-    """Sentinel: no byte of the request reached a target.
+    """Sentinel: no byte of the request reached a target, or the target itself turned it away.
 
     Parameters
     ----------
     leaving : bool
         Whether the target itself said that it is leaving.
+    refused : bool
+        Whether nothing listens at the target's address.
     """
 
     reason: str
     leaving: bool = False
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Unknown:
-    """Sentinel: the request may have run, and its whole answer was not had."""
+    """Sentinel: the request may have run, and its whole answer was not had.
+
+    Parameters
+    ----------
+    target_died : bool
+        Whether the target's process ended while it ran the request.
+    """
 
     reason: str
+    target_died: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -23,6 +23,7 @@
 
 THREAD_STACK_BYTES = 256 * 1024
 ACCEPT_QUEUE = 512
+BODILESS_STATUSES = (204, 304)
 KEEP_ALIVE = 60  # s
 SOCKET_KEY = "celeryrun.socket"
 KEY_WINDOW_SHARE = 0.5  # of the log's retention
@@ -104,7 +105,8 @@
         with self._lock:
             self._active += 1
         try:
-            yield from self._handle(environ, start_response)
+            for chunk in self._handle(environ, start_response):
+                yield b"" if environ["REQUEST_METHOD"] == "HEAD" else chunk
         finally:
             with self._lock:
                 self._active -= 1
@@ -173,7 +175,7 @@
         headers = [*head.headers, ("Celeryrun-Outcome", head.outcome)]
         if request_id:
             headers.append(("Request-Id", request_id))
-        if length is not None:
+        if length is not None and head.status not in BODILESS_STATUSES:
             headers.append(("Content-Length", str(length)))
         if self.draining:
             headers.append(("Connection", "close"))
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -7,6 +7,7 @@
 import time
 import uuid
 from collections.abc import Generator
+from contextlib import AbstractContextManager
 
 import logbook
 import msgspec
@@ -33,6 +34,7 @@
 
 AVOID_SECONDS = 1.0
 CLAIM_TIMEOUT = 3.0  # s that a slot is held while a claim is not resolved
+FAILED = Refusal(500, "node-failed", "the node failed; retry, and tell your operator", 1.0)
 GONE = Refusal(499, "caller-gone", "the caller hung up while the request waited")
 
 log = logbook.Logger("runner")
@@ -45,6 +47,12 @@
     completion_tokens: int
 
 
+def _cancel_later(address: str, stream_id: str) -> None:
+    # The caller must not wait for an engine that may be silent.
+    arguments = (address, stream_id)
+    threading.Thread(target=cancel_stream, args=arguments, name="cancel", daemon=True).start()
+
+
 class _StreamEnd(msgspec.Struct):
     outcome: str
     reason: str = ""
@@ -113,10 +121,20 @@
                 ended = yield from self._use(grant)
         except Exception:
             log.exception("running request {}", self._request.request_id)
+            self._fail()
+
+    def _fail(self) -> None:
+        if self._exchange.finished is not None:
+            return
+        if self._dispatched:
             self._unknown("the node failed while it ran the request")
+        else:
+            self._refuse(FAILED)
 
     def _wait_for_slot(self) -> Grant | Refusal:
         request = self._request
+        if self._gone.is_set():
+            return GONE
         client = self._kernel.find("pools")
         prefix = hash_prefix(request.prompt.prompt) if request.prompt is not None else ()
         waiter = client.ask(
@@ -150,6 +168,7 @@
             if claim is False:
                 return True
             check(not self._dispatched, "at-most-one-dispatch", request=self._request.request_id)
+            self._dispatched = True
             if self._request.prompt is None:
                 result = self._call(target.address)
                 ended = self._finish_call(result, grant)
@@ -202,21 +221,20 @@
 
     def _finish_call(self, result: Answer | NotDispatched | Unknown, grant: Grant) -> bool:
         match result:
-            case NotDispatched(reason, leaving):
-                self._note_not_dispatched(grant, reason, leaving)
+            case NotDispatched():
+                self._note_not_dispatched(grant, result)
                 return False
             case Unknown(reason):
-                self._dispatched = True
                 self._unknown(reason)
-            case Answer(status, content_type, body):
-                self._dispatched = True
-                self._complete(Head(status, "complete", (("Content-Type", content_type),)), body)
+            case Answer(status, headers, body):
+                self._complete(Head(status, "complete", headers), body)
         return True
 
-    def _note_not_dispatched(self, grant: Grant, reason: str, leaving: bool) -> None:
-        log.info("not dispatched to {}: {}", grant.target, reason)
+    def _note_not_dispatched(self, grant: Grant, result: NotDispatched) -> None:
+        self._dispatched = False
+        log.info("not dispatched to {}: {}", grant.target, result.reason)
         targets = self._kernel.find("targets")
-        if leaving:
+        if result.leaving:
             targets.note_leaving(grant.target)
         else:
             targets.note_unreachable(grant.target, AVOID_SECONDS)
@@ -224,32 +242,44 @@
     def _relay(
         self, stream: EngineStream, address: str, grant: Grant
     ) -> Generator[None, None, tuple[bool, float, bool]]:
+        """Relay a stream; returns whether the request has ended, what it used, and if whole."""
         prompt = self._request.prompt
         assert prompt is not None
         texts: list[str] = []
-        for item in stream.events():
-            match item:
-                case Token(index, text):
-                    self._dispatched = True
-                    texts.append(text)
-                    if prompt.stream:
-                        self._stream_token(index, text)
-                        yield
-                    if self._gone.is_set():
-                        cancel_stream(address, stream.stream_id)
-                        self._unknown("the caller hung up")
-                        return True, self._request.cost, False
-                case Usage() as usage:
-                    self._finish_stream(texts, usage)
-                    return True, float(usage.prompt - usage.cached + usage.completion), True
-                case NotDispatched(reason, leaving):
-                    self._note_not_dispatched(grant, reason, leaving)
-                    return False, 0.0, False
-                case Unknown(reason):
-                    self._dispatched = True
-                    cancel_stream(address, stream.stream_id)
-                    self._unknown(reason)
-        return True, float(len(texts)), False
+        with self._watching_for_hangup(stream):
+            for item in stream.events():
+                match item:
+                    case Token(index, text):
+                        texts.append(text)
+                        if prompt.stream and not self._gone.is_set():
+                            self._stream_token(index, text)
+                            yield
+                        if self._gone.is_set():
+                            stream.abort()
+                    case Usage() as usage:
+                        self._finish_stream(texts, usage)
+                        return True, float(usage.prompt - usage.cached + usage.completion), True
+                    case Answer():
+                        self._finish_call(item, grant)
+                        return True, 0.0, True
+                    case NotDispatched():
+                        self._note_not_dispatched(grant, item)
+                        return False, 0.0, False
+                    case Unknown(reason):
+                        self._unknown("the caller hung up" if self._gone.is_set() else reason)
+                        _cancel_later(address, stream.stream_id)
+        return True, self._request.cost, False
+
+    def _watching_for_hangup(self, stream: EngineStream) -> AbstractContextManager[None]:
+        def leave() -> None:
+            self._gone.set()
+            stream.abort()
+
+        connection = None if self._request.named else self._connection
+        watch: AbstractContextManager[None] = self._kernel.find("hangups").watching(
+            connection, leave
+        )
+        return watch
 
     def _stream_token(self, index: int, text: str) -> None:
         if self._exchange.head is None:
--- a/celeryrun/tests/builders.py
+++ b/celeryrun/tests/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import secrets
 import time
@@ -13,7 +14,9 @@
 from celeryrun.pool import Waiting
 
 __all__ = [
+    "build_answer",
     "build_change",
+    "build_events",
     "build_page",
     "build_plan",
     "build_pool",
@@ -90,3 +93,19 @@
     """Build an idempotency key born now."""
     bits = random.Random(seed).getrandbits(74) if seed is not None else secrets.randbits(74)
     return new_key(time.time(), bits)
+
+
+def build_answer(body: bytes, *headers: str, status: str = "200 OK") -> bytes:
+    """Build an HTTP answer of a target."""
+    lines = [f"HTTP/1.1 {status}", *headers, f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+def build_events(stream: str, *indexes: int, end: int | None = None, head: bool = True) -> bytes:
+    """Build an engine's stream whose tokens are their own indexes."""
+    events = [{"id": stream, "index": index, "text": str(index)} for index in indexes]
+    if end is not None:
+        usage = {"prompt_tokens": 1, "cached_tokens": 0, "completion_tokens": end}
+        events.append({"id": stream, "index": end, "done": True, **usage})
+    lines = b"".join(b"data: " + json.dumps(event).encode() + b"\n\n" for event in events)
+    return (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" if head else b"") + lines
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -77,7 +77,7 @@
             time.sleep(self.faults.get("slow"))
         self.answer()
 
-    do_GET = do_POST = do_PUT = do_DELETE = handle_any  # noqa: N815
+    do_GET = do_HEAD = do_POST = do_PUT = do_DELETE = handle_any  # noqa: N815
 
     def answer(self) -> None:
         raise NotImplementedError
@@ -103,7 +103,8 @@
         for name, value in (headers or {}).items():
             self.send_header(name, value)
         self.end_headers()
-        self.wfile.write(body)
+        if self.command != "HEAD":
+            self.wfile.write(body)
 
     def log_message(self, *args: Any) -> None:
         pass
