Pass a call's path on as its caller encoded it

Cause: the decoded path was sent on, so a space or line break in it ended in an exception of the HTTP client after the connection was open, told as unknown though nothing was sent. Change: the path as sent goes to the target, the decoded one chooses pool and idempotency; . and .. segments are refused, since a target that folds them would run a call that was not claimed. Measured: test_path_reaches_the_application_as_the_caller_sent_it fails before, passes after.

--- a/celeryrun/front/_request.py
+++ b/celeryrun/front/_request.py
@@ -7,6 +7,7 @@
 import uuid
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote
 
 import msgspec
 
@@ -20,6 +21,8 @@
 ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 MAX_PROMPT_TOKENS = 1_000_000
 CHARS_PER_TOKEN = 4
+DOT_SEGMENTS = (".", "..")
+PATH_SAFE = "%/:?@!$&'()*+,;=~[]"
 GENERATE_PATH = "/v1/generate"
 APPLICATION_COST = 50.0  # tokens that a call of an application counts as
 
@@ -99,8 +102,8 @@
     if request_id and not ID_PATTERN.fullmatch(request_id):
         return Refusal(400, "bad-request-id", "Request-Id: 1 to 128 letters, digits or . _ : -")
     method, path = environ["REQUEST_METHOD"], "/" + rest
-    if environ.get("QUERY_STRING"):
-        path += "?" + environ["QUERY_STRING"]
+    if any(part in DOT_SEGMENTS for part in rest.split("/")):
+        return Refusal(400, "bad-path", "the path may hold no . or .. segment")
     prompt = _read_prompt(pool, method, path, body)
     if isinstance(prompt, Refusal):
         return prompt
@@ -111,7 +114,7 @@
         plan,
         pool,
         method,
-        path,
+        _path_as_sent(environ),
         body,
         environ.get("CONTENT_TYPE", "") or "application/octet-stream",
         request_id or uuid.uuid4().hex,
@@ -123,6 +126,13 @@
     )
 
 
+def _path_as_sent(environ: dict[str, Any]) -> str:
+    """Return path and query below the pool, encoded as the caller encoded them."""
+    path, mark, query = environ["REQUEST_URI"].partition("?")
+    rest = path.lstrip("/").partition("/")[2]
+    return "/" + quote((rest + mark + query).encode("latin-1"), safe=PATH_SAFE)
+
+
 def _find_plan(environ: dict[str, Any], configuration: Configuration) -> Plan | Refusal:
     scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
     if scheme.lower() != "bearer" or not key.strip():
--- a/celeryrun/node/tests/test_dispatch.py
+++ b/celeryrun/node/tests/test_dispatch.py
@@ -47,6 +47,12 @@
     wait_for(lambda: running(fleet) == 0)
 
 
+def test_path_reaches_the_application_as_the_caller_sent_it(fleet):
+    path = "/stock/a%20crate%2Fsmall%0D%0A?size=%41&x=a:b"
+    answer = fleet.request(fleet.nodes[0], "bookings", "GET", "/warehouse" + path)
+    assert json.loads(answer.data)["path"] == path
+
+
 def test_head_has_no_body(fleet):
     answer = fleet.request(fleet.nodes[0], "bookings", "HEAD", "/warehouse/stock/a")
     assert answer.status == 200
@@ -54,3 +60,8 @@
     refused = fleet.request(fleet.nodes[0], "nobody", "HEAD", "/warehouse/stock/a")
     assert refused.status == 401
     assert refused.data == b""
+
+
+def test_dot_segments_are_refused(fleet):
+    answer = fleet.request(fleet.nodes[0], "bookings", "POST", "/warehouse/stock/%2e%2e/bookings")
+    assert answer.status == 400
