--- a/celeryrun/cli/_commands.py
+++ b/celeryrun/cli/_commands.py
@@ -109,7 +109,10 @@
     settings = load_settings(settings_file)
     wanted = _read_lists(plans, uses)
     client = LogClient(settings.platform.log_url, settings.platform.timeout)
-    outcome = Publisher(client, PUBLISH_PATIENCE).publish(wanted, change_id)
+    publisher = Publisher(
+        client, PUBLISH_PATIENCE, settings.peers.key, settings.platform.configuration_stream
+    )
+    outcome = publisher.publish(wanted, change_id)
     click.echo(f"version {outcome.version} accepted {outcome.reason}".rstrip())
     if wait:
         _wait_in_force(settings, outcome.version)
--- /dev/null
+++ b/celeryrun/configuration/_carry.py
@@ -0,0 +1,131 @@
+"""Duty to append the whole state again before the log forgets it."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+
+import logbook
+
+from celeryrun.configuration._fold import Fold
+from celeryrun.configuration._follow import Step
+from celeryrun.configuration._model import encode_record
+from celeryrun.exception import LogUnavailableError
+from celeryrun.kernel import Kernel
+from celeryrun.membership._rendezvous import rank
+from celeryrun.platform import LogClient, TooManyAppendsError
+from celeryrun.settings import PlatformSettings
+
+__all__ = ["CarryDuty", "due_share"]
+
+FIRST_SHARE = 0.3  # of the log's retention
+RANK_SHARE = 0.05
+LAST_RANK = 6
+PERIOD_SHARE = 0.01
+MAX_PERIOD = 5.0  # s
+REPEAT_SHARE = 0.05
+
+log = logbook.Logger("configuration")
+
+
+def due_share(place: int, jitter: float) -> float:
+    """Return the age of the newest snapshot at which a node appends one, in retentions.
+
+    Parameters
+    ----------
+    place : int
+        The node's place in the order of duty; the first acts, the others stand in for those before.
+    jitter : float
+        From 0 to 1, so that the many last ones do not act at once.
+
+    Examples
+    --------
+    >>> round(due_share(0, 0.5), 3), round(due_share(2, 0.5), 3), round(due_share(99, 0.5), 3)
+    (0.3, 0.4, 0.65)
+    """
+    if place < LAST_RANK:
+        return FIRST_SHARE + place * RANK_SHARE
+    return FIRST_SHARE + (LAST_RANK + 2 * jitter) * RANK_SHARE
+
+
+class CarryDuty:
+    """Appends a snapshot when the newest one has grown old.
+
+    Nothing rests on who does it: a snapshot more is harmless, and a node that is dead, frozen or
+    wrong about its duty is stood in for by the next.
+
+    Parameters
+    ----------
+    fold : Fold
+        The state, read under the lock.
+    """
+
+    __slots__ = (
+        "_client",
+        "_clock_offset",
+        "_fold",
+        "_jitter",
+        "_kernel",
+        "_lock",
+        "_platform",
+        "_stopped",
+        "_whole",
+        "_written_at",
+    )
+
+    def __init__(
+        self, kernel: Kernel, platform: PlatformSettings, fold: Fold, lock: threading.Lock
+    ) -> None:
+        self._kernel = kernel
+        self._platform = platform
+        self._fold = fold
+        self._lock = lock
+        self._client = LogClient(platform.log_url, platform.timeout)
+        self._clock_offset = 0.0
+        self._whole = False
+        self._jitter = random.random()
+        self._written_at = -platform.retention
+        self._stopped = threading.Event()
+
+    def start(self) -> None:
+        """Begin to look after the snapshot's age."""
+        threading.Thread(target=self._run, name="configuration-carry", daemon=True).start()
+
+    def stop(self) -> None:
+        """End."""
+        self._stopped.set()
+
+    def note_read(self, step: Step) -> None:
+        """Learn the platform's clock, and whether the log was read without a gap."""
+        self._clock_offset = step.now - time.monotonic()
+        self._whole = step.caught_up
+
+    def _run(self) -> None:
+        period = min(MAX_PERIOD, self._platform.retention * PERIOD_SHARE)
+        while not self._stopped.wait(period):
+            if self._is_due():
+                self._append()
+
+    def _is_due(self) -> bool:
+        if not self._whole or not self._fold.current.version:
+            return False
+        now = time.monotonic()
+        if now - self._written_at < self._platform.retention * REPEAT_SHARE:
+            return False
+        members = self._kernel.find("members")
+        order = rank("configuration", {*members.live(), members.me.name})
+        share = due_share(order.index(members.me.name), self._jitter)
+        age = now + self._clock_offset - self._fold.carried
+        return age > self._platform.retention * share
+
+    def _append(self) -> None:
+        with self._lock:
+            body = encode_record(self._fold.snapshot())
+        try:
+            offset = self._client.append(self._platform.configuration_stream, body)
+        except (LogUnavailableError, TooManyAppendsError) as error:
+            log.warning("snapshot not known to be appended: {}", error)
+            return
+        self._written_at = time.monotonic()
+        log.info("appended a snapshot of {} bytes at {}", len(body), offset)
--- /dev/null
+++ b/celeryrun/configuration/_follow.py
@@ -0,0 +1,95 @@
+"""Reading the configuration stream in order, across what retention has taken."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+
+import logbook
+
+from celeryrun.configuration._fold import Fold
+from celeryrun.platform import LogClient
+
+__all__ = ["Follower", "Step"]
+
+log = logbook.Logger("configuration")
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What one page brought.
+
+    Parameters
+    ----------
+    at_end : bool
+        Whether the log holds nothing behind the page.
+    caught_up : bool
+        Whether every record of the log is accounted for.
+    now : float
+        The platform's clock, in seconds since the epoch.
+    moved : bool
+        Whether the page held anything new.
+    """
+
+    at_end: bool
+    caught_up: bool
+    now: float
+    moved: bool
+
+
+class Follower:
+    """Folds the stream page by page.
+
+    Where retention has taken records that the fold lacks, it scans on for a snapshot from whose
+    offset the log is whole, and goes on from there.
+
+    Parameters
+    ----------
+    client : LogClient
+        The platform's log.
+    stream : str
+        Name of the stream.
+    fold : Fold
+        What has been folded; others may move it forward under the lock.
+    lock : Lock
+        Held while the fold is changed, not while the log is read.
+    """
+
+    __slots__ = ("_client", "_lock", "_scanned_to", "_stream", "fold")
+
+    def __init__(self, client: LogClient, stream: str, fold: Fold, lock: threading.Lock) -> None:
+        self._client = client
+        self._stream = stream
+        self._lock = lock
+        self._scanned_to = 0
+        self.fold = fold
+
+    def step(self, wait: float) -> Step:
+        """Read and fold one page.
+
+        Parameters
+        ----------
+        wait : float
+            Seconds that the platform may hold the call while there is nothing new.
+
+        Raises
+        ------
+        LogUnavailableError
+            If no whole answer came.
+        """
+        start = max(self._scanned_to, self.fold.folded_to)
+        page = self._client.read(self._stream, start, wait)
+        with self._lock:
+            before = self.fold.folded_to
+            self.fold.take_page(page)
+            after = self.fold.folded_to
+        if page.end < before:
+            log.error("the log ends at {}, below {}; its records were lost", page.end, before)
+        seen_to = page.records[-1].offset + 1 if page.records else max(start, page.first)
+        if page.first <= after:
+            self._scanned_to = 0
+            return Step(after >= page.end, after >= page.end, page.now, bool(page.records))
+        if seen_to >= page.end and self._scanned_to < page.end:
+            log.error("records {} to {} are forgotten without a snapshot", after, page.first)
+        self._scanned_to = seen_to
+        return Step(seen_to >= page.end, False, page.now, bool(page.records))
--- a/celeryrun/configuration/_model.py
+++ b/celeryrun/configuration/_model.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import hashlib
+import hmac
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -12,9 +14,11 @@
     "Call",
     "Change",
     "Configuration",
+    "Outcome",
     "Plan",
     "Pool",
     "Snapshot",
+    "SnapshotSealer",
     "decode_record",
     "encode_record",
     "hash_key",
@@ -24,6 +28,9 @@
 TIERS = (1, 2, 3)
 POOL_KINDS = ("engine", "application")
 DIGEST_BYTES = 8
+MAC_BYTES = 16
+HASH_BYTES = 32
+HASH_MODULUS = 1 << (8 * HASH_BYTES)
 
 
 def hash_key(key: str) -> str:
@@ -109,21 +116,56 @@
     drop_pools: tuple[str, ...] = ()
 
 
+class Outcome(msgspec.Struct, frozen=True):
+    """What became of a change.
+
+    Parameters
+    ----------
+    accepted : bool
+        Whether it came into force.
+    version : int
+        The version in force after it.
+    reason : str
+        Why it was rejected, with the remedy.
+    written : float
+        The platform's time of its record, in seconds since the epoch.
+    """
+
+    accepted: bool
+    version: int
+    reason: str = ""
+    written: float = 0.0
+
+
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
-    """The full state, folded from every record below an offset."""
+    """The full state, folded from every record below an offset.
+
+    Parameters
+    ----------
+    outcomes : tuple
+        Id and outcome of the last changes, oldest first.
+    known_since : float
+        Outcomes of records before this platform time, in seconds since the epoch, are forgotten.
+    mac : str
+        Signature with the key that the nodes share.
+    """
 
     version: int
     folded_to: int
     plans: tuple[Plan, ...]
     pools: tuple[Pool, ...]
+    outcomes: tuple[tuple[str, Outcome], ...] = ()
+    known_since: float = 0.0
+    mac: str = ""
 
 
 _decoder = msgspec.json.Decoder(Change | Snapshot)
+_encoder = msgspec.json.Encoder()
 
 
 def encode_record(record: Change | Snapshot) -> bytes:
     """Encode a record for the log."""
-    return msgspec.json.encode(record)
+    return _encoder.encode(record)
 
 
 def decode_record(body: bytes) -> Change | Snapshot:
@@ -137,6 +179,40 @@
     return _decoder.decode(body)
 
 
+class SnapshotSealer:
+    """Signs snapshots and checks signatures.
+
+    Parameters
+    ----------
+    key : str
+        Secret shared by all nodes.
+
+    Examples
+    --------
+    >>> sealer = SnapshotSealer("0123456789abcdef")
+    >>> snapshot = sealer.seal(Snapshot(1, 1, (), ()))
+    >>> sealer.is_genuine(snapshot), SnapshotSealer("another").is_genuine(snapshot)
+    (True, False)
+    """
+
+    __slots__ = ("_key",)
+
+    def __init__(self, key: str) -> None:
+        self._key = hashlib.blake2b(key.encode(), person=b"snapshot").digest()
+
+    def seal(self, snapshot: Snapshot) -> Snapshot:
+        """Return the snapshot with its signature."""
+        return msgspec.structs.replace(snapshot, mac=self._mac(snapshot))
+
+    def is_genuine(self, snapshot: Snapshot) -> bool:
+        """Tell whether a holder of the key signed the snapshot."""
+        return hmac.compare_digest(snapshot.mac.encode(), self._mac(snapshot).encode())
+
+    def _mac(self, snapshot: Snapshot) -> str:
+        body = _encoder.encode(msgspec.structs.replace(snapshot, mac=""))
+        return hashlib.blake2b(body, key=self._key, digest_size=MAC_BYTES).hexdigest()
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """The two lists as in force at one version.
@@ -145,13 +221,20 @@
     ----------
     version : int
         One more than the offset of the change that made it; 0 is empty.
+    content_hash : int
+        Sum of the hashes of all plans and pools [1]_, so that a change costs only what it touches.
+
+    References
+    ----------
+    .. [1] Bellare, Micciancio, "A New Paradigm for Collision-free Hashing: Incrementality at
+       Reduced Cost", EUROCRYPT 1997.
     """
 
     version: int
     plans_by_workspace: dict[str, Plan]
     pools_by_name: dict[str, Pool]
     plans_by_key_hash: dict[str, Plan]
-    digest: str
+    content_hash: int
 
     @classmethod
     def from_lists(
@@ -164,49 +247,72 @@
         >>> Configuration.from_lists(0, (), ()).version
         0
         """
-        plans = tuple(sorted(plans, key=lambda plan: plan.workspace))
-        pools = tuple(sorted(pools, key=lambda pool: pool.name))
-        content = msgspec.json.encode((version, plans, pools))
         return cls(
             version,
             {plan.workspace: plan for plan in plans},
             {pool.name: pool for pool in pools},
             {plan.key_hash: plan for plan in plans},
-            hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest(),
+            _hash_items([*plans, *pools]),
         )
 
     @property
     def plans(self) -> tuple[Plan, ...]:
         """All plans, ordered by workspace."""
-        return tuple(self.plans_by_workspace.values())
+        return tuple(sorted(self.plans_by_workspace.values(), key=lambda plan: plan.workspace))
 
     @property
     def pools(self) -> tuple[Pool, ...]:
         """All pools, ordered by name."""
-        return tuple(self.pools_by_name.values())
+        return tuple(sorted(self.pools_by_name.values(), key=lambda pool: pool.name))
+
+    @property
+    def digest(self) -> str:
+        """Digest of version and lists, the same on every node at one version."""
+        content = f"{self.version}/{self.content_hash}".encode()
+        return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
 
     def apply(self, change: Change, version: int) -> Configuration:
         """Return the configuration after a change."""
         plans = dict(self.plans_by_workspace)
         pools = dict(self.pools_by_name)
-        for workspace in change.drop_plans:
-            plans.pop(workspace, None)
-        for name in change.drop_pools:
-            pools.pop(name, None)
-        plans.update((plan.workspace, plan) for plan in change.put_plans)
-        pools.update((pool.name, pool) for pool in change.put_pools)
-        return Configuration.from_lists(version, tuple(plans.values()), tuple(pools.values()))
-
-    def fault(self) -> str | None:
-        """Say what is wrong with the lists, or return None."""
+        by_key_hash = dict(self.plans_by_key_hash)
+        old: list[Plan | Pool] = []
+        for workspace in {*change.drop_plans, *(plan.workspace for plan in change.put_plans)}:
+            if workspace in plans:
+                plan = plans.pop(workspace)
+                by_key_hash.pop(plan.key_hash, None)
+                old.append(plan)
+        for name in {*change.drop_pools, *(pool.name for pool in change.put_pools)}:
+            if name in pools:
+                old.append(pools.pop(name))
+        put_plans = {plan.workspace: plan for plan in change.put_plans}
+        put_pools = {pool.name: pool for pool in change.put_pools}
+        plans.update(put_plans)
+        pools.update(put_pools)
+        by_key_hash.update((plan.key_hash, plan) for plan in put_plans.values())
+        new = _hash_items([*put_plans.values(), *put_pools.values()])
+        content_hash = (self.content_hash - _hash_items(old) + new) % HASH_MODULUS
+        return Configuration(version, plans, pools, by_key_hash, content_hash)
+
+    def fault(self, change: Change | None = None) -> str | None:
+        """Say what is wrong with the lists, or with what a change put into them, or None."""
         if len(self.plans_by_key_hash) != len(self.plans_by_workspace):
             return "two workspaces have the same key; give each its own"
-        for plan in self.plans:
+        for plan in self.plans if change is None else change.put_plans:
             if plan.tier not in TIERS:
                 return f"workspace {plan.workspace}: tier must be one of {TIERS}"
             if plan.max_outstanding < 1:
                 return f"workspace {plan.workspace}: max_outstanding must be at least 1"
-        for pool in self.pools:
+        for pool in self.pools if change is None else change.put_pools:
             if pool.kind not in POOL_KINDS:
                 return f"pool {pool.name}: kind must be one of {POOL_KINDS}"
         return None
+
+
+def _hash_items(items: Sequence[Plan | Pool]) -> int:
+    return sum(_hash_item(item) for item in items) % HASH_MODULUS
+
+
+def _hash_item(item: Plan | Pool) -> int:
+    content = type(item).__name__.encode() + _encoder.encode(item)
+    return int.from_bytes(hashlib.blake2b(content, digest_size=HASH_BYTES).digest())
--- a/celeryrun/configuration/_publish.py
+++ b/celeryrun/configuration/_publish.py
@@ -2,23 +2,40 @@
 
 from __future__ import annotations
 
+import secrets
+import threading
 import time
-import uuid
 
-from celeryrun.configuration._fold import Fold, Outcome
+from celeryrun.claims import key_age
+from celeryrun.claims._key import new_key
+from celeryrun.configuration._fold import Fold
+from celeryrun.configuration._follow import Follower
 from celeryrun.configuration._lists import diff_lists
 from celeryrun.configuration._model import (
     CONFIGURATION_STREAM,
     Change,
     Configuration,
+    Outcome,
+    SnapshotSealer,
     encode_record,
 )
-from celeryrun.exception import ConfigurationRejectedError, LogUnavailableError
+from celeryrun.exception import (
+    ConfigurationForgottenError,
+    ConfigurationRejectedError,
+    LogUnavailableError,
+)
 from celeryrun.platform import LogClient, TooManyAppendsError
 
-__all__ = ["Publisher"]
+__all__ = ["Publisher", "new_change_id"]
 
 RETRY_PERIOD = 0.2  # s
+CLOCK_SKEW = 60.0  # s between an operator's clock and the platform's
+ID_BITS = 74
+
+
+def new_change_id() -> str:
+    """Return a unique id that carries its time of birth."""
+    return new_key(time.time(), secrets.randbits(ID_BITS))
 
 
 class Publisher:
@@ -30,14 +47,22 @@
         The platform's log.
     patience : float
         Seconds to go on while the log does not answer.
+    key : str
+        Secret shared by all nodes, with which snapshots are signed.
+    stream : str
+        Name of the stream.
     """
 
-    __slots__ = ("_client", "_fold", "_patience")
+    __slots__ = ("_client", "_fold", "_follower", "_patience", "_stream")
 
-    def __init__(self, client: LogClient, patience: float) -> None:
+    def __init__(
+        self, client: LogClient, patience: float, key: str, stream: str = CONFIGURATION_STREAM
+    ) -> None:
         self._client = client
         self._patience = patience
-        self._fold = Fold()
+        self._stream = stream
+        self._fold = Fold(SnapshotSealer(key))
+        self._follower = Follower(client, stream, self._fold, threading.Lock())
 
     def publish(self, wanted: Configuration, change_id: str | None = None) -> Outcome:
         """Bring two lists into force.
@@ -47,20 +72,25 @@
         wanted : Configuration
             The lists, of any version.
         change_id : str, optional
-            Unique id of the change; repeat it to learn the outcome of an earlier try.
+            Id of an earlier try, whose outcome is wanted; it is not run again if it took place.
 
         Raises
         ------
         ConfigurationRejectedError
             If another operator was first or the change is not valid.
+        ConfigurationForgottenError
+            If the change id is so old that its outcome is forgotten, or the log is not whole.
         LogUnavailableError
             If the outcome stays unknown; repeat with the change id in the message.
         """
-        change_id = change_id or uuid.uuid4().hex
+        repeated = change_id is not None
+        change_id = change_id or new_change_id()
         until = time.monotonic() + self._patience
         try:
-            self._catch_up(until)
+            now = self._catch_up(until)
             if change_id not in self._fold.outcome_by_change:
+                if repeated:
+                    self._require_young(change_id, now)
                 change = diff_lists(self._fold.current, wanted, change_id)
                 if change == Change(change_id, self._fold.current.version):
                     return Outcome(True, self._fold.current.version, "already in force")
@@ -73,26 +103,37 @@
             raise ConfigurationRejectedError(outcome.reason)
         return outcome
 
+    def _require_young(self, change_id: str, now: float) -> None:
+        age = key_age(change_id, now)
+        if age is None:
+            raise ConfigurationForgottenError(f"{change_id!r} is no change id that publish printed")
+        if now - age < self._fold.known_since + CLOCK_SKEW * bool(self._fold.known_since):
+            raise ConfigurationForgottenError(f"the outcome of change {change_id} is forgotten")
+
     def _append(self, change: Change, until: float) -> None:
         body = encode_record(change)
         while change.change_id not in self._fold.outcome_by_change:
             try:
-                self._client.append(CONFIGURATION_STREAM, body)
+                self._client.append(self._stream, body)
             except (LogUnavailableError, TooManyAppendsError) as error:
                 if time.monotonic() > until:
                     raise LogUnavailableError(str(error), True) from error
                 time.sleep(RETRY_PERIOD)
             self._catch_up(until)
 
-    def _catch_up(self, until: float) -> None:
+    def _catch_up(self, until: float) -> float:
+        """Read to the end of the log; return the platform's time in seconds since the epoch."""
         while True:
             try:
-                page = self._client.read(CONFIGURATION_STREAM, self._fold.folded_to)
+                step = self._follower.step(0.0)
             except LogUnavailableError:
                 if time.monotonic() > until:
                     raise
                 time.sleep(RETRY_PERIOD)
                 continue
-            self._fold.take_page(page)
-            if self._fold.folded_to >= page.end or not page.records:
-                return
+            if step.caught_up:
+                return step.now
+            if step.at_end and time.monotonic() > until:
+                raise ConfigurationForgottenError("the log has records missing and no snapshot")
+            if step.at_end or not step.moved:
+                time.sleep(RETRY_PERIOD)
--- /dev/null
+++ b/celeryrun/configuration/tests/test_spread.py
@@ -0,0 +1,116 @@
+"""Spread of the configuration through real processes under faults of the log."""
+
+import signal
+import time
+
+import pytest
+import urllib3
+
+from standins.fleet import Fleet, FleetPlan
+
+IN_FORCE = 6.0  # s that the promise allows
+RETENTION = 10.0  # s
+
+
+@pytest.fixture
+def spread_fleet():
+    plan = FleetPlan(nodes=3, engines=0, applications=0, retention=RETENTION)
+    with Fleet(plan) as running:
+        yield running
+
+
+def publish(fleet, **tiers):
+    fleet.plan.plans.update(tiers)
+    fleet.publish()
+    return max(version(fleet, name) or 0 for name in fleet.nodes)
+
+
+def version(fleet, name):
+    try:
+        return fleet.status(name)["version"]
+    except Exception:
+        return None
+
+
+def silence(fleet):
+    """Let every connection to the platform that is open now go silent, this one too."""
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        url = fleet.url("platform") + "/control"
+        fleet.http.request("POST", url, body=b'{"silent": true}', timeout=0.3)
+    fleet.http.clear()
+
+
+def wait_equal(fleet, names, patience=IN_FORCE):
+    """Wait until nodes have one version and digest in force, and return the version."""
+    until = time.monotonic() + patience
+    while True:
+        states = {(s["version"], s["digest"]) for s in map(fleet.status, names)}
+        if len(states) == 1:
+            return states.pop()[0]
+        assert time.monotonic() < until, f"not equal: {states}"
+        time.sleep(0.1)
+
+
+def test_change_is_in_force_everywhere(spread_fleet):
+    fleet = spread_fleet
+    fleet.publish("--wait")
+    first = wait_equal(fleet, fleet.nodes)
+    publish(fleet, fresh=2)
+    time.sleep(0.2)
+    assert wait_equal(fleet, fleet.nodes) > first
+
+
+def test_frozen_node_wakes_to_the_newest_version(spread_fleet):
+    fleet = spread_fleet
+    frozen, others = fleet.nodes[0], fleet.nodes[1:]
+    fleet.kill(frozen, signal.SIGSTOP)
+    for number in range(10):
+        fleet.plan.plans[f"w{number}"] = 1 + number % 3
+        fleet.publish()
+    newest = wait_equal(fleet, others)
+    fleet.kill(frozen, signal.SIGCONT)
+    assert wait_equal(fleet, fleet.nodes) == newest
+
+
+def test_peers_pull_from_the_one_that_is_ahead_of_a_dead_log(spread_fleet):
+    fleet = spread_fleet
+    late = fleet.nodes[1:]
+    for name in late:
+        fleet.kill(name, signal.SIGSTOP)
+    time.sleep(0.3)
+    newest = publish(fleet, ahead=1)
+    fleet.fault("platform", log_outage=True)
+    silence(fleet)
+    for name in late:
+        fleet.kill(name, signal.SIGCONT)
+    assert wait_equal(fleet, fleet.nodes) >= newest
+    # A fresh node is ready with what its peers hold, though it can't read the log.
+    fleet.add_node("node-9")
+    fleet.show_vms()
+    fleet.wait_ready(["node-9"])
+    assert wait_equal(fleet, fleet.nodes) >= newest
+
+
+def test_silent_log_answers_do_not_stop_the_spread(spread_fleet):
+    fleet = spread_fleet
+    wait_equal(fleet, fleet.nodes)
+    silence(fleet)
+    newest = publish(fleet, silent=1)
+    time.sleep(0.1)
+    assert wait_equal(fleet, fleet.nodes) >= newest
+
+
+def test_state_outlives_retention_and_every_node(spread_fleet):
+    fleet = spread_fleet
+    first = wait_equal(fleet, fleet.nodes)
+    for number, name in enumerate(fleet.nodes):
+        time.sleep(RETENTION * 0.45)
+        fleet.kill(name)
+        fleet.vms[:] = [vm for vm in fleet.vms if vm["name"] != name]
+        del fleet.operator_by_name[name]
+        fleet.add_node(f"fresh-{number}")
+        fleet.show_vms()
+        fleet.wait_ready([f"fresh-{number}"])
+    assert wait_equal(fleet, fleet.nodes) == first
+    records = fleet.call("GET", "platform", "/v1/streams/configuration/records?start=0")
+    assert records["first"] > 0
--- a/celeryrun/exception.py
+++ b/celeryrun/exception.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "CeleryrunError",
+    "ConfigurationForgottenError",
     "ConfigurationRejectedError",
     "InvariantViolatedError",
     "LogUnavailableError",
@@ -41,6 +42,14 @@
     """A published change did not come into force."""
 
 
+class ConfigurationForgottenError(CeleryrunError):
+    """The log no longer tells what was asked for."""
+
+    def __init__(self, reason: str) -> None:
+        remedy = "compare celeryrun status with your lists and publish anew without --change-id"
+        super().__init__(f"{reason}; {remedy}")
+
+
 class LogUnavailableError(CeleryrunError):
     """The platform's log did not answer, so the effect of an append is unknown.
 
--- a/celeryrun/platform/_log.py
+++ b/celeryrun/platform/_log.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import base64
+import time
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 import urllib3
@@ -14,6 +15,7 @@
 __all__ = ["LogClient", "Page", "Record", "TooManyAppendsError"]
 
 PAGE_RECORDS = 500
+CHUNK_BYTES = 64 * 1024
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 
@@ -65,6 +67,14 @@
     records: tuple[Record, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Response:
+    """One whole answer of the platform."""
+
+    status: int
+    data: bytes
+
+
 class _WireRecord(msgspec.Struct):
     offset: int
     written: float
@@ -144,17 +154,22 @@
         if response.status != HTTP_OK:
             raise LogUnavailableError(f"read answered status {response.status}", False)
         page = self._decode(response.data, _WirePage)
-        records = tuple(
-            Record(record.offset, record.written, base64.b64decode(record.body))
-            for record in page.records
-        )
+        try:
+            records = tuple(
+                Record(record.offset, record.written, base64.b64decode(record.body, validate=True))
+                for record in page.records
+            )
+        except ValueError as error:
+            raise LogUnavailableError(f"unreadable answer ({error})", False) from error
         return Page(page.first, page.end, page.now, records)
 
-    def _call(
-        self, method: str, path: str, body: bytes | None, timeout: float
-    ) -> urllib3.BaseHTTPResponse:
+    def _call(self, method: str, path: str, body: bytes | None, timeout: float) -> Response:
+        until = time.monotonic() + timeout
         try:
-            return self._http.request(method, self._url + path, body=body, timeout=timeout)
+            response: Any = self._http.request(
+                method, self._url + path, body=body, timeout=timeout, preload_content=False
+            )
+            return Response(response.status, _read_all(response, until))
         except urllib3.exceptions.HTTPError as error:
             effect = not isinstance(error, urllib3.exceptions.NewConnectionError)
             raise LogUnavailableError(f"no answer ({type(error).__name__})", effect) from error
@@ -164,3 +179,15 @@
             return msgspec.json.decode(data, type=answer_type)
         except msgspec.MsgspecError as error:
             raise LogUnavailableError(f"unreadable answer ({error})", True) from error
+
+
+def _read_all(response: Any, until: float) -> bytes:
+    # The socket's timeout begins anew with each byte; a slow answer must end all the same.
+    chunks = []
+    while chunk := response.read1(CHUNK_BYTES):
+        chunks.append(chunk)
+        if time.monotonic() > until:
+            response.close()
+            raise urllib3.exceptions.TimeoutError("the answer came too slowly")
+    response.release_conn()
+    return b"".join(chunks)
--- a/celeryrun/settings/_schema.py
+++ b/celeryrun/settings/_schema.py
@@ -48,6 +48,7 @@
 
     log_url: str = setting(Url(), "the append-only log")
     list_url: str = setting(Url(), "the list of VMs")
+    configuration_stream: str = setting(Text(), "stream of the two lists", "configuration")
     list_period: float = setting(Duration(0.1, 60), "between two looks at the list", 1.0)
     timeout: float = setting(Duration(0.05, 60), "for one call to the platform", 2.0)
     retention: float = setting(Duration(10, 31_536_000), "how long the log keeps records", 86_400.0)
--- a/celeryrun/wire/__init__.py
+++ b/celeryrun/wire/__init__.py
@@ -3,12 +3,15 @@
 from celeryrun.wire._envelope import Envelope, Sealer
 from celeryrun.wire._messages import (
     Ask,
+    ConfigurationDelta,
+    ConfigurationNotice,
     ConfigurationPull,
     ConfigurationState,
     Done,
     Grant,
     Hold,
     KeeperBeat,
+    LogRecord,
     Message,
     News,
     Ping,
@@ -22,6 +25,8 @@
 
 __all__ = [
     "Ask",
+    "ConfigurationDelta",
+    "ConfigurationNotice",
     "ConfigurationPull",
     "ConfigurationState",
     "Done",
@@ -29,6 +34,7 @@
     "Grant",
     "Hold",
     "KeeperBeat",
+    "LogRecord",
     "Message",
     "News",
     "Peers",
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -6,12 +6,15 @@
 
 __all__ = [
     "Ask",
+    "ConfigurationDelta",
+    "ConfigurationNotice",
     "ConfigurationPull",
     "ConfigurationState",
     "Done",
     "Grant",
     "Hold",
     "KeeperBeat",
+    "LogRecord",
     "Message",
     "News",
     "Ping",
@@ -172,9 +175,16 @@
 
 
 class ConfigurationPull(msgspec.Struct, frozen=True, array_like=True, tag=11):
-    """Request for the configuration, if newer than a version."""
+    """Request for the configuration, if newer than a version.
+
+    Parameters
+    ----------
+    folded_to : int
+        Every record of the log below this offset is accounted for in what the sender has.
+    """
 
     version: int
+    folded_to: int = 0
 
 
 class ConfigurationState(msgspec.Struct, frozen=True, array_like=True, tag=12):
@@ -183,6 +193,48 @@
     body: bytes
 
 
+class LogRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One record of the log, passed on by a node."""
+
+    offset: int
+    written: float
+    body: bytes
+
+
+class ConfigurationDelta(msgspec.Struct, frozen=True, array_like=True, tag=41):
+    """Every change in the log from one offset up to another.
+
+    Parameters
+    ----------
+    start, folded_to : int
+        The offsets; records between them that are no changes are left out.
+    """
+
+    start: int
+    folded_to: int
+    records: tuple[LogRecord, ...]
+
+
+class ConfigurationNotice(msgspec.Struct, frozen=True, array_like=True, tag=42):
+    """The version that the sender has in force.
+
+    Parameters
+    ----------
+    digest : str
+        Of the two lists at that version.
+    carried : float
+        The platform's time, in seconds since the epoch, from which on the newest snapshot known
+        to the sender makes older records superfluous.
+    wants_answer : bool
+        Whether the receiver should send its own notice.
+    """
+
+    version: int
+    digest: str
+    carried: float
+    wants_answer: bool = False
+
+
 Message = (
     Ping
     | PingAck
@@ -196,4 +248,6 @@
     | KeeperBeat
     | ConfigurationPull
     | ConfigurationState
+    | ConfigurationDelta
+    | ConfigurationNotice
 )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,4 +1,7 @@
-"""Stand-in platform: append-only log, lagging list of VMs, rate-limited weight store."""
+"""Stand-in platform: append-only log, lagging list of VMs, rate-limited weight store.
+
+Faults of its own: ``list_outage`` and ``log_outage``, for the list or the log alone.
+"""
 
 from __future__ import annotations
 
@@ -94,6 +97,9 @@
 
     def answer(self) -> None:
         parts = self.path_only.strip("/").split("/")
+        if parts[:2] == ["v1", "streams"] and self.faults.get("log_outage"):
+            self.close_connection = True
+            return
         match (self.command, parts):
             case ("POST", ["v1", "streams", stream, "records"]):
                 offset = self.log.append(stream, self.body)
