--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Long seeded runs under failure, judged from outside the nodes."""
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -2,7 +2,8 @@
 
 ``POST /control`` takes a JSON object of faults: ``outage`` (connections are closed unanswered),
 ``slow`` (seconds before each answer), ``lose_answers`` (effect without answer, a count), ``silent``
-(connections open now go silent for good; new ones work), and what each stand-in adds.
+(connections open now go silent for good; new ones work), and what each stand-in adds. A call with
+the header ``Stand-In-Control`` comes from the tester and meets no fault.
 """
 
 from __future__ import annotations
@@ -16,7 +17,9 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-__all__ = ["Faults", "Handler", "base_parser", "run_server"]
+__all__ = ["Faults", "Handler", "Recorder", "base_parser", "run_server"]
+
+CONTROL_HEADER = "Stand-In-Control"
 
 
 class Faults:
@@ -47,6 +50,18 @@
             return left > 0
 
 
+class Recorder:
+    """Lines of JSON in a file, which outlive the process."""
+
+    def __init__(self, path: str) -> None:
+        self.file = open(path, "ab", buffering=0) if path else None
+
+    def write(self, **content: Any) -> None:
+        """Append one line."""
+        if self.file is not None:
+            self.file.write(json.dumps({"time": time.time(), **content}).encode() + b"\n")
+
+
 class Handler(BaseHTTPRequestHandler):
     """One connection; subclasses implement ``answer``."""
 
@@ -65,10 +80,15 @@
         self.path_only = parts.path
         length = int(self.headers.get("Content-Length") or 0)
         self.body = self.rfile.read(length) if length else b""
+        self.by_tester = True
         if self.path_only == "/control":
             self.faults.set(json.loads(self.body))
             self.send_json(200, {})
             return
+        self.by_tester = CONTROL_HEADER in self.headers
+        if self.by_tester:
+            self.answer()
+            return
         self.stay_silent_if_told()
         if self.faults.get("outage"):
             self.close_connection = True
@@ -93,10 +113,11 @@
     def send_bytes(
         self, status: int, body: bytes, content_type: str, headers: dict[str, str] | None = None
     ) -> None:
-        if self.path_only != "/control" and self.faults.take("lose_answers"):
-            self.close_connection = True
-            return
-        self.stay_silent_if_told()
+        if not self.by_tester:
+            if self.faults.take("lose_answers"):
+                self.close_connection = True
+                return
+            self.stay_silent_if_told()
         self.send_response(status)
         self.send_header("Content-Type", content_type)
         self.send_header("Content-Length", str(len(body)))
@@ -123,6 +144,7 @@
     parser = argparse.ArgumentParser(description=note)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--name", default="stand-in")
+    parser.add_argument("--record", default="", help="file for a record of what was received")
     return parser
 
 
--- a/standins/application.py
+++ b/standins/application.py
@@ -11,7 +11,7 @@
 import time
 from typing import Any
 
-from standins._http import Handler, base_parser, run_server
+from standins._http import Handler, Recorder, base_parser, run_server
 
 __all__ = ["Book"]
 
@@ -34,6 +34,7 @@
 
 class _Handler(Handler):
     book: Book
+    recorder: Recorder
     seconds: float
 
     def answer(self) -> None:
@@ -43,9 +44,6 @@
         if self.faults.get("leaving"):
             self.send_json(503, {"error": "leaving"}, {"Target-Leaving": "1"})
             return
-        crash_on = self.faults.get("crash_on", "")
-        if crash_on and crash_on in self.path + self.body.decode(errors="replace"):
-            os._exit(9)
         request_id = self.headers.get("Request-Id", "")
         run = {
             "method": self.command,
@@ -53,6 +51,10 @@
             "request_id": request_id,
             "key": self.headers.get("Idempotency-Key", ""),
         }
+        self.recorder.write(**run)
+        crash_on = self.faults.get("crash_on", "")
+        if crash_on and crash_on in self.path + self.body.decode(errors="replace"):
+            os._exit(9)
         number = self.book.run(run, self.seconds)
         time.sleep(self.faults.get("late"))
         self.send_run(request_id, {"run": number, "path": self.path, "for": request_id})
@@ -77,7 +79,8 @@
     parser.add_argument("--workers", type=int, default=16)
     options = parser.parse_args()
     book = Book(options.workers)
-    run_server(options.port, _Handler, book=book, seconds=options.seconds)
+    recorder = Recorder(options.record)
+    run_server(options.port, _Handler, book=book, recorder=recorder, seconds=options.seconds)
 
 
 if __name__ == "__main__":
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -18,7 +18,7 @@
 from collections import OrderedDict
 from typing import Any
 
-from standins._http import Handler, base_parser, run_server
+from standins._http import Handler, Recorder, base_parser, run_server
 
 __all__ = ["Engine"]
 
@@ -28,6 +28,7 @@
 BLOCK_CHARS = 256
 REPORT_LAG = 1.0  # s
 STREAMS_KEPT = 2000
+RECORDED_CHARS = 100
 
 
 class _Stream:
@@ -152,6 +153,7 @@
 
 class _Handler(Handler):
     engine: Engine
+    recorder: Recorder
 
     def answer(self) -> None:
         engine, parts = self.engine, self.path_only.strip("/").split("/")
@@ -187,6 +189,7 @@
             self.send_json(503, {"error": "leaving"}, {"Target-Leaving": "1"})
             return
         request = json.loads(self.body)
+        self.recorder.write(id=request["stream_id"], prompt=request["prompt"][:RECORDED_CHARS])
         crash_on = self.faults.get("crash_on", "")
         if crash_on and crash_on in request["prompt"]:
             os._exit(9)
@@ -247,7 +250,7 @@
     options = parser.parse_args()
     engine = Engine(options.name, options.step, options.cache_blocks, options.fencing)
     threading.Thread(target=engine.run, daemon=True).start()
-    run_server(options.port, _Handler, engine=engine)
+    run_server(options.port, _Handler, engine=engine, recorder=Recorder(options.record))
 
 
 if __name__ == "__main__":
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -122,6 +122,7 @@
         (port,) = free_ports(1)
         self.port_by_name[name] = port
         common = ["-m", module, "--port", str(port), "--name", name]
+        common += ["--record", str(self.folder / f"{name}.record")]
         self.spawn(name, [sys.executable, *common, *arguments])
         self.wait_port(port)
 
@@ -265,7 +266,10 @@
     def call(self, method: str, name: str, path: str, content: Any = None) -> Any:
         """Call a stand-in and return its JSON."""
         body = None if content is None else json.dumps(content).encode()
-        response = self.http.request(method, self.url(name) + path, body=body, timeout=10.0)
+        headers = {"Stand-In-Control": "1", "Connection": "close"}
+        response = self.http.request(
+            method, self.url(name) + path, body=body, headers=headers, timeout=10.0
+        )
         return json.loads(response.data or b"{}")
 
     def fault(self, name: str, **faults: Any) -> None:
@@ -290,6 +294,12 @@
             method, self.url(node) + path, body=body, headers=all_headers, timeout=timeout
         )
 
+    def recorded(self, name: str) -> list[dict[str, Any]]:
+        """Return what a target received, in this and earlier lives."""
+        path = self.folder / f"{name}.record"
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [json.loads(line) for line in lines]
+
     def kill(self, name: str, signal_number: int = signal.SIGKILL) -> None:
         """Send a signal to a process that this fleet started."""
         self.process_by_name[name].send_signal(signal_number)
