Add the long run of configuration, and publish upon a named base

Cause: whether a change is everywhere within 6 s under kills, freezes, outages and short retention was not shown by any run; two operators with separate copies of the lists took back each other's accepted changes unseen.

Change: proofs.configuration; Publisher.publish takes the version that the lists were made upon.

--- a/celeryrun/configuration/_publish.py
+++ b/celeryrun/configuration/_publish.py
@@ -64,7 +64,22 @@
         self._fold = Fold(SnapshotSealer(key))
         self._follower = Follower(client, stream, self._fold, threading.Lock())
 
-    def publish(self, wanted: Configuration, change_id: str | None = None) -> Outcome:
+    def read(self) -> Configuration:
+        """Return the configuration in force at the end of the log.
+
+        Raises
+        ------
+        ConfigurationForgottenError
+            If the log is not whole.
+        LogUnavailableError
+            If the log does not answer.
+        """
+        self._catch_up(time.monotonic() + self._patience)
+        return self._fold.current
+
+    def publish(
+        self, wanted: Configuration, change_id: str | None = None, base: int | None = None
+    ) -> Outcome:
         """Bring two lists into force.
 
         Parameters
@@ -73,6 +88,9 @@
             The lists, of any version.
         change_id : str, optional
             Id of an earlier try, whose outcome is wanted; it is not run again if it took place.
+        base : int, optional
+            Version that the lists were made upon; another one in force refuses them, so that
+            nothing accepted since is taken back unseen.
 
         Raises
         ------
@@ -91,6 +109,7 @@
             if change_id not in self._fold.outcome_by_change:
                 if repeated:
                     self._require_young(change_id, now)
+                self._require_base(base)
                 change = diff_lists(self._fold.current, wanted, change_id)
                 if change == Change(change_id, self._fold.current.version):
                     return Outcome(True, self._fold.current.version, "already in force")
@@ -103,6 +122,14 @@
             raise ConfigurationRejectedError(outcome.reason)
         return outcome
 
+    def _require_base(self, base: int | None) -> None:
+        version = self._fold.current.version
+        if base is not None and base != version:
+            raise ConfigurationRejectedError(
+                f"the lists were made upon version {base}, but {version} is in force; "
+                "bring them up to date and publish again"
+            )
+
     def _require_young(self, change_id: str, now: float) -> None:
         age = key_age(change_id, now)
         if age is None:
--- a/celeryrun/configuration/tests/test_publish.py
+++ b/celeryrun/configuration/tests/test_publish.py
@@ -58,6 +58,15 @@
     assert list(fold_all(log).current.plans_by_workspace) == ["first"]
 
 
+def test_lists_made_upon_an_older_version_take_nothing_back():
+    log = MemoryLog()
+    base = publisher(log).read().version
+    publisher(log).publish(lists("a"), base=base)
+    with pytest.raises(ConfigurationRejectedError, match="made upon version 0"):
+        publisher(log).publish(lists("b"), base=base)
+    assert list(publisher(log).read().plans_by_workspace) == ["a"]
+
+
 def test_outcome_of_an_earlier_try_is_found_by_its_id():
     log, change_id = MemoryLog(), new_change_id()
     first = publisher(log).publish(lists("a"), change_id)
--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Long randomised runs against real processes."""
--- /dev/null
+++ b/proofs/configuration.py
@@ -0,0 +1,303 @@
+"""Long run: an accepted configuration is in force everywhere within seconds and never reverts.
+
+``python -m proofs.configuration --seed 1 --seconds 60`` starts real nodes before a stand-in log
+with short retention, lets publishers race, and kills, freezes and replaces nodes while the log
+loses answers, slows down and goes away. A watcher polls every node. It ends with status 1 if any
+node's version fell, came late or differed, or an accepted change is not in force exactly once.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import signal
+import sys
+import threading
+import time
+from collections import Counter
+from typing import Any
+
+import urllib3
+
+from celeryrun.configuration import Configuration, Plan, Publisher, hash_key, new_change_id
+from celeryrun.exception import CeleryrunError, ConfigurationRejectedError, LogUnavailableError
+from celeryrun.platform import LogClient
+from standins.fleet import PEER_KEY, Fleet, FleetPlan
+
+__all__ = ["main"]
+
+IN_FORCE = 6.0  # s
+NODES = 4
+RETENTION = 20.0  # s
+PUBLISHERS = 2
+WATCH_PERIOD = 0.15  # s
+START_GRACE = 8.0  # s in which a started node may not answer yet
+MAX_PAUSE = 4.0  # s
+WORKSPACES = 40  # kept in the lists; older ones are dropped again
+
+
+class Run:
+    """What the run has seen.
+
+    Attributes
+    ----------
+    quiet_since : float
+        Monotonic time from which on the log has answered without a fault.
+    disturbed_by_node : dict
+        Monotonic time until which a node may be late, for it was frozen or started.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.counts: Counter[str] = Counter()
+        self.failures: list[str] = []
+        self.stopped = threading.Event()
+        self.lock = threading.Lock()
+        self.quiet_since = time.monotonic()
+        self.disturbed_by_node: dict[str, float] = {}
+        self.accepted: list[tuple[int, float, str]] = []
+        self.digest_by_version: dict[int, str] = {}
+        self.seen_by_node: dict[str, tuple[Any, int]] = {}
+        self.frozen: set[str] = set()
+
+    def fail(self, text: str) -> None:
+        """Note a violation."""
+        with self.lock:
+            self.failures.append(text)
+        print("VIOLATION", text, flush=True)
+
+
+def publisher_for(run: Run) -> Publisher:
+    """Return a publisher with a fresh fold, as an operator's command has."""
+    return Publisher(LogClient(run.fleet.url("platform"), 1.0), 1.0, PEER_KEY)
+
+
+def with_plan(current: Configuration, workspace: str) -> Configuration:
+    """Return the lists with one more workspace, the oldest dropped if there are many."""
+    names = sorted(current.plans_by_workspace, key=lambda name: name.rpartition("-")[2])
+    kept = names[max(0, len(names) - WORKSPACES) :]
+    plans = [current.plans_by_workspace[name] for name in kept]
+    plans.append(Plan(workspace, "all", 1, hash_key(workspace)))
+    return Configuration.from_lists(0, tuple(plans), current.pools)
+
+
+def publish_on(run: Run, name: str, source: random.Random) -> None:
+    """Publish one change after the other, repeating those whose outcome is unknown."""
+    number = 0
+    while not run.stopped.wait(source.uniform(0.0, 0.4)):
+        number += 1
+        workspace = f"{name}-{number:06}"
+        change_id = new_change_id()
+        while not publish_once(run, workspace, change_id):
+            run.counts["unknown, repeated"] += 1
+
+
+def publish_once(run: Run, workspace: str, change_id: str) -> bool:
+    """Try to publish; return whether the outcome is known."""
+    publisher = publisher_for(run)
+    try:
+        current = publisher.read()
+        wanted = with_plan(current, workspace)
+        outcome = publisher.publish(wanted, change_id, current.version)
+    except ConfigurationRejectedError:
+        # A base refused on a repeat may hide an earlier acceptance, which the next try finds.
+        run.counts["rejected"] += 1
+        return True
+    except LogUnavailableError:
+        return False
+    run.counts["accepted"] += 1
+    with run.lock:
+        run.accepted.append((outcome.version, time.monotonic(), workspace))
+    return True
+
+
+def watch(run: Run) -> None:
+    """Poll every node until stopped."""
+    http = urllib3.PoolManager(retries=False)
+    while not run.stopped.wait(WATCH_PERIOD):
+        for name in run.fleet.nodes:
+            watch_node(run, http, name)
+
+
+def watch_node(run: Run, http: urllib3.PoolManager, name: str) -> None:
+    """Poll one node and judge what it says."""
+    process = run.fleet.process_by_name[name]
+    wanted = required_version(run, name)
+    port = run.fleet.operator_by_name.get(name)
+    try:
+        answer = http.request("GET", f"http://127.0.0.1:{port}/status", timeout=0.5)
+        status = answer.json()
+    except (urllib3.exceptions.HTTPError, ValueError):
+        code = process.poll()
+        if code not in (None, -signal.SIGKILL):
+            run.fail(f"{name} ended with status {code}")
+        return
+    if run.fleet.process_by_name.get(name) is not process:
+        return
+    run.counts["polls"] += 1
+    judge(run, name, process, status, wanted)
+
+
+def judge(run: Run, name: str, process: Any, status: dict[str, Any], wanted: int) -> None:
+    """Compare a node's status with what must hold."""
+    version, digest = status["version"], status["digest"]
+    known, seen = run.seen_by_node.get(name, (process, 0))
+    if known is process and version < seen:
+        run.fail(f"{name} went back from {seen} to {version}")
+    run.seen_by_node[name] = (process, version)
+    if run.digest_by_version.setdefault(version, digest) != digest:
+        run.fail(f"{name} has another content at version {version}")
+    if status["violations"]:
+        run.fail(f"{name} counts {status['violations']}")
+    if status["ready"] and version < wanted:
+        run.fail(f"{name} is ready with {version}, but {wanted} was accepted {IN_FORCE} s ago")
+
+
+def required_version(run: Run, name: str) -> int:
+    """Return the version that a ready node must have by now."""
+    now = time.monotonic()
+    if now - run.quiet_since < IN_FORCE or now < run.disturbed_by_node.get(name, 0.0):
+        return 0
+    with run.lock:
+        return max((v for v, when, _ in run.accepted if now - when > IN_FORCE), default=0)
+
+
+def freeze(run: Run, name: str) -> None:
+    """Stop a node for a while with SIGSTOP."""
+    run.disturbed_by_node[name] = float("inf")
+    run.fleet.kill(name, signal.SIGSTOP)
+    run.stopped.wait(run.random.uniform(0.5, MAX_PAUSE))
+    run.fleet.kill(name, signal.SIGCONT)
+    run.disturbed_by_node[name] = time.monotonic() + IN_FORCE
+
+
+def crash(run: Run, name: str) -> None:
+    """Kill a node and start it again."""
+    run.fleet.kill(name)
+    run.stopped.wait(run.random.uniform(0.0, 1.0))
+    process = run.fleet.process_by_name[name]
+    process.wait()
+    run.fleet.spawn(name, run.fleet.command_by_name[name])
+
+
+def replace(run: Run, name: str) -> None:
+    """Kill a node and start another in its place."""
+    fleet = run.fleet
+    fleet.kill(name)
+    del fleet.operator_by_name[name]
+    fleet.vms[:] = [vm for vm in fleet.vms if vm["name"] != name]
+    run.counts["nodes started"] += 1
+    fleet.add_node(f"fresh-{run.counts['nodes started']}")
+    show_vms(fleet)
+
+
+def show_vms(fleet: Fleet) -> None:
+    """Put the list of VMs on the platform, whatever answers it loses."""
+    while True:
+        try:
+            fleet.show_vms()
+            return
+        except (urllib3.exceptions.HTTPError, ValueError):
+            time.sleep(0.1)
+
+
+def disturb_log(run: Run, **faults: Any) -> None:
+    """Command a fault of the log for a while."""
+    run.quiet_since = float("inf")
+    control(run, **faults)
+    run.stopped.wait(run.random.uniform(0.5, MAX_PAUSE))
+    control(run, **dict.fromkeys(faults, 0))
+    run.quiet_since = time.monotonic()
+
+
+def control(run: Run, **faults: Any) -> None:
+    """Command faults of the platform, on a connection of its own."""
+    run.fleet.http.clear()
+    run.fleet.fault("platform", **faults)
+
+
+def break_things(run: Run) -> None:
+    """Cause one fault after the other."""
+    while not run.stopped.wait(run.random.uniform(0.2, 1.5)):
+        name = run.random.choice(run.fleet.nodes)
+        kind = run.random.choice(["freeze", "crash", "replace", "outage", "lost", "slow"])
+        run.counts[kind] += 1
+        match kind:
+            case "freeze":
+                freeze(run, name)
+            case "crash":
+                crash(run, name)
+            case "replace":
+                replace(run, name)
+            case "outage":
+                disturb_log(run, log_outage=1)
+            case "lost":
+                control(run, lose_answers=run.random.randrange(1, 12))
+            case "slow":
+                disturb_log(run, slow=0.7)
+
+
+def settle(run: Run) -> None:
+    """After all is quiet, compare every node with the log."""
+    control(run, lose_answers=0, log_outage=0, slow=0)
+    run.fleet.wait_ready()
+    truth = publisher_for(run).read()
+    until = time.monotonic() + IN_FORCE
+    states: dict[str, Any] = {}
+    while time.monotonic() < until:
+        states = {name: run.fleet.status(name) for name in run.fleet.nodes}
+        if all(state["digest"] == truth.digest for state in states.values()):
+            break
+        time.sleep(0.1)
+    else:
+        found = {name: state["version"] for name, state in states.items()}
+        run.fail(f"not equal to version {truth.version} of the log after {IN_FORCE} s: {found}")
+    check_accepted(run, truth)
+
+
+def check_accepted(run: Run, truth: Configuration) -> None:
+    """Check that the accepted changes are in force, once each, in the order of their versions."""
+    versions = [version for version, _, _ in run.accepted]
+    if len(set(versions)) != len(versions):
+        run.fail("two accepted changes have one version")
+    newest = sorted(run.accepted)[-WORKSPACES // 2 :]
+    for version, _, workspace in newest:
+        if workspace not in truth.plans_by_workspace:
+            run.fail(f"{workspace}, accepted as version {version}, is not in force")
+
+
+def main() -> None:
+    """Run, print what was counted, and end with 1 after any violation."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    options = parser.parse_args()
+    plan = FleetPlan(nodes=NODES, engines=0, applications=0, retention=RETENTION)
+    with Fleet(plan) as fleet:
+        run = Run(fleet, options.seed)
+        sources = [random.Random(options.seed * 1000 + item) for item in range(PUBLISHERS)]
+        tasks = [threading.Thread(target=watch, args=(run,), daemon=True)]
+        for item, source in enumerate(sources):
+            arguments = (run, f"p{item}", source)
+            tasks.append(threading.Thread(target=publish_on, args=arguments, daemon=True))
+        breaker = threading.Thread(target=break_things, args=(run,), daemon=True)
+        for task in (*tasks, breaker):
+            task.start()
+        time.sleep(options.seconds)
+        run.stopped.set()
+        for task in (*tasks, breaker):
+            task.join(30.0)
+        try:
+            settle(run)
+        except (CeleryrunError, TimeoutError) as error:
+            run.fail(f"does not settle: {error}")
+        first = fleet.call("GET", "platform", "/v1/streams/configuration/records?start=0")["first"]
+    print(f"seed {options.seed}, {options.seconds:g} s: {dict(run.counts)}")
+    print(f"newest version {max(run.digest_by_version)}, log forgot below {first}")
+    print(f"violations: {len(run.failures)}")
+    sys.exit(1 if run.failures else 0)
+
+
+if __name__ == "__main__":
+    main()
