--- /dev/null
+++ b/celeryrun/cli/tests/test_commands.py
@@ -0,0 +1,177 @@
+"""Every command of the command line, with its exit codes and remedies."""
+
+import json
+import re
+import signal
+
+import pytest
+from click.testing import CliRunner
+
+from celeryrun import __version__
+from celeryrun.cli import main
+from celeryrun.cli._exit import exit_code
+from celeryrun.configuration import hash_key
+from celeryrun.exception import (
+    CeleryrunError,
+    ConfigurationForgottenError,
+    LogUnavailableError,
+    NoAnswerError,
+)
+from celeryrun.tests.builders import build_settings
+from standins.fleet import free_ports
+
+PLANS = "[cajas]\nplan = sales\ntier = 1\nkey_hash = " + hash_key("key-cajas") + "\n"
+USES = "[drafts]\nkind = engine\nplans = sales\n"
+
+
+def run(*arguments, **options):
+    return CliRunner().invoke(main, [str(item) for item in arguments], **options)
+
+
+def write(folder, name, text):
+    path = folder / name
+    path.write_text(text)
+    return path
+
+
+def publish(fleet, *options):
+    plans, uses = fleet.write_lists()
+    settings = fleet.settings_path(fleet.nodes[0])
+    return run("publish", settings, "--plans", plans, "--uses", uses, *options)
+
+
+def test_version_and_completion():
+    assert __version__ in run("--version").output
+    for shell in ("bash", "zsh", "fish"):
+        script = run("completion", shell)
+        assert script.exit_code == 0
+        assert "_CELERYRUN_COMPLETE" in script.output
+
+
+def test_keys_makes_a_key_that_fits_its_hash():
+    result = run("keys", "cajas")
+    key = re.search(r"shown once: (\S+)", result.output)[1]
+    assert f"[cajas]\nkey_hash = {hash_key(key)}" in result.output
+    assert run("keys", "cajas", "--stdin", input=key + "\n").output.endswith(hash_key(key) + "\n")
+    assert run("keys", "cajas", "--stdin", input="\n").exit_code == 2
+
+
+def test_check_names_the_fault(tmp_path):
+    settings = write(tmp_path, "node.ini", build_settings())
+    plans, uses = write(tmp_path, "plans.ini", PLANS), write(tmp_path, "uses.ini", USES)
+    good = run("check", "--settings", settings, "--plans", plans, "--uses", uses)
+    assert good.exit_code == 0
+    assert "1 workspaces and 1 pools: good" in good.output
+    write(tmp_path, "plans.ini", PLANS.replace("tier = 1", "tier = 9"))
+    bad = run("check", "--plans", plans, "--uses", uses)
+    assert bad.exit_code == 2
+    assert f"{plans}: [cajas] tier: a whole number from 1 to 3; found '9'" in bad.output
+    assert run("check", "--plans", plans).exit_code == 2
+    assert run("check").exit_code == 2
+    assert "readable file" in run("check", "--settings", tmp_path / "none.ini").output
+
+
+def test_node_refuses_wrong_settings(tmp_path):
+    settings = write(tmp_path, "node.ini", build_settings(node__zone=None))
+    result = run("node", settings)
+    assert result.exit_code == 2
+    assert "[node] zone: is required" in result.output
+
+
+@pytest.mark.parametrize(
+    ("error", "code"),
+    [
+        (LogUnavailableError("no answer", True), 4),
+        (ConfigurationForgottenError("forgotten"), 6),
+        (NoAnswerError("no answer"), 7),
+        (CeleryrunError("other"), 1),
+    ],
+)
+def test_exit_codes(error, code):
+    assert exit_code(error) == code
+
+
+def test_publish_wait_reports_the_nodes(fleet):
+    fleet.plan.plans["permits"] = 1
+    result = publish(fleet, "--wait")
+    assert result.exit_code == 0
+    change, version = re.search(r"change (\S+);.*version (\d+)", result.output, re.S).groups()
+    assert "in force on all 3 nodes: node-0, node-1, node-2" in result.output
+    again = publish(fleet, "--change-id", change)
+    assert f"version {version} accepted" in again.output
+    assert "already in force" in publish(fleet).output
+
+
+def test_publish_upon_an_old_version_is_refused(fleet):
+    fleet.plan.plans["clerks"] = 2
+    result = publish(fleet, "--base", 0)
+    assert result.exit_code == 3
+    assert "publish again" in result.output
+    assert publish(fleet).exit_code == 0
+
+
+def test_publish_says_which_node_is_late(fleet):
+    fleet.plan.plans["tallymen"] = 3
+    late = fleet.nodes[2]
+    fleet.kill(late, signal.SIGSTOP)
+    try:
+        result = publish(fleet, "--wait", "--patience", 0.5)
+    finally:
+        fleet.kill(late, signal.SIGCONT)
+    assert result.exit_code == 5
+    assert "in force on: node-0, node-1" in result.output
+    assert "not in force on: node-2 (no answer); it is accepted" in result.output
+
+
+def test_change_id_tells_a_repeat_from_an_invention(fleet):
+    fleet.plan.plans["drivers"] = 1
+    outcome = publish(fleet)
+    change = re.search(r"change (\S+);", outcome.output)[1]
+    made_up = publish(fleet, "--change-id", "made-up")
+    assert made_up.exit_code == 6
+    assert "publish anew" in made_up.output
+    assert publish(fleet, "--change-id", change).exit_code == 0
+
+
+def test_status_for_people_and_programs(fleet):
+    settings = fleet.settings_path(fleet.nodes[0])
+    table = run("status", settings).output
+    assert re.search(r"^node-1 +zone-1 +\d+ \w+ +yes +3 ", table, re.M)
+    assert re.search(r"^pool drafts kept by node-\d; pressure 0.00; waiting ", table, re.M)
+    assert re.search(r"^  engine-0 +zone-0 +live +0/\d+ slots", table, re.M)
+    statuses = json.loads(run("status", settings, "--json").output)
+    assert {item["digest"] for item in statuses.values()} == {statuses["node-0"]["digest"]}
+
+
+def test_status_finds_the_nodes_without_the_list(fleet):
+    fleet.fault("platform", list_outage=True)
+    try:
+        table = run("status", fleet.settings_path(fleet.nodes[0])).output
+    finally:
+        fleet.fault("platform", list_outage=False)
+    assert all(name in table for name in fleet.nodes)
+
+
+def test_unreachable_nodes_are_said(tmp_path):
+    (port,) = free_ports(1)
+    url = f"http://127.0.0.1:{port}"
+    text = build_settings(platform__list_url=url, node__operator_address=f"127.0.0.1:{port}")
+    settings = write(tmp_path, "node.ini", text)
+    assert run("status", settings).exit_code == 7
+    result = run("drain", f"127.0.0.1:{port}")
+    assert result.exit_code == 7
+    assert "check the address" in result.output
+    assert run("drain", "node-0").exit_code == 2
+
+
+def test_drain_by_name_and_by_address(fleet):
+    settings = fleet.settings_path(fleet.nodes[0])
+    unknown = run("drain", "node-9", "--settings", settings)
+    assert unknown.exit_code == 7
+    assert "known are node-0, node-1, node-2" in unknown.output
+    caller = f"127.0.0.1:{fleet.port_by_name['node-1']}"
+    assert "operator_address" in run("drain", caller).output
+    assert run("drain", "node-1", "--settings", settings).output == "draining\n"
+    assert fleet.process_by_name["node-1"].wait(20) == 0
+    assert run("drain", f"127.0.0.1:{fleet.operator_by_name['node-2']}").exit_code == 0
+    assert fleet.process_by_name["node-2"].wait(20) == 0
--- a/celeryrun/exception.py
+++ b/celeryrun/exception.py
@@ -10,6 +10,7 @@
     "ConfigurationRejectedError",
     "InvariantViolatedError",
     "LogUnavailableError",
+    "NoAnswerError",
     "Refusal",
     "SettingsError",
 ]
@@ -66,6 +67,10 @@
         super().__init__(f"{reason}; wait for the platform's log and repeat with the same id")
 
 
+class NoAnswerError(CeleryrunError):
+    """A node that an operator wants to reach does not answer or is not known."""
+
+
 class InvariantViolatedError(CeleryrunError):
     """The program found one of its own promises broken; report it with the log."""
 
--- a/celeryrun/front/__init__.py
+++ b/celeryrun/front/__init__.py
@@ -2,7 +2,15 @@
 
 from celeryrun.front._answers import AnswerBook, Exchange
 from celeryrun.front._door import FrontDoor
-from celeryrun.front._operators import OperatorDoor
+from celeryrun.front._operators import OperatorDoor, PoolStatus, Status
 from celeryrun.front._request import Request
 
-__all__ = ["AnswerBook", "Exchange", "FrontDoor", "OperatorDoor", "Request"]
+__all__ = [
+    "AnswerBook",
+    "Exchange",
+    "FrontDoor",
+    "OperatorDoor",
+    "PoolStatus",
+    "Request",
+    "Status",
+]
--- a/celeryrun/front/_operators.py
+++ b/celeryrun/front/_operators.py
@@ -11,7 +11,7 @@
 from celeryrun.kernel import Kernel, violations
 from celeryrun.settings import Settings
 
-__all__ = ["OperatorDoor", "Status"]
+__all__ = ["OperatorDoor", "PoolStatus", "Status"]
 
 THREADS = 4
 KEEP_ALIVE = 10  # s
@@ -35,10 +35,17 @@
 
 
 class PoolStatus(msgspec.Struct):
-    """One pool."""
+    """One pool.
+
+    Parameters
+    ----------
+    pressure : float
+        Requests waiting or running for each slot, as its keeper sees it; above 1, callers wait.
+    """
 
     name: str
     keeper: str
+    pressure: float
     tiers: list[TierStatus]
     targets: list[TargetStatus]
 
@@ -139,7 +146,7 @@
         ]
         waiting_by_tier = keepers.waiting_by_tier(name)
         tiers = [TierStatus(tier, waiting) for tier, waiting in waiting_by_tier.items()]
-        return PoolStatus(name, keeper, tiers, targets)
+        return PoolStatus(name, keeper, _pressure(tiers, targets), tiers, targets)
 
     def _app(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
         call = (environ["REQUEST_METHOD"], environ.get("PATH_INFO", "/"))
@@ -173,6 +180,12 @@
             gauges.labels(f"peer messages {what}").set(count)
 
 
+def _pressure(tiers: list[TierStatus], targets: list[TargetStatus]) -> float:
+    wanted = sum(tier.waiting for tier in tiers) + sum(target.in_flight for target in targets)
+    slots = sum(target.slots for target in targets if not target.leaving)
+    return wanted / max(1.0, slots)
+
+
 def _answer(start: Any, status: str, body: bytes, content_type: str) -> Iterable[bytes]:
     start(status, [("Content-Type", content_type), ("Content-Length", str(len(body)))])
     return [body]
--- a/celeryrun/settings/__init__.py
+++ b/celeryrun/settings/__init__.py
@@ -1,7 +1,7 @@
 """Checked INI settings of a node."""
 
 from celeryrun.settings._kinds import Address, parse_seconds
-from celeryrun.settings._load import load_settings, parse_settings
+from celeryrun.settings._load import load_settings, parse_settings, read_text
 from celeryrun.settings._schema import (
     LimitSettings,
     NodeSettings,
@@ -20,4 +20,5 @@
     "load_settings",
     "parse_seconds",
     "parse_settings",
+    "read_text",
 ]
--- a/celeryrun/settings/_load.py
+++ b/celeryrun/settings/_load.py
@@ -12,7 +12,7 @@
 from celeryrun.settings._kinds import parse_value
 from celeryrun.settings._schema import Settings
 
-__all__ = ["load_settings", "parse_settings", "read_ini"]
+__all__ = ["load_settings", "parse_settings", "read_ini", "read_text"]
 
 
 def load_settings(path: str | Path) -> Settings:
@@ -28,11 +28,26 @@
     SettingsError
         If the file can't be read or any value is wrong; names the place and what is allowed.
     """
+    return parse_settings(read_text(path), str(path))
+
+
+def read_text(path: str | Path) -> str:
+    """Read a file of UTF-8 text.
+
+    Raises
+    ------
+    SettingsError
+        If it can't be read or is no UTF-8.
+    """
     try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(str(path), "-", "-", f"a readable UTF-8 file ({error})") from error
-    return parse_settings(text, str(path))
+        return Path(path).read_text(encoding="utf-8")
+    except UnicodeDecodeError as error:
+        line = Path(path).read_bytes()[: error.start].count(b"\n") + 1
+        allowed = f"UTF-8 text; line {line} is none, save the file as UTF-8"
+        raise SettingsError(str(path), "-", "-", allowed) from error
+    except OSError as error:
+        allowed = f"a readable file; {error.strerror}"
+        raise SettingsError(str(path), "-", "-", allowed) from error
 
 
 def parse_settings(text: str, file: str = "<text>") -> Settings:
