Name file, section, key and remedy for every wrong setting

Cause: duplicates and bad lines named no key, [DEFAULT] leaked into every section, keys were taken in any case, 1_0 and +80 were numbers, and settings that contradict each other started a node.

Change: strict INI, cross checks (addresses, lease and suspicion against probe times, timeout against retention, deadlines), key hashes as a kind, names of workspaces and pools checked, two workspaces with one key named.

--- a/celeryrun/configuration/_lists.py
+++ b/celeryrun/configuration/_lists.py
@@ -5,15 +5,20 @@
 import configparser
 from typing import Any
 
-from celeryrun.configuration._model import Call, Change, Configuration, Plan, Pool
+from celeryrun.configuration._model import (
+    TIERS,
+    Call,
+    Change,
+    Configuration,
+    Plan,
+    Pool,
+)
 from celeryrun.exception import SettingsError
-from celeryrun.settings._kinds import Choice, Kind, Text, Whole, parse_value
+from celeryrun.settings._kinds import Choice, KeyHash, Kind, Text, Whole, parse_value
 from celeryrun.settings._load import read_ini
 
 __all__ = ["diff_lists", "parse_lists"]
 
-KEY_HASH_CHARS = 64
-
 
 def parse_lists(
     plans_text: str, uses_text: str, plans_file: str = "plans", uses_file: str = "uses"
@@ -39,12 +44,13 @@
     ('sales',)
     """
     plan_sections = read_ini(plans_text, plans_file)
-    plans = [_Section(plan_sections, name, plans_file) for name in plan_sections.sections()]
+    plans = [
+        _read_plan(_Section(plan_sections, name, plans_file)) for name in plan_sections.sections()
+    ]
+    _require_own_keys(plans, plans_file)
     use_sections = read_ini(uses_text, uses_file)
-    uses = [_Section(use_sections, name, uses_file) for name in use_sections.sections()]
-    configuration = Configuration.from_lists(
-        0, tuple(map(_read_plan, plans)), tuple(map(_read_pool, uses))
-    )
+    uses = [_read_pool(_Section(use_sections, name, uses_file)) for name in use_sections.sections()]
+    configuration = Configuration.from_lists(0, tuple(plans), tuple(uses))
     known = {plan.plan for plan in configuration.plans}
     for pool in configuration.pools:
         for plan in pool.plans:
@@ -57,6 +63,15 @@
     return configuration
 
 
+def _require_own_keys(plans: list[Plan], file: str) -> None:
+    workspace_by_key_hash: dict[str, str] = {}
+    for plan in plans:
+        other = workspace_by_key_hash.setdefault(plan.key_hash, plan.workspace)
+        if other != plan.workspace:
+            allowed = f"a key of its own; [{other}] has the same, make one with celeryrun keys"
+            raise SettingsError(file, plan.workspace, "key_hash", allowed)
+
+
 def diff_lists(old: Configuration, new: Configuration, change_id: str) -> Change:
     """Return the change that leads from one configuration to another."""
     plans = tuple(plan for plan in new.plans if old.plans_by_workspace.get(plan.workspace) != plan)
@@ -77,7 +92,10 @@
     __slots__ = ("_file", "_values", "name")
 
     def __init__(self, parser: configparser.ConfigParser, name: str, file: str) -> None:
-        self.name = name
+        try:
+            self.name = parse_value(Text(), name)
+        except ValueError as error:
+            raise SettingsError(file, name, "-", f"a name of {error}") from error
         self._file = file
         self._values = dict(parser[name])
 
@@ -94,7 +112,10 @@
         text = self._values.pop(key, default)
         if text is None:
             raise SettingsError(self._file, self.name, key, "is required, separated by commas")
-        return tuple(word.strip() for word in text.split(",") if word.strip())
+        words = tuple(word.strip() for word in text.split(",") if word.strip())
+        if not words and default is None:
+            raise self.fail(key, "at least one name, separated by commas")
+        return words
 
     def fail(self, key: str, allowed: str) -> SettingsError:
         return SettingsError(self._file, self.name, key, allowed)
@@ -105,14 +126,11 @@
 
 
 def _read_plan(section: _Section) -> Plan:
-    key_hash = section.take("key_hash", Text(KEY_HASH_CHARS))
-    if len(key_hash) != KEY_HASH_CHARS:
-        raise section.fail("key_hash", "the SHA-256 of the key, 64 hexadecimal digits")
     plan = Plan(
         section.name,
         section.take("plan", Text()),
-        section.take("tier", Whole(1, 3)),
-        key_hash,
+        section.take("tier", Whole(TIERS[0], TIERS[-1])),
+        section.take("key_hash", KeyHash()),
         section.take("max_outstanding", Whole(1, 100_000), "100"),
     )
     section.close("plan, tier, key_hash, max_outstanding")
--- a/celeryrun/settings/_kinds.py
+++ b/celeryrun/settings/_kinds.py
@@ -12,6 +12,7 @@
     "AddressKind",
     "Choice",
     "Duration",
+    "KeyHash",
     "Kind",
     "Secret",
     "Size",
@@ -51,8 +52,8 @@
         Address(host='127.0.0.1', port=80)
         """
         host, _, port = text.rpartition(":")
-        ipaddress.ip_address(host)
-        if not 0 < int(port) < 65536:
+        ipaddress.IPv4Address(host)
+        if not 0 < _parse_whole(port) < 65536:
             raise ValueError(text)
         return cls(host, int(port))
 
@@ -71,6 +72,11 @@
     min_chars: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeyHash:
+    """A SHA-256 in hexadecimal."""
+
+
 @dataclass(frozen=True, slots=True)
 class Whole:
     """A whole number within bounds."""
@@ -112,7 +118,7 @@
     words: tuple[str, ...]
 
 
-Kind = Text | Secret | Whole | Duration | Size | AddressKind | Url | Choice
+Kind = Text | Secret | KeyHash | Whole | Duration | Size | AddressKind | Url | Choice
 
 
 def parse_seconds(text: str) -> float:
@@ -157,9 +163,12 @@
             return text if fits else _deny(allowed, text)
         case Secret(min_chars):
             return text if len(text) >= min_chars else _deny(f"at least {min_chars} characters", "")
+        case KeyHash():
+            allowed = "the SHA-256 of the key, 64 hexadecimal digits, as celeryrun keys prints it"
+            return text if re.fullmatch(r"[0-9a-f]{64}", text) else _deny(allowed, text)
         case Whole(low, high):
             allowed = f"a whole number from {low} to {high}"
-            return _bounded(_try(int, text, allowed), low, high, allowed, text)
+            return _bounded(_try(_parse_whole, text, allowed), low, high, allowed, text)
         case Duration(low, high):
             allowed = f"a duration with its unit from {low:g}s to {high:g}s, such as 250ms or 5s"
             return _bounded(_try(parse_seconds, text, allowed), low, high, allowed, text)
@@ -174,6 +183,12 @@
             return text if text in words else _deny("one of " + ", ".join(words), text)
 
 
+def _parse_whole(text: str) -> int:
+    if not re.fullmatch(r"[0-9]{1,18}", text):
+        raise ValueError(text)
+    return int(text)
+
+
 def _deny(allowed: str, text: str) -> Any:
     found = f"; found {text!r}" if text else ""
     raise ValueError(allowed + found)
--- a/celeryrun/settings/_load.py
+++ b/celeryrun/settings/_load.py
@@ -9,11 +9,14 @@
 from typing import Any
 
 from celeryrun.exception import SettingsError
+from celeryrun.settings._cross import find_conflicts
 from celeryrun.settings._kinds import parse_value
 from celeryrun.settings._schema import Settings
 
 __all__ = ["load_settings", "parse_settings", "read_ini", "read_text"]
 
+NO_SECTION = ""  # no section's keys count for the others
+
 
 def load_settings(path: str | Path) -> Settings:
     """Read a settings file.
@@ -40,7 +43,7 @@
         If it can't be read or is no UTF-8.
     """
     try:
-        return Path(path).read_text(encoding="utf-8")
+        return Path(path).read_text(encoding="utf-8-sig")
     except UnicodeDecodeError as error:
         line = Path(path).read_bytes()[: error.start].count(b"\n") + 1
         allowed = f"UTF-8 text; line {line} is none, save the file as UTF-8"
@@ -75,7 +78,10 @@
         section: _read_section(parser, section, section_type, file)
         for section, section_type in types_by_section.items()
     }
-    return Settings(**sections)
+    settings = Settings(**sections)
+    for section, key, allowed in find_conflicts(settings):
+        raise SettingsError(file, section, key, allowed)
+    return settings
 
 
 def read_ini(text: str, file: str) -> configparser.ConfigParser:
@@ -86,11 +92,28 @@
     SettingsError
         If the text is no INI, or a section or key stands twice.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        default_section=NO_SECTION,
+        delimiters=("=",),
+        comment_prefixes=("#", ";"),
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
     try:
         parser.read_string(text, file)
-    except configparser.Error as error:
-        raise SettingsError(file, "-", "-", f"well-formed INI ({error.message})") from error
+    except configparser.DuplicateSectionError as error:
+        allowed = f"one section of this name; line {error.lineno} repeats it"
+        raise SettingsError(file, error.section, "-", allowed) from error
+    except configparser.DuplicateOptionError as error:
+        allowed = f"one line with this key; line {error.lineno} repeats it"
+        raise SettingsError(file, error.section, error.option, allowed) from error
+    except configparser.MissingSectionHeaderError as error:
+        allowed = f"a [section] before the first key; line {error.lineno} stands in none"
+        raise SettingsError(file, "-", "-", allowed) from error
+    except configparser.ParsingError as error:
+        lines = ", ".join(str(line) for line, _ in error.errors)
+        allowed = f"lines of the form key = value; not so are {lines}"
+        raise SettingsError(file, "-", "-", allowed) from error
     return parser
 
 
--- a/celeryrun/settings/tests/test_load.py
+++ b/celeryrun/settings/tests/test_load.py
@@ -3,7 +3,7 @@
 import pytest
 
 from celeryrun.exception import SettingsError
-from celeryrun.settings import parse_settings
+from celeryrun.settings import load_settings, parse_settings
 from celeryrun.tests.builders import build_settings
 
 
@@ -23,6 +23,27 @@
         ({"node__zone": None}, ("node", "zone", "is required")),
         ({"node__caller_address": "localhost:80"}, ("node", "caller_address", "IP:PORT")),
         ({"peers__key": "short"}, ("peers", "key", "at least 16")),
+        ({"node__threads": "1_0"}, ("node", "threads", "whole number")),
+        ({"node__Threads": "10"}, ("node", "Threads", "unknown key")),
+        ({"DEFAULT__name": "a"}, ("DEFAULT", "-", "unknown section")),
+        ({"platform__timeout": "1.2.3s"}, ("platform", "timeout", "with its unit")),
+        ({"platform__log_url": "10.0.0.1:80"}, ("platform", "log_url", "http://IP:PORT")),
+        ({"limits__max_body": "5MB"}, ("limits", "max_body", "with its unit (B, KiB, MiB)")),
+        ({"node__log_level": "loud"}, ("node", "log_level", "one of debug")),
+        ({"node__name": "a b"}, ("node", "name", "letters, digits")),
+        ({"node__caller_address": None}, ("node", "caller_address", "is required")),
+        ({"node__peer_address": "[::1]:80"}, ("node", "peer_address", "IP:PORT")),
+        ({"node__peer_address": "127.0.0.1:+8"}, ("node", "peer_address", "IP:PORT")),
+        ({"node__peer_address": "127.0.0.1:8001"}, ("node", "peer_address", "operator_address")),
+        ({"node__operator_address": "127.0.0.1:8000"}, ("node", "operator_address", "another")),
+        ({"node__peer_address": "0.0.0.0:9"}, ("node", "peer_address", "own IP number")),
+        ({"peers__lease": "1s"}, ("peers", "lease", "at least 2 times probe_period")),
+        ({"peers__suspect_timeout": "0.5s"}, ("peers", "suspect_timeout", "at least 3 times")),
+        (
+            {"platform__timeout": "60s", "platform__retention": "1m"},
+            ("platform", "timeout", "half"),
+        ),
+        ({"limits__default_deadline": "700s"}, ("limits", "default_deadline", "max_deadline")),
     ],
 )
 def test_fault_is_named_with_its_remedy(change, place):
@@ -31,3 +52,29 @@
         parse_settings(build_settings(**change), "node.ini")
     assert (caught.value.file, caught.value.section, caught.value.key) == ("node.ini", section, key)
     assert allowed in caught.value.allowed
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        ("[node]\nname = a\nname = b\n", ("node", "name", "line 3 repeats it")),
+        ("[node]\n[peers]\n[node]\n", ("node", "-", "line 3 repeats it")),
+        ("name = a\n", ("-", "-", "line 1 stands in none")),
+        ("[node]\nname\n", ("-", "-", "not so are 2")),
+    ],
+)
+def test_malformed_file_is_named_with_its_line(text, place):
+    section, key, allowed = place
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text, "node.ini")
+    assert (caught.value.file, caught.value.section, caught.value.key) == ("node.ini", section, key)
+    assert allowed in caught.value.allowed
+
+
+def test_bad_encoding_is_named_with_its_line(tmp_path):
+    path = tmp_path / "node.ini"
+    path.write_bytes(build_settings().encode() + b"# se\xf1or\n")
+    with pytest.raises(SettingsError, match="UTF-8 text; line"):
+        load_settings(path)
+    path.write_bytes(b"\xef\xbb\xbf" + build_settings().encode())
+    assert load_settings(path).node.name == "node-0"
