--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,7 +1,8 @@
 """Stand-in model engine: continuous batching that lets everything in.
 
 One thread takes steps. A step lasts ``step * (1 + running / KNEE)`` seconds, gives each running
-stream one token, and spends up to ``PREFILL_TOKENS`` on prompts that are not yet read.
+stream one token, and spends up to ``PREFILL_TOKENS`` on prompts that are not yet read. With
+``--batch N`` the knee is at N, and more than N streams share the steps of N.
 
 Further faults: ``speed`` (factor), ``crash_on`` (text in a prompt that ends the process),
 ``leaving`` (new work is refused), ``gap_events`` (every n-th cache event is lost),
@@ -52,9 +53,19 @@
 class Engine:
     """Streams, prefix cache and batch of one engine."""
 
-    def __init__(self, name: str, step: float, cache_blocks: int, fencing: bool) -> None:
+    def __init__(
+        self,
+        name: str,
+        step: float,
+        cache_blocks: int,
+        fencing: bool,
+        batch: int = 0,
+        prefill: int = PREFILL_TOKENS,
+    ) -> None:
         self.name = name
         self.step = step
+        self.batch = batch
+        self.prefill = prefill
         self.speed = 1.0
         self.cache_blocks = cache_blocks
         self.fencing = fencing
@@ -114,19 +125,27 @@
 
     def run(self) -> None:
         """Take steps for ever."""
+        due = 0.0
         while True:
             with self.changed:
                 self.changed.wait_for(lambda: bool(self.running))
-                duration = self.step * (1 + len(self.running) / KNEE) / self.speed
-            time.sleep(duration)
+                due = max(due, time.monotonic() - self.step) + self.step_seconds()
+            time.sleep(max(0.0, due - time.monotonic()))
             with self.changed:
                 self.take_step()
                 self.changed.notify_all()
 
+    def step_seconds(self) -> float:
+        count = len(self.running)
+        if not self.batch:
+            return self.step * (1 + count / KNEE) / self.speed
+        together = min(count, self.batch)
+        return self.step * (1 + together / self.batch) * max(1, count / self.batch) / self.speed
+
     def take_step(self) -> None:
         self.reports.append((time.monotonic(), len(self.running)))
         del self.reports[:-1000]
-        budget = PREFILL_TOKENS
+        budget = self.prefill
         for stream in self.running:
             if stream.unread:
                 read = min(budget, stream.unread)
@@ -244,8 +263,17 @@
     parser.add_argument("--step", type=float, default=0.02, help="seconds for each token")
     parser.add_argument("--cache-blocks", type=int, default=256)
     parser.add_argument("--fencing", action="store_true")
+    parser.add_argument("--batch", type=int, default=0, help="streams at the knee")
+    parser.add_argument("--prefill", type=int, default=PREFILL_TOKENS, help="tokens for each step")
     options = parser.parse_args()
-    engine = Engine(options.name, options.step, options.cache_blocks, options.fencing)
+    engine = Engine(
+        options.name,
+        options.step,
+        options.cache_blocks,
+        options.fencing,
+        options.batch,
+        options.prefill,
+    )
     threading.Thread(target=engine.run, daemon=True).start()
     run_server(options.port, _Handler, engine=engine)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -47,6 +47,16 @@
         Tier by workspace; each workspace's key is ``key-WORKSPACE``.
     extra : dict
         Further keys of a node's settings, by section.
+    engine_arguments : list of str
+        Further arguments of the stand-in engines, by number.
+    application_arguments : str
+        Further arguments of every stand-in application.
+    outstanding_by_workspace : dict
+        Plans whose limit differs from `max_outstanding`.
+    node_command : tuple of str
+        What runs a node, without its settings file.
+    node_environment : dict
+        Further environment of a node.
     """
 
     nodes: int = 3
@@ -64,6 +74,11 @@
     threads: int = 100
     strict: bool = True
     extra: dict[str, dict[str, str]] = field(default_factory=dict)
+    engine_arguments: list[str] = field(default_factory=list)
+    application_arguments: str = ""
+    outstanding_by_workspace: dict[str, int] = field(default_factory=dict)
+    node_command: tuple[str, ...] = (sys.executable, "-m", "celeryrun", "node")
+    node_environment: dict[str, str] = field(default_factory=dict)
 
 
 class Fleet:
@@ -110,12 +125,15 @@
         self.add_standin("platform", "standins.platform", arguments)
         for number in range(plan.engines):
             name = f"engine-{number}"
-            self.add_standin(name, "standins.engine", ["--step", str(plan.engine_step)])
+            further = plan.engine_arguments[number].split() if plan.engine_arguments else []
+            step = ["--step", str(plan.engine_step)]
+            self.add_standin(name, "standins.engine", [*step, *further])
             self.add_target(name, "drafts", number)
         for number in range(plan.applications):
             name = f"application-{number}"
             seconds = ["--seconds", str(plan.application_seconds)]
-            self.add_standin(name, "standins.application", seconds)
+            further = plan.application_arguments.split()
+            self.add_standin(name, "standins.application", [*seconds, *further])
             self.add_target(name, "warehouse", number)
 
     def add_standin(self, name: str, module: str, arguments: list[str]) -> None:
@@ -180,7 +198,7 @@
             }
         )
         strict = ["--strict"] if self.plan.strict else []
-        self.spawn(name, [sys.executable, "-m", "celeryrun", "node", str(path), *strict])
+        self.spawn(name, [*self.plan.node_command, str(path), *strict])
 
     def settings_path(self, name: str) -> Path:
         """Return the path of a node's settings."""
@@ -189,6 +207,8 @@
     def spawn(self, name: str, command: list[str]) -> None:
         self.command_by_name[name] = command
         environment = {**os.environ, "CELERYRUN_STRICT_EXIT": "1"}
+        if name in self.operator_by_name:
+            environment.update(self.plan.node_environment)
         with open(self.folder / f"{name}.log", "ab") as output:
             self.process_by_name[name] = subprocess.Popen(
                 command, stdout=output, stderr=output, env=environment
@@ -221,7 +241,7 @@
             "".join(
                 f"[{workspace}]\nplan = {workspace}\ntier = {tier}\n"
                 f"key_hash = {hash_key('key-' + workspace)}\n"
-                f"max_outstanding = {self.plan.max_outstanding}\n\n"
+                f"max_outstanding = {self.outstanding(workspace)}\n\n"
                 for workspace, tier in self.plan.plans.items()
             )
         )
@@ -233,6 +253,10 @@
         )
         return plans, uses
 
+    def outstanding(self, workspace: str) -> int:
+        """Return the limit of a workspace's plan."""
+        return self.plan.outstanding_by_workspace.get(workspace, self.plan.max_outstanding)
+
     def wait_ready(self, names: list[str] | None = None) -> None:
         """Wait until nodes are ready, know each other and their targets."""
         until = time.monotonic() + START_PATIENCE
@@ -249,6 +273,8 @@
         except (urllib3.exceptions.HTTPError, ValueError):
             return False
         live = sum(1 for vm in self.vms if vm["role"] == "node" and vm["state"] == "live")
+        if "pools" not in status:  # another process has the port
+            return False
         targets = sum(len(pool["targets"]) for pool in status["pools"])
         wanted = sum(1 for vm in self.vms if vm["role"] == "target")
         return bool(status["ready"] and len(status["members"]) >= live and targets >= wanted)
