--- a/celeryrun/pool/_queue.py
+++ b/celeryrun/pool/_queue.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter
 from dataclasses import dataclass
 
 from celeryrun.kernel import check
+from celeryrun.pool._heap import LazyHeap
 
 __all__ = ["FairQueue", "Waiting"]
 
 WEIGHT_BY_TIER = {1: 16.0, 2: 4.0, 3: 1.0}
+LOWEST_TIER = max(WEIGHT_BY_TIER)
 
 
 @dataclass(slots=True)
@@ -34,21 +36,34 @@
     prefix: tuple[int, ...]
     expires: float
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """What names the ask within the pool."""
+        return self.node, self.ask
+
 
 class _Lane:
-    """The asks of one workspace in one tier."""
+    """The asks of one workspace in one tier, oldest first."""
 
-    __slots__ = ("served", "waiting")
+    __slots__ = ("backlog", "served", "waiting_by_key", "workspace")
 
-    def __init__(self, served: float) -> None:
+    def __init__(self, workspace: str, served: float) -> None:
+        self.workspace = workspace
         self.served = served
-        self.waiting: deque[Waiting] = deque()
+        self.backlog = 0.0
+        self.waiting_by_key: dict[tuple[str, int], Waiting] = {}
+
+    def served_if_busy(self) -> float | None:
+        return self.served if self.waiting_by_key else None
+
+    def fullness_if_busy(self) -> float | None:
+        return -self.backlog if self.waiting_by_key else None
 
 
 class _Tier:
-    """The lanes of one tier."""
+    """The lanes of one tier, found by least service and by most backlog."""
 
-    __slots__ = ("floor", "lane_by_workspace", "number", "size", "virtual")
+    __slots__ = ("floor", "fullest", "lane_by_workspace", "least", "number", "size", "virtual")
 
     def __init__(self, number: int) -> None:
         self.number = number
@@ -56,16 +71,61 @@
         self.floor = 0.0
         self.size = 0
         self.lane_by_workspace: dict[str, _Lane] = {}
+        self.least: LazyHeap[_Lane] = LazyHeap(_Lane.served_if_busy)
+        self.fullest: LazyHeap[_Lane] = LazyHeap(_Lane.fullness_if_busy)
+
+    def lane(self, workspace: str) -> _Lane:
+        lane = self.lane_by_workspace.get(workspace)
+        if lane is None:
+            lane = self.lane_by_workspace[workspace] = _Lane(workspace, self.floor)
+        return lane
+
+    def add(self, waiting: Waiting) -> None:
+        lane = self.lane(waiting.workspace)
+        if not lane.waiting_by_key:
+            lane.served = max(lane.served, self.floor)
+        lane.waiting_by_key[waiting.key] = waiting
+        lane.backlog += waiting.cost
+        self.size += 1
+        self._note(lane)
+
+    def drop(self, waiting: Waiting) -> None:
+        lane = self.lane_by_workspace[waiting.workspace]
+        del lane.waiting_by_key[waiting.key]
+        lane.backlog -= waiting.cost
+        self.size -= 1
+        if lane.waiting_by_key:
+            self._note(lane)
+            return
+        lane.backlog = 0.0
+        if lane.served <= self.floor:
+            del self.lane_by_workspace[waiting.workspace]
+
+    def charge(self, lane: _Lane, cost: float) -> None:
+        lane.served += cost
+        self.virtual += cost / WEIGHT_BY_TIER[self.number]
+        self.least.note(lane)
 
-    def busy_lanes(self) -> list[_Lane]:
-        return [lane for lane in self.lane_by_workspace.values() if lane.waiting]
+    def forget_idle(self) -> None:
+        idle = [
+            lane.workspace
+            for lane in self.lane_by_workspace.values()
+            if not lane.waiting_by_key and lane.served <= self.floor
+        ]
+        for workspace in idle:
+            del self.lane_by_workspace[workspace]
+
+    def _note(self, lane: _Lane) -> None:
+        self.least.note(lane)
+        self.fullest.note(lane)
 
 
 class FairQueue:
     """Weighted service between tiers, fair service by work between workspaces of a tier.
 
     A workspace that returns after a pause starts level with the least served one that waits, as
-    in the virtual token counter [1]_; so it can't save up service.
+    in the virtual token counter [1]_; so it can't save up service. Each operation takes time that
+    grows with the logarithm of what waits.
 
     Examples
     --------
@@ -80,45 +140,58 @@
     .. [1] Sheng et al., "Fairness in Serving Large Language Models", OSDI 2024.
     """
 
-    __slots__ = ("by_ask", "tier_by_number", "virtual")
+    __slots__ = (
+        "_count_by_node",
+        "_count_by_workspace",
+        "_soonest",
+        "by_ask",
+        "tier_by_number",
+        "virtual",
+    )
 
     def __init__(self) -> None:
         self.tier_by_number = {number: _Tier(number) for number in WEIGHT_BY_TIER}
         self.by_ask: dict[tuple[str, int], Waiting] = {}
         self.virtual = 0.0
+        self._count_by_node: Counter[str] = Counter()
+        self._count_by_workspace: Counter[str] = Counter()
+        self._soonest: LazyHeap[Waiting] = LazyHeap(self._expiry_if_waiting)
 
     def __len__(self) -> int:
         return len(self.by_ask)
 
     def push(self, waiting: Waiting) -> None:
         """Let an ask wait; one that waits already is left where it is."""
-        key = (waiting.node, waiting.ask)
-        if key in self.by_ask:
+        if waiting.key in self.by_ask:
             return
         tier = self.tier_by_number[waiting.tier]
         if not tier.size:
             tier.virtual = max(tier.virtual, self.virtual)
-        lane = tier.lane_by_workspace.get(waiting.workspace)
-        if lane is None:
-            lane = tier.lane_by_workspace[waiting.workspace] = _Lane(tier.floor)
-        if not lane.waiting:
-            lane.served = max(lane.served, tier.floor)
-        lane.waiting.append(waiting)
-        tier.size += 1
-        self.by_ask[key] = waiting
-
-    def pop(self) -> Waiting | None:
-        """Take the ask to be served next."""
-        tiers = [tier for tier in self.tier_by_number.values() if tier.size]
+        tier.add(waiting)
+        self.by_ask[waiting.key] = waiting
+        self._count_by_node[waiting.node] += 1
+        self._count_by_workspace[waiting.workspace] += 1
+        self._soonest.note(waiting)
+
+    def pop(self, lowest: int = LOWEST_TIER) -> Waiting | None:
+        """Take the ask to be served next.
+
+        Parameters
+        ----------
+        lowest : int
+            Number of the lowest tier that may be served.
+        """
+        tiers = [tier for tier in self._busy_tiers() if tier.number <= lowest]
         if not tiers:
             return None
         tier = min(tiers, key=lambda tier: (tier.virtual, tier.number))
-        self.virtual = tier.virtual
-        lane = min(tier.busy_lanes(), key=lambda lane: lane.served)
-        tier.floor = lane.served
-        waiting = lane.waiting.popleft()
-        self._charge(tier, lane, waiting.cost)
-        self._forget(tier, waiting)
+        self.virtual = max(self.virtual, tier.virtual)
+        lane = tier.least.first()
+        assert lane is not None
+        tier.floor = max(tier.floor, lane.served)
+        waiting = next(iter(lane.waiting_by_key.values()))
+        tier.charge(lane, waiting.cost)
+        self._forget(waiting)
         return waiting
 
     def correct(self, tier_number: int, workspace: str, difference: float) -> None:
@@ -126,53 +199,64 @@
         tier = self.tier_by_number[tier_number]
         lane = tier.lane_by_workspace.get(workspace)
         if lane is not None:
-            self._charge(tier, lane, difference)
+            tier.charge(lane, difference)
 
     def remove(self, node: str, ask: int) -> Waiting | None:
         """Take out an ask that is no longer wanted."""
         waiting = self.by_ask.get((node, ask))
-        if waiting is None:
-            return None
-        tier = self.tier_by_number[waiting.tier]
-        tier.lane_by_workspace[waiting.workspace].waiting.remove(waiting)
-        self._forget(tier, waiting)
+        if waiting is not None:
+            self._forget(waiting)
         return waiting
 
     def shed(self) -> Waiting | None:
         """Take out the ask to be refused: lowest tier first, there the fullest workspace's last."""
-        tiers = [tier for tier in self.tier_by_number.values() if tier.size]
+        tiers = self._busy_tiers()
         if not tiers:
             return None
         tier = max(tiers, key=lambda tier: tier.number)
-        lane = max(tier.busy_lanes(), key=lambda lane: sum(item.cost for item in lane.waiting))
-        waiting = lane.waiting.pop()
-        lower = [item.tier for item in self.by_ask.values() if item.tier > waiting.tier]
-        check(not lower, "shed-lowest-first", shed=waiting.tier, waiting=len(lower))
-        self._forget(tier, waiting)
+        lane = tier.fullest.first()
+        assert lane is not None
+        waiting = next(reversed(lane.waiting_by_key.values()))
+        lower = self.waiting_below(waiting.tier)
+        check(not lower, "shed-lowest-first", shed=waiting.tier, waiting=lower)
+        self._forget(waiting)
         return waiting
 
+    def waiting_below(self, tier_number: int) -> int:
+        """Count the asks of lower tiers than one."""
+        return sum(tier.size for tier in self._busy_tiers() if tier.number > tier_number)
+
     def expired(self, now: float) -> list[Waiting]:
         """Take out the asks whose deadline has passed."""
-        gone = [waiting for waiting in self.by_ask.values() if waiting.expires <= now]
-        for waiting in gone:
-            self.remove(waiting.node, waiting.ask)
+        gone = []
+        while (waiting := self._soonest.first()) is not None and waiting.expires <= now:
+            self._forget(waiting)
+            gone.append(waiting)
+        for tier in self.tier_by_number.values():
+            tier.forget_idle()
         return gone
 
     def of_node(self, node: str) -> int:
         """Count the asks of one node."""
-        return sum(1 for waiting in self.by_ask.values() if waiting.node == node)
+        return self._count_by_node[node]
 
     def of_workspace(self, workspace: str) -> int:
         """Count the asks of one workspace."""
-        return sum(1 for waiting in self.by_ask.values() if waiting.workspace == workspace)
-
-    def _charge(self, tier: _Tier, lane: _Lane, cost: float) -> None:
-        lane.served += cost
-        tier.virtual += cost / WEIGHT_BY_TIER[tier.number]
-
-    def _forget(self, tier: _Tier, waiting: Waiting) -> None:
-        tier.size -= 1
-        del self.by_ask[waiting.node, waiting.ask]
-        lane = tier.lane_by_workspace[waiting.workspace]
-        if not lane.waiting and lane.served <= tier.floor:
-            del tier.lane_by_workspace[waiting.workspace]
+        return self._count_by_workspace[workspace]
+
+    def _busy_tiers(self) -> list[_Tier]:
+        return [tier for tier in self.tier_by_number.values() if tier.size]
+
+    def _expiry_if_waiting(self, waiting: Waiting) -> float | None:
+        return waiting.expires if self.by_ask.get(waiting.key) is waiting else None
+
+    def _forget(self, waiting: Waiting) -> None:
+        self.tier_by_number[waiting.tier].drop(waiting)
+        del self.by_ask[waiting.key]
+        for count, name in (
+            (self._count_by_node, waiting.node),
+            (self._count_by_workspace, waiting.workspace),
+        ):
+            count[name] -= 1
+            if not count[name]:
+                del count[name]
