Find the knee of each target by the gradient of its throughput

Ruled out: a fixed limit (targets are unlike); a linear fit of seconds by level (the knee is a bend). Change: Little's law gives throughput at each level in flight, from seconds for each token; the limit climbs while a gain of slots brings a gain of throughput. Done carries the tokens.

--- a/bench/_deployment.py
+++ b/bench/_deployment.py
@@ -8,7 +8,6 @@
 
 __all__ = ["DEPLOYMENTS", "Caller", "Deployment", "Load", "build_load"]
 
-BATCH = 8  # streams at an engine's knee
 STEP = 0.012  # s of an engine's step when idle, twice that at the knee
 PREFILL = 128  # tokens of prompt that an engine reads in a step
 WORKERS = 4  # of an application
@@ -67,12 +66,15 @@
     ----------
     speeds : tuple of float
         Relative speed of each engine.
+    batches : tuple of int
+        Streams at each engine's knee.
     zone_latency, client_latency : float
         Seconds one way.
     """
 
     name: str
     speeds: tuple[float, ...]
+    batches: tuple[int, ...]
     applications: int
     zones: int
     zone_latency: float
@@ -86,18 +88,18 @@
     @property
     def capacity_by_pool(self) -> dict[str, float]:
         """Work that each pool does in a second."""
-        engine = BATCH / (2 * STEP)
+        engines = zip(self.speeds, self.batches, strict=True)
         return {
-            "drafts": engine * sum(self.speeds),
+            "drafts": sum(speed * batch / (2 * STEP) for speed, batch in engines),
             "warehouse": float(self.applications * WORKERS),
         }
 
     def fleet_plan(self) -> FleetPlan:
         """Describe the processes."""
         arguments = [
-            f"--step {STEP / speed:.6f} --batch {BATCH} --prefill {PREFILL} "
+            f"--step {STEP / speed:.6f} --batch {batch} --prefill {PREFILL} "
             f"--cache-blocks {CACHE_BLOCKS}"
-            for speed in self.speeds
+            for speed, batch in zip(self.speeds, self.batches, strict=True)
         ]
         return FleetPlan(
             nodes=NODES,
@@ -141,6 +143,7 @@
 CAJAS = Deployment(
     "cajas",
     (1.0, 1.0, 0.8, 0.5, 0.5),
+    (12, 10, 8, 6, 4),
     3,
     3,
     0.001,
@@ -162,6 +165,7 @@
 CORDILLERA = Deployment(
     "cordillera",
     (1.0, 1.0, 1.0, 0.6, 0.6, 0.4),
+    (12, 12, 8, 8, 6, 4),
     4,
     4,
     0.0015,
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -134,8 +134,8 @@
         f"Seeds {seeds}; {len(results)} runs. Worst 99th percentile of the load tool's lag: "
         f"{worst * 1000:.0f} ms.",
         "",
-        "Scale: an engine does 333 token steps a second at its knee of 8 streams (12 ms a step "
-        "idle, 24 ms at the knee; slower engines longer in proportion) and reads 128 tokens of "
+        "Scale: an engine takes 12 ms a step idle and 24 ms at its knee of 4 to 12 streams (slower "
+        "engines longer in proportion), beyond the knee streams share; it reads 128 tokens of "
         "prompt a step; an application has 4 workers of 100 ms. The bound is the engines' "
         "capacity in token steps, or what was asked for where that is less. Latency between "
         "zones and to callers is slept in the stand-ins and the load tool; messages between "
--- a/celeryrun/dispatch/_engine.py
+++ b/celeryrun/dispatch/_engine.py
@@ -120,6 +120,11 @@
         self._size = 0
         self._started = 0.0
 
+    @property
+    def tokens(self) -> int:
+        """Tokens that have come."""
+        return self._next
+
     def events(self) -> Iterator[Token | Usage | Answer | NotDispatched | Unknown]:
         """Dispatch, and yield each token once and in order.
 
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -159,7 +159,7 @@
     def _use(self, grant: Grant) -> Generator[None, None, bool]:
         """Use a slot; returns whether the request has ended."""
         started = time.monotonic()
-        used, first, whole = 0.0, -1.0, False
+        used, first, whole, tokens = 0.0, -1.0, False, 0
         try:
             target = self._kernel.find("targets").by_name.get(grant.target)
             if target is None or target.leaving:
@@ -183,13 +183,13 @@
                     self._request.expires,
                 )
                 ended, used, whole = yield from self._relay(stream, target.address, grant)
-                first = stream.first
+                first, tokens = stream.first, stream.tokens
             if not ended and isinstance(claim, Won):
                 self._kernel.find("claims").release(self._claim_key(), claim.claim)
             return ended
         finally:
             elapsed = time.monotonic() - started
-            self._kernel.find("pools").release(grant, used, first, elapsed, whole)
+            self._kernel.find("pools").release(grant, used, first, elapsed, whole, tokens)
 
     def _claim_key(self) -> str:
         return f"{self._request.plan.workspace}/{self._request.key}"
--- a/celeryrun/pool/_client.py
+++ b/celeryrun/pool/_client.py
@@ -145,7 +145,15 @@
         self.withdraw(lowest, refusal)
         return True
 
-    def release(self, grant: Grant, used: float, first: float, elapsed: float, whole: bool) -> None:
+    def release(
+        self,
+        grant: Grant,
+        used: float,
+        first: float,
+        elapsed: float,
+        whole: bool,
+        tokens: int = 0,
+    ) -> None:
         """Give a slot back.
 
         Parameters
@@ -158,10 +166,12 @@
             Seconds since dispatch.
         whole : bool
             Whether the answer was whole.
+        tokens : int
+            Tokens that the answer brought, 0 from an application.
         """
         with self._lock:
             self._hold_by_grant.pop(grant.grant, None)
-        done = Done(grant.pool, grant.grant, used, first, elapsed, whole)
+        done = Done(grant.pool, grant.grant, used, first, elapsed, whole, tokens)
         self._tell_keeper(grant.pool, done)
 
     def outstanding(self) -> tuple[int, int]:
--- a/celeryrun/pool/_state.py
+++ b/celeryrun/pool/_state.py
@@ -17,6 +17,8 @@
 __all__ = ["Granted", "PoolState"]
 
 SLOTS_BY_KIND = {"engine": 8.0, "application": 16.0}
+MIN_GAP = 0.0001  # s
+CALL_TOKENS = 8  # that a call of an application counts as when its target's limit is learned
 
 
 @dataclass(slots=True)
@@ -27,6 +29,8 @@
     ----------
     expires : float
         Monotonic end of the lease in seconds.
+    since, usage : float
+        Monotonic start in seconds, and the target's slot-seconds used until then.
     """
 
     node: str
@@ -35,6 +39,8 @@
     workspace: str
     cost: float
     expires: float
+    since: float = 0.0
+    usage: float = 0.0
 
 
 class PoolState:
@@ -52,6 +58,7 @@
         "_ids",
         "_in_flight_by_target",
         "_lease",
+        "_usage_by_target",
         "belief",
         "epoch",
         "granted_by_id",
@@ -72,6 +79,7 @@
         self._lease = lease
         self._ids = itertools.count(1)
         self._in_flight_by_target: dict[str, int] = {}
+        self._usage_by_target: dict[str, tuple[float, float]] = {}
 
     def in_flight(self, target: str) -> int:
         """Count the slots of a target in use."""
@@ -108,6 +116,7 @@
                 waiting.workspace,
                 waiting.cost,
                 time.monotonic() + self._lease,
+                since=time.monotonic(),
             ),
         )
         return grant, waiting, target
@@ -128,10 +137,8 @@
         if granted is None:
             return
         self.queue.correct(granted.tier, granted.workspace, done.used - granted.cost)
-        limit = self.limit_by_target.get(granted.target)
-        if done.first >= 0 and limit is not None:
-            busy = self.in_flight(granted.target) >= int(limit.slots)
-            limit.observe(done.first, busy)
+        if done.whole:
+            self._learn(granted, done)
         self._remove(done.grant)
 
     def lapse(self) -> list[Granted]:
@@ -140,6 +147,26 @@
         lapsed = [grant for grant, item in self.granted_by_id.items() if item.expires <= now]
         return [self._remove(grant) for grant in lapsed]
 
+    def _learn(self, granted: Granted, done: Done) -> None:
+        limit = self.limit_by_target.get(granted.target)
+        lasted = time.monotonic() - granted.since
+        if limit is None or not granted.since or lasted <= 0 or done.elapsed <= 0:
+            return
+        level = (self._usage(granted.target) - granted.usage) / lasted
+        if done.tokens > 1:
+            gap = (done.elapsed - done.first) / (done.tokens - 1)
+            limit.observe(level, max(MIN_GAP, gap), done.tokens - 1)
+        elif not done.tokens:
+            limit.observe(level, max(MIN_GAP, done.elapsed), CALL_TOKENS)
+
+    def _usage(self, target: str) -> float:
+        """Return the slot-seconds that a target has been in use for."""
+        now = time.monotonic()
+        used, since = self._usage_by_target.get(target, (0.0, now))
+        used += self.in_flight(target) * (now - since)
+        self._usage_by_target[target] = (used, now)
+        return used
+
     def _has_slot(self, kind: str, target: Target) -> bool:
         limit = self.limit_by_target.get(target.name)
         if limit is None:
@@ -147,10 +174,12 @@
         return target.is_usable() and self.in_flight(target.name) < int(limit.slots)
 
     def _add(self, grant: int, granted: Granted) -> None:
+        granted.usage = self._usage(granted.target)
         self.granted_by_id[grant] = granted
         self._in_flight_by_target[granted.target] = self.in_flight(granted.target) + 1
 
     def _remove(self, grant: int) -> Granted:
         granted = self.granted_by_id.pop(grant)
+        self._usage(granted.target)
         self._in_flight_by_target[granted.target] -= 1
         return granted
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -130,6 +130,8 @@
         Seconds from dispatch to the end.
     whole : bool
         Whether the target gave a whole answer.
+    tokens : int
+        Tokens that the answer brought, 0 from an application.
     """
 
     pool: str
@@ -138,6 +140,7 @@
     first: float
     elapsed: float
     whole: bool
+    tokens: int = 0
 
 
 class Hold(msgspec.Struct, frozen=True, array_like=True):
