Decide claims from the whole stream, and find answers on other nodes

Cause: a trial of the thin claim book (three pages folded by hand) showed that a batch appended again after a lost answer claims its key again after the release ("holder: c1"), that a claim is decided across records which the log forgot unread ("Won c2"), and that the table never forgets (1,000 entries after 1,000 s of log time). A caller that came back through another node got "unknown" though the answer stood on the first one, and a retry with another body got the first body's answer.

Ruled out: remembering only claim ids that were released; a claim that lost and is appended late, after the winner's release, held the key for good. Carrying live claims forward: not needed, because a key's window is half of retention and is judged by the log's own clock at the append. Claims before the slot: every request that a flood sheds would cost two appends; claims stand after the grant, and a held key is looked up before.

Change: the fold remembers spent claim ids, judges a key's age by the record's time and forgets keys after their window; a gap in the stream gives up every claim in progress; a claim given up is released for as long as the process lives, whether or not it is known to stand; one that never left the node is a refusal. A claim id carries the content's digest. "Not run" is said of a key only after the log was read to its end by a read that began after the request arrived; otherwise the outcome told is unknown. Answers are found by the claim's node, or for request ids by a directory placed by rendezvous hash, and pulled in parts.

--- /dev/null
+++ b/celeryrun/answers/tests/test_retries.py
@@ -0,0 +1,156 @@
+"""Callers that come back through another node."""
+
+import json
+import signal
+import threading
+import time
+
+import pytest
+
+from celeryrun.answers._directory import Directory
+from celeryrun.tests.builders import fresh_key
+
+DRAFT = {"prompt": "A season contract", "max_tokens": 40}
+
+
+def book(fleet, node, key, workspace="bookings", content=None, **headers):
+    headers["Idempotency_Key"] = key
+    return fleet.request(node, workspace, "POST", "/warehouse/bookings", content or {}, **headers)
+
+
+def outcome(answer):
+    return answer.headers["Celeryrun-Outcome"]
+
+
+def runs(fleet, key):
+    books = [fleet.call("GET", f"application-{n}", "/record")["runs"] for n in range(2)]
+    return [run for runs in books for run in runs if run["key"] == key]
+
+
+def in_thread(action):
+    results = []
+    thread = threading.Thread(target=lambda: results.append(action()))
+    thread.start()
+
+    def result():
+        thread.join()
+        return results[0]
+
+    return result
+
+
+def test_finished_booking_is_found_from_every_node(fleet):
+    key = fresh_key()
+    answers = [book(fleet, node, key) for node in fleet.nodes * 2]
+    assert {outcome(answer) for answer in answers} == {"complete"}
+    assert len({answer.data for answer in answers}) == 1
+    assert len(runs(fleet, key)) == 1
+
+
+def test_running_booking_is_found_from_every_node(fleet):
+    key = fresh_key()
+    for application in ("application-0", "application-1"):
+        fleet.fault(application, late=0.5)
+    try:
+        results = [in_thread(lambda node=node: book(fleet, node, key)) for node in fleet.nodes]
+        answers = [result() for result in results]
+    finally:
+        for application in ("application-0", "application-1"):
+            fleet.fault(application, late=0)
+    assert {outcome(answer) for answer in answers} == {"complete"}
+    assert len({answer.data for answer in answers}) == 1
+    assert len(runs(fleet, key)) == 1
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_running_draft_is_found_from_every_node(fleet, stream):
+    content = {**DRAFT, "stream": stream}
+    name = f"draft-{stream}"
+
+    def ask(node):
+        path = "/drafts/v1/generate"
+        return fleet.request(node, "contracts", "POST", path, content, Request_Id=name)
+
+    results = [in_thread(lambda node=node: ask(node)) for node in fleet.nodes]
+    answers = [result() for result in results]
+    assert len({answer.data for answer in answers}) == 1
+    assert ask(fleet.nodes[1]).data == answers[0].data
+    prompts = [fleet.call("GET", f"engine-{n}", "/record")["dispatched"] for n in range(2)]
+    assert sum(map(len, prompts)) == 1 + stream
+
+
+def test_other_content_never_gets_the_first_answer(fleet):
+    key = fresh_key()
+    book(fleet, fleet.nodes[0], key, content={"crates": 1}, Request_Id="content-1")
+    for node in fleet.nodes:
+        answer = book(fleet, node, key, content={"crates": 2})
+        assert (answer.status, outcome(answer)) == (422, "not-run")
+        assert json.loads(answer.data)["error"] == "id-reused"
+    assert len(runs(fleet, key)) == 1
+    fleet.request(fleet.nodes[0], "routes", "GET", "/warehouse/a", Request_Id="content-2")
+    for node in fleet.nodes:
+        answer = fleet.request(node, "routes", "GET", "/warehouse/b", Request_Id="content-2")
+        assert answer.status == 422
+
+
+def test_another_workspace_never_sees_an_answer(fleet):
+    key = fresh_key()
+    first = book(fleet, fleet.nodes[0], key, "bookings", Request_Id="shared")
+    for node in fleet.nodes:
+        other = book(fleet, node, key, "routes", Request_Id="shared")
+        assert outcome(other) == "complete"
+        assert other.data != first.data
+    assert len(runs(fleet, key)) == 2
+    path = "/warehouse/stock"
+    mine = fleet.request(fleet.nodes[0], "bookings", "GET", path, Request_Id="shared-2")
+    for node in fleet.nodes:
+        other = fleet.request(node, "routes", "GET", path, Request_Id="shared-2")
+        assert other.data != mine.data
+
+
+def test_booking_of_a_dead_node_is_unknown_and_a_lookup_runs_anew(fleet):
+    key = fresh_key()
+    holder, other = fleet.nodes[2], fleet.nodes[0]
+    book(fleet, holder, key)
+    path = "/warehouse/stock/dead"
+    fleet.request(holder, "routes", "GET", path, Request_Id="dead-1")
+    fleet.kill(holder, signal.SIGKILL)
+    try:
+        answer = book(fleet, other, key)
+        assert outcome(answer) == "unknown"
+        lookup = fleet.request(other, "routes", "GET", path, Request_Id="dead-1")
+        assert outcome(lookup) == "complete"
+    finally:
+        fleet.restart(holder)
+        fleet.wait_ready()
+    assert outcome(book(fleet, holder, key)) == "unknown"
+    assert len(runs(fleet, key)) == 1
+
+
+def test_directory_is_bounded():
+    directory = Directory(10, 5.0)
+    for number in range(100):
+        directory.find(bytes([number]), "node-0", "", float(number) / 100)
+    assert len(directory) == 10
+    directory.find(b"late", "node-0", "", 20.0)
+    assert len(directory) == 1
+
+
+def test_paused_holder_is_unknown_then_found(fleet):
+    key = fresh_key()
+    holder, other = fleet.nodes[1], fleet.nodes[0]
+    for application in ("application-0", "application-1"):
+        fleet.fault(application, late=1.0)
+    first = in_thread(lambda: book(fleet, holder, key))
+    while not runs(fleet, key):
+        time.sleep(0.01)
+    fleet.kill(holder, signal.SIGSTOP)
+    try:
+        assert outcome(book(fleet, other, key)) == "unknown"
+    finally:
+        fleet.kill(holder, signal.SIGCONT)
+        for application in ("application-0", "application-1"):
+            fleet.fault(application, late=0)
+    assert outcome(first()) == "complete"
+    assert book(fleet, other, key).data == first().data
+    assert len(runs(fleet, key)) == 1
--- a/celeryrun/claims/_book.py
+++ b/celeryrun/claims/_book.py
@@ -3,223 +3,395 @@
 from __future__ import annotations
 
 import itertools
-import queue
+import random
 import threading
 import time
-import uuid
 from dataclasses import dataclass, field
 
 import logbook
 import msgspec
 
+from celeryrun.claims._records import Batch, Claim, Release, digest_of, new_claim_id
+from celeryrun.claims._table import ClaimTable, Held
 from celeryrun.exception import LogUnavailableError, Refusal
-from celeryrun.platform import LogClient, Page, TooManyAppendsError
+from celeryrun.kernel import Kernel, check
+from celeryrun.platform import LogClient, Page, Record, TooManyAppendsError
 from celeryrun.settings import Settings
 
-__all__ = ["ClaimBook", "Lost", "Unresolved", "Won"]
+__all__ = ["TOO_OLD", "ClaimBook", "Lost", "Unresolved", "Won"]
 
 CLAIM_STREAM = "claims"
 BATCH_CLAIMS = 200
+MAX_OUTBOX = 2000  # claims
+APPENDS_PER_SECOND = 250  # of all nodes together
 POLL_WAIT = 1.0  # s
 RETRY_PERIOD = 0.2  # s
-LOG_STALE = 4.0  # s without a read before new claims are refused
+LOG_STALE = 4.0  # s without a read to the end before new claims are refused
+STOP_PATIENCE = 2.0  # s for the last releases
+
+UNAVAILABLE = Refusal(
+    503, "log-unavailable", "nothing can be claimed; retry later with the same key", 2.0
+)
+BUSY = Refusal(503, "claims-busy", "too many claims wait; retry later with the same key", 2.0)
+TOO_OLD = Refusal(
+    409,
+    "idempotency-key-too-old",
+    "what became of the key is not known any more; ask the application, then use a new key",
+)
 
 log = logbook.Logger("claims")
 
 
-class _Claim(msgspec.Struct, frozen=True, array_like=True):
-    key: str
-    claim: str
-    node: str
-
-
-class _Batch(msgspec.Struct, frozen=True, array_like=True):
-    claims: tuple[_Claim, ...] = ()
-    releases: tuple[tuple[str, str], ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Won:
-    """The claim is this node's."""
+    """The claim is this node's.
 
+    Parameters
+    ----------
+    claim : str
+        The claim's id.
+    dispatched : bool
+        Whether a byte of the call may have reached a target.
+    """
+
+    key: str
     claim: str
+    dispatched: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """Another claim was first."""
+    """Another claim was first.
 
-    node: str
-    claim: str
+    Parameters
+    ----------
+    same_content : bool
+        Whether that claim is for the same request content.
+    """
+
+    held: Held
+    same_content: bool
 
 
 @dataclass(frozen=True, slots=True)
 class Unresolved:
-    """Sentinel: whether the claim stands is not known yet."""
+    """Sentinel: whether the claim stands is not known; it is released and will not be used."""
 
     reason: str
 
 
+Verdict = Won | Lost | Unresolved | Refusal
+
+
 @dataclass(slots=True)
 class _Pending:
-    claim: _Claim
+    claim: Claim
+    in_flight: bool = False
+    may_stand: bool = False
+    verdict: Verdict | None = None
     resolved: threading.Event = field(default_factory=threading.Event)
-    given_up: bool = False
 
 
 class ClaimBook:
     """Service that claims keys in the log, many in one record."""
 
     __slots__ = (
-        "_client",
+        "_changed",
+        "_clock",
         "_decoder",
         "_folded_to",
-        "_last_read",
-        "_lock",
+        "_fresh_to",
+        "_kernel",
         "_name",
+        "_outbox_by_claim",
         "_pending_by_claim",
-        "_queue",
         "_reader",
+        "_release_by_claim",
         "_stopped",
-        "holder_by_key",
+        "_sync_from",
+        "_syncer",
+        "_writer",
+        "appends",
+        "table",
     )
 
-    def __init__(self, name: str, client: LogClient, reader: LogClient) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        name: str,
+        table: ClaimTable,
+        writer: LogClient,
+        reader: LogClient,
+        syncer: LogClient,
+    ) -> None:
+        self._kernel = kernel
         self._name = name
-        self._client = client
+        self._writer = writer
         self._reader = reader
-        self._decoder = msgspec.json.Decoder(_Batch)
+        self._syncer = syncer
+        self._decoder = msgspec.json.Decoder(Batch)
         self._folded_to = 0
-        self._last_read = 0.0
-        self._lock = threading.Lock()
+        self._fresh_to = float("-inf")
+        self._sync_from = float("-inf")
+        self._clock: tuple[float, float] | None = None
+        self._changed = threading.Condition()
         self._pending_by_claim: dict[str, _Pending] = {}
-        self._queue: queue.SimpleQueue[_Pending | tuple[str, str] | None] = queue.SimpleQueue()
+        self._outbox_by_claim: dict[str, _Pending] = {}
+        self._release_by_claim: dict[str, Release] = {}
         self._stopped = threading.Event()
-        self.holder_by_key: dict[str, _Claim] = {}
+        self.appends = 0
+        self.table = table
 
     @classmethod
-    def from_config(cls, settings: Settings) -> ClaimBook:
+    def from_config(cls, kernel: Kernel, settings: Settings) -> ClaimBook:
         """Build the service from settings."""
         platform = settings.platform
-        client = LogClient(platform.log_url, platform.timeout)
-        reader = LogClient(platform.log_url, platform.timeout)
-        return cls(settings.node.name, client, reader)
+        clients = [LogClient(platform.log_url, platform.timeout) for _ in range(3)]
+        return cls(kernel, settings.node.name, ClaimTable(platform.retention), *clients)
 
     def start(self) -> None:
         """Begin reading and writing."""
-        threading.Thread(target=self._read, name="claims-reader", daemon=True).start()
-        threading.Thread(target=self._write, name="claims-writer", daemon=True).start()
+        for task in (self._read, self._write, self._sync):
+            threading.Thread(target=task, name=f"claims{task.__name__}", daemon=True).start()
 
     def stop(self) -> None:
-        """End."""
-        self._stopped.set()
-        self._queue.put(None)
-
-    def claim(self, key: str, deadline: float) -> Won | Lost | Unresolved | Refusal:
+        """End, after a last try to append what is still to be released."""
+        with self._changed:
+            self._changed.wait_for(lambda: not self._release_by_claim, STOP_PATIENCE)
+            self._stopped.set()
+            self._changed.notify_all()
+
+    def now(self) -> float:
+        """Return the log's clock, in seconds since the epoch; this node's until it is known."""
+        clock = self._clock
+        if clock is None:
+            return time.time()
+        return clock[0] + time.monotonic() - clock[1]
+
+    def is_ready(self) -> bool:
+        """Tell whether the log was lately read to its end."""
+        return time.monotonic() - self._fresh_to <= LOG_STALE
+
+    def holder(self, key: str) -> Held | None:
+        """Return the claim that holds a key, as far as this node has read."""
+        with self._changed:
+            return self.table.holder(key)
+
+    def claim(self, key: str, digest: bytes, deadline: float) -> Verdict:
         """Claim a key.
 
         Parameters
         ----------
         key : str
-            Workspace and idempotency key.
+            Workspace, a slash, and the idempotency key.
+        digest : bytes
+            Of the request's content.
         deadline : float
             Monotonic time in seconds until which to wait.
 
         Returns
         -------
         Won or Lost or Unresolved or Refusal
-            A claim that stays unresolved is released by itself once it is known.
+            A refusal means that this claim does not stand and never will.
         """
-        if time.monotonic() - self._last_read > LOG_STALE:
-            remedy = "the platform's log is down, so nothing can be claimed; retry later"
-            return Refusal(503, "log-unavailable", remedy, 2.0)
-        pending = _Pending(_Claim(key, uuid.uuid4().hex, self._name))
-        with self._lock:
-            holder = self.holder_by_key.get(key)
-            if holder is not None:
-                return Lost(holder.node, holder.claim)
-            self._pending_by_claim[pending.claim.claim] = pending
-        self._queue.put(pending)
+        claim = Claim(key, new_claim_id(digest), self._name)
+        pending = _Pending(claim)
+        with self._changed:
+            if not self.is_ready():
+                return UNAVAILABLE
+            held = self.table.holder(key)
+            if held is not None:
+                return _lost(held, claim)
+            if len(self._outbox_by_claim) >= MAX_OUTBOX:
+                return BUSY
+            self._pending_by_claim[claim.claim] = pending
+            self._outbox_by_claim[claim.claim] = pending
+            self._changed.notify_all()
         pending.resolved.wait(max(0.0, deadline - time.monotonic()))
-        return self._outcome(pending)
-
-    def release(self, key: str, claim: str) -> None:
-        """Give up a claim that was won and not used."""
-        self._queue.put((key, claim))
-
-    def _outcome(self, pending: _Pending) -> Won | Lost | Unresolved:
-        with self._lock:
-            holder = self.holder_by_key.get(pending.claim.key)
-            if not pending.resolved.is_set() or holder is None:
-                pending.given_up = True
-                return Unresolved("the log did not say in time whose claim was first")
-            if holder.claim == pending.claim.claim:
-                return Won(holder.claim)
-            return Lost(holder.node, holder.claim)
+        with self._changed:
+            if pending.verdict is None:
+                self._give_up(pending, "the log did not say in time whose claim was first")
+            assert pending.verdict is not None
+            return pending.verdict
+
+    def begin_dispatch(self, won: Won) -> None:
+        """Note that a call goes out under a claim."""
+        held = self.holder(won.key)
+        holds = held is not None and held.claim.hex() == won.claim
+        expired = not self.table.counts(won.key, self.now())
+        check(holds or expired, "dispatch-under-own-claim", claim=won.claim)
+        check(not won.dispatched, "one-dispatch-per-claim", claim=won.claim)
+        won.dispatched = True
+
+    def release(self, won: Won) -> None:
+        """Give up a claim that was not used; appended for as long as the process lives."""
+        check(not won.dispatched, "used-claim-stays", claim=won.claim)
+        with self._changed:
+            self._release_by_claim[won.claim] = Release(won.key, won.claim)
+            self._changed.notify_all()
+
+    def wait_released(self, key: str, held: Held, deadline: float) -> bool:
+        """Wait until a claim no longer holds its key; False at the monotonic deadline."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self.table.holder(key) != held, max(0.0, deadline - time.monotonic())
+            )
+
+    def sync(self, since: float, deadline: float) -> bool:
+        """Wait until the log was read to its end by a read that began after a time.
+
+        Parameters
+        ----------
+        since, deadline : float
+            Monotonic times in seconds.
+        """
+        with self._changed:
+            self._sync_from = max(self._sync_from, since)
+            self._changed.notify_all()
+            return self._changed.wait_for(
+                lambda: self._fresh_to >= since, max(0.0, deadline - time.monotonic())
+            )
+
+    def _give_up(self, pending: _Pending, reason: str) -> None:
+        claim = pending.claim
+        self._pending_by_claim.pop(claim.claim, None)
+        self._outbox_by_claim.pop(claim.claim, None)
+        if pending.in_flight or pending.may_stand:
+            self._release_by_claim[claim.claim] = Release(claim.key, claim.claim)
+            self._settle(pending, Unresolved(reason))
+        else:
+            self._settle(pending, UNAVAILABLE)
+
+    def _settle(self, pending: _Pending, verdict: Verdict) -> None:
+        pending.verdict = verdict
+        pending.resolved.set()
+        self._changed.notify_all()
 
     def _write(self) -> None:
         while not self._stopped.is_set():
-            item = self._queue.get()
-            items = [item]
-            while not self._queue.empty() and len(items) < BATCH_CLAIMS:
-                items.append(self._queue.get())
-            pending = [item for item in items if isinstance(item, _Pending)]
-            releases = tuple(item for item in items if isinstance(item, tuple))
-            if pending or releases:
-                batch = _Batch(tuple(item.claim for item in pending), releases)
-                self._append(msgspec.json.encode(batch))
-
-    def _append(self, body: bytes) -> None:
-        # Repeating a batch is harmless: a claim's id is decided where it first stands.
-        for attempt in itertools.count():
-            try:
-                self._client.append(CLAIM_STREAM, body)
-                return
-            except (LogUnavailableError, TooManyAppendsError) as error:
-                log.warning("claim append {}: {}", attempt, error)
-            if self._stopped.wait(RETRY_PERIOD):
-                return
+            claims, releases = self._next_batch()
+            if not claims and not releases:
+                continue
+            if self._append(claims, releases):
+                nodes = len(self._kernel.find("members").live())
+                pause = nodes / APPENDS_PER_SECOND
+            else:
+                pause = RETRY_PERIOD * random.uniform(0.5, 1.0)
+            self._stopped.wait(pause)
+
+    def _next_batch(self) -> tuple[list[_Pending], list[Release]]:
+        with self._changed:
+            self._changed.wait_for(
+                lambda: (self._outbox_by_claim or self._release_by_claim or self._stopped.is_set())
+            )
+            claims = list(itertools.islice(self._outbox_by_claim.values(), BATCH_CLAIMS))
+            for pending in claims:
+                pending.in_flight = True
+            releases = list(itertools.islice(self._release_by_claim.values(), BATCH_CLAIMS))
+            return claims, releases
+
+    def _append(self, claims: list[_Pending], releases: list[Release]) -> bool:
+        batch = Batch(tuple(pending.claim for pending in claims), tuple(releases))
+        appended, may_stand = True, True
+        try:
+            self._writer.append(CLAIM_STREAM, msgspec.json.encode(batch))
+        except TooManyAppendsError as error:
+            appended, may_stand = False, False
+            log.warning("claims: {}", error)
+        except LogUnavailableError as error:
+            appended, may_stand = False, error.effect_possible
+            log.warning("claims: {}", error)
+        with self._changed:
+            self.appends += 1
+            for pending in claims:
+                pending.in_flight = False
+                pending.may_stand |= may_stand
+                if appended:
+                    self._outbox_by_claim.pop(pending.claim.claim, None)
+            if appended:
+                for release in releases:
+                    self._release_by_claim.pop(release.claim, None)
+                self._changed.notify_all()
+        return appended
 
     def _read(self) -> None:
         while not self._stopped.is_set():
-            try:
-                wait = POLL_WAIT if self._last_read else 0.0
-                page = self._reader.read(CLAIM_STREAM, self._folded_to, wait)
-            except LogUnavailableError as error:
-                log.warning("claims: {}", error)
+            wait = 0.0 if self._clock is None else POLL_WAIT
+            if not self._read_page(self._reader, wait):
                 self._stopped.wait(RETRY_PERIOD)
-                continue
-            self._fold(page)
 
-    def _fold(self, page: Page) -> None:
-        with self._lock:
+    def _sync(self) -> None:
+        while not self._stopped.is_set():
+            with self._changed:
+                self._changed.wait_for(
+                    lambda: self._sync_from > self._fresh_to or self._stopped.is_set()
+                )
+            if not self._read_page(self._syncer, 0.0):
+                self._stopped.wait(RETRY_PERIOD)
+
+    def _read_page(self, client: LogClient, wait: float) -> bool:
+        began, start = time.monotonic(), self._folded_to
+        try:
+            page = client.read(CLAIM_STREAM, start, wait)
+        except LogUnavailableError as error:
+            log.warning("claims: {}", error)
+            return False
+        if page.end < start:
+            log.critical("the claim stream ends before offset {}; restore the log", start)
+            return False
+        self._fold(page, began)
+        return True
+
+    def _fold(self, page: Page, began: float) -> None:
+        with self._changed:
+            if page.first > self._folded_to:
+                self._pass_gap(page.first)
+            horizon = 0.0
             for record in page.records:
                 if record.offset >= self._folded_to:
-                    self._fold_record(record.body)
-                    self._folded_to = record.offset + 1
-            self._folded_to = max(self._folded_to, page.first)
-        if self._folded_to >= page.end:
-            self._last_read = time.monotonic()
-
-    def _fold_record(self, body: bytes) -> None:
+                    self._fold_record(record)
+                    horizon = record.written
+            if self._folded_to >= page.end:
+                self._fresh_to = max(self._fresh_to, began)
+                self._clock = (page.now, time.monotonic())
+                horizon = page.now
+            self.table.expire(horizon)
+            self._changed.notify_all()
+
+    def _pass_gap(self, first: int) -> None:
+        # What was forgotten unread may hold a claim older than ours.
+        for pending in list(self._pending_by_claim.values()):
+            self._give_up(pending, "the log forgot records before this node had read them")
+        if self._folded_to:
+            log.warning("claims: offsets {} to {} were forgotten unread", self._folded_to, first)
+        self._folded_to = first
+
+    def _fold_record(self, record: Record) -> None:
+        check(record.offset == self._folded_to, "claims-read-without-gap", offset=record.offset)
+        self._folded_to = record.offset + 1
         try:
-            batch = self._decoder.decode(body)
-        except msgspec.MsgspecError as error:
+            batch = self._decoder.decode(record.body)
+            self.table.take(batch, record.written)
+        except (msgspec.MsgspecError, ValueError) as error:
             log.error("malformed claim record passed over: {}", error)
             return
         for claim in batch.claims:
-            self.holder_by_key.setdefault(claim.key, claim)
-            self._resolve(claim.claim)
-        for key, claim_id in batch.releases:
-            holder = self.holder_by_key.get(key)
-            if holder is not None and holder.claim == claim_id:
-                del self.holder_by_key[key]
-
-    def _resolve(self, claim_id: str) -> None:
-        pending = self._pending_by_claim.pop(claim_id, None)
-        if pending is None:
-            return
-        holder = self.holder_by_key[pending.claim.key]
-        if pending.given_up and holder.claim == claim_id:
-            self._queue.put((pending.claim.key, claim_id))
-        pending.resolved.set()
+            pending = self._pending_by_claim.pop(claim.claim, None)
+            if pending is not None:
+                self._outbox_by_claim.pop(claim.claim, None)
+                self._settle(pending, self._judge(claim, record.written))
+
+    def _judge(self, claim: Claim, written: float) -> Verdict:
+        if not self.table.counts(claim.key, written):
+            return TOO_OLD
+        held = self.table.holder(claim.key)
+        if held is None:
+            return Unresolved("the claim was released")
+        if held.claim.hex() == claim.claim:
+            return Won(claim.key, claim.claim)
+        return _lost(held, claim)
+
+
+def _lost(held: Held, claim: Claim) -> Lost:
+    same = digest_of(held.claim) == digest_of(bytes.fromhex(claim.claim))
+    return Lost(held, same)
--- a/celeryrun/claims/_key.py
+++ b/celeryrun/claims/_key.py
@@ -4,7 +4,7 @@
 
 import uuid
 
-__all__ = ["key_age", "new_key"]
+__all__ = ["key_age", "key_birth", "new_key"]
 
 VERSION = 7
 
@@ -30,13 +30,25 @@
     ----------
     .. [1] RFC 9562, "Universally Unique IDentifiers (UUIDs)", section 5.7.
     """
+    birth = key_birth(key)
+    return None if birth is None else now - birth
+
+
+def key_birth(key: str) -> float | None:
+    """Return when a key was made, in seconds since the epoch, or None if it is no UUIDv7.
+
+    Examples
+    --------
+    >>> key_birth("00000000-03e8-7000-8000-000000000000")
+    1.0
+    """
     try:
         parsed = uuid.UUID(key)
     except ValueError:
         return None
     if parsed.version != VERSION or str(parsed) != key.lower():
         return None
-    return now - (parsed.int >> 80) / 1000
+    return (parsed.int >> 80) / 1000
 
 
 def new_key(now: float, random_bits: int) -> str:
--- a/celeryrun/front/_answers.py
+++ b/celeryrun/front/_answers.py
@@ -9,9 +9,13 @@
 from dataclasses import dataclass
 
 from celeryrun.settings import LimitSettings
+from celeryrun.wire import AnswerPart
 
 __all__ = ["AnswerBook", "Exchange", "Head"]
 
+PART_BYTES = 256 * 1024
+EXCHANGE_BYTES = 1024  # that an exchange takes beside its body
+
 
 @dataclass(frozen=True, slots=True)
 class Head:
@@ -23,11 +27,18 @@
 
 
 class Exchange:
-    """One request's answer while it grows; any number of callers may read it."""
+    """One request's answer while it grows; any number of callers may read it.
+
+    Parameters
+    ----------
+    digest : bytes
+        Of the request's content.
+    """
 
-    __slots__ = ("_changed", "_chunks", "finished", "head", "size", "whole")
+    __slots__ = ("_changed", "_chunks", "digest", "finished", "head", "size", "whole")
 
-    def __init__(self) -> None:
+    def __init__(self, digest: bytes = b"") -> None:
+        self.digest = digest
         self._changed = threading.Condition()
         self._chunks: list[bytes] = []
         self.head: Head | None = None
@@ -60,6 +71,39 @@
             self.finished = time.monotonic()
             self._changed.notify_all()
 
+    def part(self, call: int, id_hash: bytes, position: int) -> AnswerPart:
+        """Return what stands from a position in bytes on, as a message to another node."""
+        with self._changed:
+            head = self.head
+            if head is None:
+                return AnswerPart(call, id_hash, "running")
+            body = b"".join(self._chunks)[position : position + PART_BYTES]
+            ended = self.finished is not None and position + len(body) >= self.size
+            return AnswerPart(
+                call,
+                id_hash,
+                "finished" if ended else "running",
+                head.status,
+                head.outcome,
+                head.headers,
+                position,
+                body,
+                self.whole,
+            )
+
+    def take_part(self, part: AnswerPart) -> bool:
+        """Add a part that another node sent; returns whether the exchange has grown."""
+        if not part.status or part.position != self.size:
+            return False
+        grown = self.head is None or bool(part.body)
+        if self.head is None:
+            self.begin(Head(part.status, part.outcome, part.headers))
+        if part.body:
+            self.add(part.body)
+        if part.state == "finished":
+            self.finish(part.whole)
+        return grown
+
     def wait_head(self, deadline: float) -> Head | None:
         """Block until the head is there; None at the monotonic deadline."""
         with self._changed:
@@ -86,7 +130,10 @@
 
 
 class AnswerBook:
-    """Exchanges by workspace and request id, bounded in bytes and age."""
+    """Exchanges by workspace and answer id, bounded in bytes and age.
+
+    An answer id is the idempotency key of a call that has one, otherwise the request id.
+    """
 
     __slots__ = ("_age", "_lock", "_memory", "exchange_by_id")
 
@@ -101,29 +148,34 @@
         """Build the book from settings."""
         return cls(limits.answer_memory, limits.answer_age)
 
-    def open(self, workspace: str, request_id: str) -> tuple[Exchange, bool]:
-        """Return the exchange under an id, and whether it is new."""
+    def open(self, workspace: str, answer_id: str, digest: bytes) -> tuple[Exchange, bool]:
+        """Return the exchange under an id, and whether it is new; its digest may be another."""
         with self._lock:
             self._evict()
-            known = self.exchange_by_id.get((workspace, request_id))
+            known = self.exchange_by_id.get((workspace, answer_id))
             if known is not None:
                 return known, False
-            exchange = self.exchange_by_id[workspace, request_id] = Exchange()
+            exchange = self.exchange_by_id[workspace, answer_id] = Exchange(digest)
             return exchange, True
 
-    def drop(self, workspace: str, request_id: str, exchange: Exchange) -> None:
+    def find(self, workspace: str, answer_id: str) -> Exchange | None:
+        """Return the exchange under an id, if there is one."""
+        with self._lock:
+            return self.exchange_by_id.get((workspace, answer_id))
+
+    def drop(self, workspace: str, answer_id: str, exchange: Exchange) -> None:
         """Forget an exchange, so that the id may be tried again."""
         with self._lock:
-            if self.exchange_by_id.get((workspace, request_id)) is exchange:
-                del self.exchange_by_id[workspace, request_id]
+            if self.exchange_by_id.get((workspace, answer_id)) is exchange:
+                del self.exchange_by_id[workspace, answer_id]
 
     def _evict(self) -> None:
         oldest = time.monotonic() - self._age
-        size = sum(exchange.size for exchange in self.exchange_by_id.values())
+        size = sum(exchange.size + EXCHANGE_BYTES for exchange in self.exchange_by_id.values())
         for key, exchange in list(self.exchange_by_id.items()):
             if exchange.finished is None:
                 continue
             if exchange.finished > oldest and size <= self._memory:
                 continue
-            size -= exchange.size
+            size -= exchange.size + EXCHANGE_BYTES
             del self.exchange_by_id[key]
--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -14,7 +14,7 @@
 from celeryrun.exception import Refusal
 from celeryrun.front._answers import AnswerBook, Exchange, Head
 from celeryrun.front._request import Request, admit
-from celeryrun.front._runner import Runner, refusal_head
+from celeryrun.front._runner import REUSED, Runner, is_known_unrun, refusal_head
 from celeryrun.kernel import Kernel
 from celeryrun.observe import request_context
 from celeryrun.settings import Settings
@@ -31,7 +31,6 @@
     503, "node-full", "this node has no thread free; retry, another node will take it", 1.0
 )
 SOCKET_KEY = "celeryrun.socket"
-KEY_WINDOW_SHARE = 0.5  # of the log's retention
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
@@ -118,24 +117,26 @@
 
     def _handle(self, environ: dict[str, Any], start: StartResponse) -> Iterator[bytes]:
         configuration = self._kernel.find("configuration").current
-        window = self._settings.platform.retention * KEY_WINDOW_SHARE
-        request = admit(environ, configuration, self._settings.limits, window)
+        claims = self._kernel.find("claims")
+        window, now = claims.table.window, claims.now()
+        request = admit(environ, configuration, self._settings.limits, window, now)
         if isinstance(request, Refusal):
-            head, body = refusal_head(request)
-            self._start(start, head, "", len(body))
-            yield body
+            yield from self._refuse(start, request, "")
             return
         if self._is_full() and not self._kernel.find("pools").displace(
             request.plan.tier, NODE_FULL
         ):
-            head, body = refusal_head(NODE_FULL)
-            self._start(start, head, request.request_id, len(body))
-            yield body
+            known = is_known_unrun(self._kernel, request)
+            yield from self._refuse(start, NODE_FULL, request.request_id, known)
             return
         with request_context(request.request_id, request.plan.workspace):
-            exchange, is_new = self.answers.open(request.plan.workspace, request.request_id)
+            exchange, is_new = self.answers.open(
+                request.plan.workspace, request.answer_id, request.digest
+            )
             if is_new:
                 yield from self._run(environ, start, request, exchange)
+            elif exchange.digest != request.digest:
+                yield from self._refuse(start, REUSED, request.request_id)
             else:
                 yield from self._attach(environ, start, request, exchange)
 
@@ -143,22 +144,30 @@
         threads = self._settings.node.threads
         return self._active > threads - max(MIN_SPARE_THREADS, threads // SPARE_THREADS_SHARE)
 
+    def _refuse(
+        self, start: StartResponse, refusal: Refusal, request_id: str, known: bool = True
+    ) -> Iterator[bytes]:
+        head, body = refusal_head(refusal, known)
+        self._start(start, head, request_id, len(body))
+        yield body
+
     def _run(
         self, environ: dict[str, Any], start: StartResponse, request: Request, exchange: Exchange
     ) -> Iterator[bytes]:
-        runner = Runner(self._kernel, request, exchange, environ.get(SOCKET_KEY)).run()
+        runner = Runner(self._kernel, request, exchange, environ.get(SOCKET_KEY))
+        steps = runner.run()
         position = 0
         try:
-            for _ in runner:
+            for _ in steps:
                 if position == 0:
                     self._start_exchange(start, request, exchange)
                 chunks = exchange.since(position)
                 position += len(chunks)
                 yield b"".join(chunks)
         finally:
-            runner.close()
-            if exchange.head is None or exchange.head.outcome == "not-run":
-                self.answers.drop(request.plan.workspace, request.request_id, exchange)
+            steps.close()
+            if not runner.is_kept():
+                self.answers.drop(request.plan.workspace, request.answer_id, exchange)
         self._cut_if_short(environ, exchange)
 
     def _attach(
--- a/celeryrun/front/_request.py
+++ b/celeryrun/front/_request.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from celeryrun.claims import key_age
+from celeryrun.claims import TOO_OLD, content_digest, key_age
 from celeryrun.configuration import Configuration, Plan, Pool, hash_key
 from celeryrun.exception import Refusal
 from celeryrun.settings import LimitSettings
@@ -47,6 +47,8 @@
         Monotonic deadline in seconds.
     key : str
         Idempotency key, empty for an idempotent call.
+    digest : bytes
+        Of the content, empty if the caller can't come back for the answer.
     """
 
     plan: Plan
@@ -61,6 +63,12 @@
     expires: float
     key: str
     prompt: Prompt | None
+    digest: bytes
+
+    @property
+    def answer_id(self) -> str:
+        """Id under which a retry finds the answer: the key if there is one."""
+        return f"key/{self.key}" if self.key else f"request/{self.request_id}"
 
     @property
     def cost(self) -> float:
@@ -71,7 +79,11 @@
 
 
 def admit(
-    environ: dict[str, Any], configuration: Configuration, limits: LimitSettings, window: float
+    environ: dict[str, Any],
+    configuration: Configuration,
+    limits: LimitSettings,
+    window: float,
+    now: float,
 ) -> Request | Refusal:
     """Check everything that can be checked before a request may wait.
 
@@ -81,6 +93,8 @@
         The WSGI environment.
     window : float
         Seconds for which an idempotency key is good.
+    now : float
+        The log's clock, in seconds since the epoch.
     """
     arrived = time.monotonic()
     plan = _find_plan(environ, configuration)
@@ -107,14 +121,17 @@
     prompt = _read_prompt(pool, method, path, body)
     if isinstance(prompt, Refusal):
         return prompt
-    key = _read_key(environ, pool, method, path, window)
+    key = _read_key(environ, pool, method, path, window, now)
     if isinstance(key, Refusal):
         return key
+    sent = _path_as_sent(environ)
+    comes_back = bool(request_id or key)
+    digest = content_digest(pool.name, method, sent, body) if comes_back else b""
     return Request(
         plan,
         pool,
         method,
-        _path_as_sent(environ),
+        sent,
         body,
         environ.get("CONTENT_TYPE", "") or "application/octet-stream",
         request_id or uuid.uuid4().hex,
@@ -123,6 +140,7 @@
         arrived + seconds,
         key,
         prompt,
+        digest,
     )
 
 
@@ -190,18 +208,17 @@
 
 
 def _read_key(
-    environ: dict[str, Any], pool: Pool, method: str, path: str, window: float
+    environ: dict[str, Any], pool: Pool, method: str, path: str, window: float, now: float
 ) -> str | Refusal:
     if pool.is_idempotent(method, path):
         return ""
     key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
-    age = key_age(key, time.time())
+    age = key_age(key, now)
     if age is None:
         remedy = "this call may not be repeated: send Idempotency-Key with a new UUIDv7"
         return Refusal(400, "bad-idempotency-key", remedy)
     if age > window:
-        remedy = f"the key is older than {window:g} s, so what became of it is not known any more"
-        return Refusal(409, "idempotency-key-too-old", remedy)
+        return TOO_OLD
     if age < -60:
         return Refusal(400, "bad-idempotency-key", "the key's time is in the future; set the clock")
     return key.lower()
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -12,7 +12,8 @@
 import logbook
 import msgspec
 
-from celeryrun.claims import Lost, Unresolved, Won
+from celeryrun.answers import Fetched
+from celeryrun.claims import TOO_OLD, Held, Lost, Unresolved, Won, digest_of
 from celeryrun.dispatch import (
     Answer,
     EngineStream,
@@ -30,12 +31,21 @@
 from celeryrun.pool._prefix import hash_prefix
 from celeryrun.wire import Grant
 
-__all__ = ["Runner", "refusal_head"]
+__all__ = ["REUSED", "Runner", "claim_key", "is_known_unrun", "refusal_head"]
 
 AVOID_SECONDS = 1.0
 CLAIM_TIMEOUT = 3.0  # s that a slot is held while a claim is not resolved
 FAILED = Refusal(500, "node-failed", "the node failed; retry, and tell your operator", 1.0)
+SYNC_TIMEOUT = 1.0  # s for reading the log to its end before "not run" is said of a key
+RELEASE_TIMEOUT = 1.0  # s for a claim whose node does not have the answer to be released
+FIND_ATTEMPTS = 3
 GONE = Refusal(499, "caller-gone", "the caller hung up while the request waited")
+LATE = Refusal(504, "deadline", "the deadline passed before the call could go out; retry", 1.0)
+REUSED = Refusal(
+    422,
+    "id-reused",
+    "the id or idempotency key stands for a request with other content; use a new one",
+)
 
 log = logbook.Logger("runner")
 
@@ -58,13 +68,41 @@
     reason: str = ""
 
 
-def refusal_head(refusal: Refusal) -> tuple[Head, bytes]:
-    """Return head and body that tell a caller that the request was not run."""
+def refusal_head(refusal: Refusal, known: bool = True) -> tuple[Head, bytes]:
+    """Return head and body that tell a caller that the request was not run.
+
+    Parameters
+    ----------
+    known : bool
+        Whether it is known that no earlier attempt under the key ran; if not, the outcome told
+        is unknown.
+    """
     headers = [("Content-Type", "application/json")]
     if refusal.retry_after is not None:
         headers.append(("Retry-After", f"{max(1, round(refusal.retry_after))}"))
     body = msgspec.json.encode({"error": refusal.kind, "remedy": refusal.remedy})
-    return Head(refusal.status, "not-run", tuple(headers)), body
+    outcome = "not-run" if known and refusal is not TOO_OLD else "unknown"
+    return Head(refusal.status, outcome, tuple(headers)), body
+
+
+def claim_key(request: Request) -> str:
+    """Return the name under which a request's idempotency key is claimed."""
+    return f"{request.plan.workspace}/{request.key}"
+
+
+def is_known_unrun(kernel: Kernel, request: Request) -> bool:
+    """Tell whether no earlier attempt under a request's key can have run.
+
+    The log must be read to its end by a read that began after the request arrived: only then would
+    the claim of an attempt that its caller has given up on be seen.
+    """
+    if not request.key:
+        return True
+    claims = kernel.find("claims")
+    until = time.monotonic() + SYNC_TIMEOUT
+    if not claims.is_ready() or not claims.sync(request.arrived, until):
+        return False
+    return claims.holder(claim_key(request)) is None
 
 
 class Runner:
@@ -76,7 +114,17 @@
         The caller's connection, watched while the request waits.
     """
 
-    __slots__ = ("_connection", "_dispatched", "_exchange", "_gone", "_kernel", "_request")
+    __slots__ = (
+        "_connection",
+        "_dispatched",
+        "_exchange",
+        "_fetched",
+        "_gone",
+        "_held",
+        "_kernel",
+        "_request",
+        "_won",
+    )
 
     def __init__(
         self,
@@ -91,6 +139,14 @@
         self._connection = connection
         self._gone = threading.Event()
         self._dispatched = False
+        self._fetched = False
+        self._held: Held | None = None
+        self._won: Won | None = None
+
+    def is_kept(self) -> bool:
+        """Tell whether the ended answer is kept for a caller that comes back."""
+        may_come_back = self._request.named or bool(self._request.key)
+        return may_come_back and (self._dispatched or self._fetched)
 
     def run(self) -> Generator[None, None, None]:
         """Run to the end; yields whenever the exchange has grown.
@@ -111,25 +167,89 @@
             raise
 
     def _steps(self) -> Generator[None, None, None]:
-        ended = False
         try:
+            if self._request.key:
+                self._held = self._kernel.find("claims").holder(claim_key(self._request))
+            elif self._request.named and (yield from self._find_answer()):
+                return
+            ended = False
             while not ended:
+                if self._held is not None:
+                    ended = yield from self._meet(self._held)
+                    continue
                 grant = self._wait_for_slot()
                 if isinstance(grant, Refusal):
-                    self._refuse(grant)
-                    return
-                ended = yield from self._use(grant)
+                    ended = self._refuse(grant)
+                else:
+                    ended = yield from self._use(grant)
         except Exception:
             log.exception("running request {}", self._request.request_id)
             self._fail()
+        finally:
+            if self._won is not None and not self._won.dispatched:
+                self._kernel.find("claims").release(self._won)
 
     def _fail(self) -> None:
         if self._exchange.finished is not None:
             return
-        if self._dispatched:
+        if self._dispatched or not self._refuse(FAILED):
             self._unknown("the node failed while it ran the request")
-        else:
-            self._refuse(FAILED)
+
+    def _find_answer(self) -> Generator[None, None, bool]:
+        """Fetch the answer from the node that has it; returns whether the request has ended."""
+        request, me = self._request, self._kernel.find("peers").name
+        answers = self._kernel.find("answers")
+        wrong = ""
+        for _ in range(FIND_ATTEMPTS):
+            node = answers.find(request.plan.workspace, request.answer_id, wrong)
+            if node in (me, wrong):
+                return False
+            match (yield from self._fetch(node)):
+                case Fetched.GONE | Fetched.SILENT:
+                    wrong = node
+                case fetched:
+                    return self._end_fetched(fetched)
+        return False
+
+    def _meet(self, held: Held) -> Generator[None, None, bool]:
+        """Fetch the answer of the claim that was first; returns whether the request has ended."""
+        self._held = None
+        claims = self._kernel.find("claims")
+        fetched = Fetched.GONE
+        if digest_of(held.claim) != self._request.digest:
+            fetched = Fetched.OTHER_CONTENT
+        elif held.node != self._kernel.find("peers").name:
+            fetched = yield from self._fetch(held.node)
+        if fetched is not Fetched.GONE:
+            return self._end_fetched(fetched)
+        until = min(self._request.expires, time.monotonic() + RELEASE_TIMEOUT)
+        if claims.wait_released(claim_key(self._request), held, until):
+            self._held = claims.holder(claim_key(self._request))
+            return False
+        self._unknown(f"node {held.node} has run or may have run this idempotency key")
+        return True
+
+    def _fetch(self, node: str) -> Generator[None, None, Fetched]:
+        answers = self._kernel.find("answers")
+        if node not in self._kernel.find("members").by_name:
+            return Fetched.SILENT
+        for fetched in answers.fetch(node, self._request, self._exchange, self._request.expires):
+            if fetched is not None:
+                return fetched
+            yield
+        return Fetched.SILENT
+
+    def _end_fetched(self, fetched: Fetched) -> bool:
+        match fetched:
+            case Fetched.FINISHED:
+                assert self._exchange.head is not None
+                self._fetched = self._exchange.head.outcome in ("complete", "stream")
+                self._count("fetched")
+            case Fetched.OTHER_CONTENT:
+                self._tell_not_run(REUSED)
+            case _:
+                self._unknown("the node that has this request does not answer")
+        return True
 
     def _wait_for_slot(self) -> Grant | Refusal:
         request = self._request
@@ -164,9 +284,12 @@
             target = self._kernel.find("targets").by_name.get(grant.target)
             if target is None or target.leaving:
                 return False
-            claim = self._claim()
-            if claim is False:
-                return True
+            if self._request.key and self._won is None:
+                ended = self._claim()
+                if self._won is None:
+                    return ended
+            if time.monotonic() >= self._request.expires:
+                return self._refuse(LATE)
             check(not self._dispatched, "at-most-one-dispatch", request=self._request.request_id)
             self._dispatched = True
             if self._request.prompt is None:
@@ -184,30 +307,25 @@
                 )
                 ended, used, whole = yield from self._relay(stream, target.address, grant)
                 first = stream.first
-            if not ended and isinstance(claim, Won):
-                self._kernel.find("claims").release(self._claim_key(), claim.claim)
             return ended
         finally:
             elapsed = time.monotonic() - started
             self._kernel.find("pools").release(grant, used, first, elapsed, whole)
 
-    def _claim_key(self) -> str:
-        return f"{self._request.plan.workspace}/{self._request.key}"
-
-    def _claim(self) -> Won | None | bool:
-        """Return the claim, None where none is needed, or False if the request has ended."""
-        if not self._request.key:
-            return None
+    def _claim(self) -> bool:
+        """Claim the key; returns whether the request has ended."""
         until = min(self._request.expires, time.monotonic() + CLAIM_TIMEOUT)
-        match self._kernel.find("claims").claim(self._claim_key(), until):
+        claims = self._kernel.find("claims")
+        match claims.claim(claim_key(self._request), self._request.digest, until):
             case Won() as won:
-                return won
+                self._won = won
+            case Lost(held):
+                self._held = held
             case Refusal() as refusal:
-                self._refuse(refusal)
-            case Lost(node):
-                self._unknown(f"node {node} has run or is running this idempotency key")
+                return self._refuse(refusal)
             case Unresolved(reason):
                 self._unknown(reason)
+                return True
         return False
 
     def _call(self, address: str) -> Answer | NotDispatched | Unknown:
@@ -215,6 +333,8 @@
         headers = {"Request-Id": request.request_id, "Content-Type": request.content_type}
         if request.key:
             headers["Idempotency-Key"] = request.key
+        if self._won is not None:
+            self._kernel.find("claims").begin_dispatch(self._won)
         return call_application(
             address, request.method, request.path, request.body, headers, request.expires
         )
@@ -232,6 +352,8 @@
 
     def _note_not_dispatched(self, grant: Grant, result: NotDispatched) -> None:
         self._dispatched = False
+        if self._won is not None:
+            self._won.dispatched = False
         log.info("not dispatched to {}: {}", grant.target, result.reason)
         targets = self._kernel.find("targets")
         if result.leaving:
@@ -307,32 +429,47 @@
 
     def _complete(self, head: Head, body: bytes) -> None:
         self._observe_first()
-        self._exchange.begin(head)
-        self._exchange.add(body)
-        self._exchange.finish(whole=True)
+        self._answer(head, body)
         self._count("complete")
 
-    def _refuse(self, refusal: Refusal) -> None:
-        check(not self._dispatched, "not-run-is-true", request=self._request.request_id)
-        head, body = refusal_head(refusal)
+    def _refuse(self, refusal: Refusal) -> bool:
+        """End with a refusal, unless the key turns out to be held; returns whether it has ended."""
+        if self._won is None and refusal is not TOO_OLD:
+            known = is_known_unrun(self._kernel, self._request)
+            if self._request.key:
+                self._held = self._kernel.find("claims").holder(claim_key(self._request))
+            if self._held is not None:
+                return False
+            if not known:
+                self._answer(*refusal_head(refusal, known=False))
+                self._count("unknown")
+                return True
+        self._tell_not_run(refusal)
+        return True
+
+    def _tell_not_run(self, refusal: Refusal) -> None:
+        unused = self._won is None or not self._won.dispatched
+        is_true = unused and not self._dispatched
+        check(is_true, "not-run-is-true", request=self._request.request_id)
+        self._answer(*refusal_head(refusal))
+        self._count(refusal.kind)
+
+    def _answer(self, head: Head, body: bytes) -> None:
         self._exchange.begin(head)
         self._exchange.add(body)
         self._exchange.finish(whole=True)
-        self._count(refusal.kind)
 
     def _unknown(self, reason: str) -> None:
         log.warning("outcome unknown: {}", reason)
         self._count("unknown")
         if self._exchange.head is not None:
-            self._end_event(_StreamEnd("unknown", reason))
+            if self._exchange.head.outcome == "stream":
+                self._end_event(_StreamEnd("unknown", reason))
             self._exchange.finish(whole=False)
             return
         remedy = "the request may have run; ask the application before sending it anew"
         body = msgspec.json.encode({"error": "unknown", "reason": reason, "remedy": remedy})
-        head = Head(502, "unknown", (("Content-Type", "application/json"),))
-        self._exchange.begin(head)
-        self._exchange.add(body)
-        self._exchange.finish(whole=True)
+        self._answer(Head(502, "unknown", (("Content-Type", "application/json"),)), body)
 
     def _observe_first(self) -> None:
         metrics = self._kernel.find("metrics")
--- a/celeryrun/node/_node.py
+++ b/celeryrun/node/_node.py
@@ -7,6 +7,7 @@
 
 import logbook
 
+from celeryrun.answers import AnswerService
 from celeryrun.claims import ClaimBook
 from celeryrun.configuration import ConfigurationService
 from celeryrun.front import FrontDoor, OperatorDoor
@@ -61,7 +62,8 @@
         kernel.register("configuration", ConfigurationService.from_config(kernel, settings))
         kernel.register("keepers", Keepers.from_config(kernel, settings))
         kernel.register("pools", PoolClient(kernel))
-        kernel.register("claims", ClaimBook.from_config(settings))
+        kernel.register("claims", ClaimBook.from_config(kernel, settings))
+        kernel.register("answers", AnswerService.from_config(kernel, settings))
         kernel.register("hangups", HangupWatch())
         kernel.register("operators", operators)
         kernel.register("front", FrontDoor.from_config(kernel, settings))
--- a/celeryrun/tests/builders.py
+++ b/celeryrun/tests/builders.py
@@ -7,7 +7,10 @@
 import secrets
 import time
 
+import msgspec
+
 from celeryrun.claims._key import new_key
+from celeryrun.claims._records import Batch, Claim, new_claim_id
 from celeryrun.configuration import Call, Change, Plan, Pool, hash_key
 from celeryrun.configuration._model import encode_record
 from celeryrun.platform import Page, Record
@@ -16,6 +19,9 @@
 __all__ = [
     "build_answer",
     "build_change",
+    "build_claim",
+    "build_claim_key",
+    "build_claim_page",
     "build_events",
     "build_page",
     "build_plan",
@@ -109,3 +115,21 @@
         events.append({"id": stream, "index": end, "done": True, **usage})
     lines = b"".join(b"data: " + json.dumps(event).encode() + b"\n\n" for event in events)
     return (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" if head else b"") + lines
+
+
+def build_claim_key(born: float | None = None, workspace: str = "cajas") -> str:
+    """Build the key of a claim, born now or at a time in seconds since the epoch."""
+    return f"{workspace}/{new_key(born or time.time(), secrets.randbits(74))}"
+
+
+def build_claim(key: str, node: str) -> Claim:
+    """Build a claim for some content."""
+    return Claim(key, new_claim_id(secrets.token_bytes(8)), node)
+
+
+def build_claim_page(*batches: Batch | bytes, first: int = 0) -> Page:
+    """Build a page of the claim stream, written now."""
+    now = time.time()
+    bodies = [item if isinstance(item, bytes) else msgspec.json.encode(item) for item in batches]
+    records = tuple(Record(first + index, now, body) for index, body in enumerate(bodies))
+    return Page(first, first + len(records), now, records)
--- a/celeryrun/wire/__init__.py
+++ b/celeryrun/wire/__init__.py
@@ -2,6 +2,10 @@
 
 from celeryrun.wire._envelope import Envelope, Sealer
 from celeryrun.wire._messages import (
+    AnswerFind,
+    AnswerFound,
+    AnswerPart,
+    AnswerPull,
     Ask,
     ConfigurationDelta,
     ConfigurationNotice,
@@ -24,6 +28,10 @@
 from celeryrun.wire._peers import Peers
 
 __all__ = [
+    "AnswerFind",
+    "AnswerFound",
+    "AnswerPart",
+    "AnswerPull",
     "Ask",
     "ConfigurationDelta",
     "ConfigurationNotice",
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -5,6 +5,10 @@
 import msgspec
 
 __all__ = [
+    "AnswerFind",
+    "AnswerFound",
+    "AnswerPart",
+    "AnswerPull",
     "Ask",
     "ConfigurationDelta",
     "ConfigurationNotice",
@@ -235,6 +239,74 @@
     wants_answer: bool = False
 
 
+class AnswerFind(msgspec.Struct, frozen=True, array_like=True, tag=50):
+    """Question to the directory: which node has the answer; the asker is noted if none has.
+
+    Parameters
+    ----------
+    id_hash : bytes
+        Of the workspace and the request id.
+    instead_of : str
+        Node that turned out not to have it, or empty.
+    """
+
+    call: int
+    id_hash: bytes
+    instead_of: str = ""
+
+
+class AnswerFound(msgspec.Struct, frozen=True, array_like=True, tag=51):
+    """The directory's answer."""
+
+    call: int
+    id_hash: bytes
+    node: str
+
+
+class AnswerPull(msgspec.Struct, frozen=True, array_like=True, tag=52):
+    """Request for a part of a running or finished answer.
+
+    Parameters
+    ----------
+    answer_id : str
+        Request id or idempotency key, with a prefix that says which.
+    digest : bytes
+        Of the request's content.
+    position : int
+        Bytes of the body that are already had.
+    """
+
+    call: int
+    workspace: str
+    answer_id: str
+    digest: bytes
+    position: int
+
+
+class AnswerPart(msgspec.Struct, frozen=True, array_like=True, tag=53):
+    """Part of an answer.
+
+    Parameters
+    ----------
+    state : str
+        ``gone``, ``other-content``, ``running`` or ``finished``.
+    status : int
+        HTTP status, 0 while there is no head.
+    whole : bool
+        Whether the finished body is whole.
+    """
+
+    call: int
+    id_hash: bytes
+    state: str
+    status: int = 0
+    outcome: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+    position: int = 0
+    body: bytes = b""
+    whole: bool = False
+
+
 Message = (
     Ping
     | PingAck
@@ -250,4 +322,8 @@
     | ConfigurationState
     | ConfigurationDelta
     | ConfigurationNotice
+    | AnswerFind
+    | AnswerFound
+    | AnswerPull
+    | AnswerPart
 )
