--- a/celeryrun/configuration/tests/test_spread.py
+++ b/celeryrun/configuration/tests/test_spread.py
@@ -4,7 +4,6 @@
 import time
 
 import pytest
-import urllib3
 
 from standins.fleet import Fleet, FleetPlan
 
@@ -33,11 +32,8 @@
 
 
 def silence(fleet):
-    """Let every connection to the platform that is open now go silent, this one too."""
-    with pytest.raises(urllib3.exceptions.HTTPError):
-        url = fleet.url("platform") + "/control"
-        fleet.http.request("POST", url, body=b'{"silent": true}', timeout=0.3)
-    fleet.http.clear()
+    """Let every connection to the platform that is open now go silent."""
+    fleet.fault("platform", silent=True)
 
 
 def wait_equal(fleet, names, patience=IN_FORCE):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -22,19 +23,29 @@
 
 PEER_KEY = "stand-in-peer-key-0123456789"
 START_PATIENCE = 30.0  # s
+PORT_RANGE = (10_000, 32_000)
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return ports that are free now, outside the range from which clients get theirs."""
+    choices = random.SystemRandom()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = choices.randrange(*PORT_RANGE)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 @dataclass(slots=True)
 class FleetPlan:
     """What to start.
