--- a/standins/_http.py
+++ b/standins/_http.py
@@ -11,6 +11,7 @@
 import argparse
 import json
 import socket
+import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -20,8 +21,6 @@
 __all__ = ["Faults", "Handler", "Recorder", "base_parser", "run_server"]
 
 CONTROL_HEADER = "Stand-In-Control"
-
-
 TEST_PATHS = ("/control", "/record")  # asked by tests, never silenced
 
 
@@ -139,7 +138,8 @@
     request_queue_size = 512
 
     def handle_error(self, request: Any, client_address: Any) -> None:
-        pass
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
 
 
 def base_parser(note: str) -> argparse.ArgumentParser:
