Spread leaving by whoever knows first; hand pools over; shed in order

Cause: a node that a target's own answer told of its leaving kept it to itself, so the keeper granted the same target again and the request spun. A keeper that lost its duty dropped all asks; members that only a lagging list knew, and dead ones that it still showed, were given duties; a draining member that went silent became suspect and had duties again; a keeper that woke late could shed a higher tier while lower ones waited elsewhere.

Ruled out: spreading every target's state with each probe (cost grows with targets); a shed decided by the asking node alone (no fleet-wide order).

Change: news of leaving targets goes to the pool's keeper at once and to others with the probes, bounded; grants carry the address; an unusable grant is given back with a growing pause. SWIM: listed members are unproven, dead listed ones stay probed, accused ones are told, a paused node accuses nobody. A keeper hands holds and asks over and passes late messages on; a node whose keeper is silent for 1.6 s grants itself a fixed share of the slots by tier; a keeper sheds above the lowest tier only when settled, unpaused and hearing every listed node; a node takes a shed only from the keeper it believes in, and lets it fall on its own lowest tier.

--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -33,6 +33,8 @@
 __all__ = ["Runner", "refusal_head"]
 
 AVOID_SECONDS = 1.0
+FIRST_PAUSE = 0.02  # s before a slot is asked for anew, when one could not be used
+LONGEST_PAUSE = 0.5  # s
 CLAIM_TIMEOUT = 3.0  # s that a slot is held while a claim is not resolved
 FAILED = Refusal(500, "node-failed", "the node failed; retry, and tell your operator", 1.0)
 GONE = Refusal(499, "caller-gone", "the caller hung up while the request waited")
@@ -111,14 +113,18 @@
             raise
 
     def _steps(self) -> Generator[None, None, None]:
-        ended = False
+        pause = FIRST_PAUSE
         try:
-            while not ended:
+            while True:
                 grant = self._wait_for_slot()
                 if isinstance(grant, Refusal):
                     self._refuse(grant)
                     return
                 ended = yield from self._use(grant)
+                if ended:
+                    return
+                time.sleep(pause)
+                pause = min(LONGEST_PAUSE, pause * 2)
         except Exception:
             log.exception("running request {}", self._request.request_id)
             self._fail()
@@ -161,8 +167,10 @@
         started = time.monotonic()
         used, first, whole, tokens = 0.0, -1.0, False, 0
         try:
-            target = self._kernel.find("targets").by_name.get(grant.target)
-            if target is None or target.leaving:
+            targets = self._kernel.find("targets")
+            address = targets.address_of(grant.target, grant.address)
+            if address is None:
+                targets.tell_keeper(grant.target)
                 return False
             claim = self._claim()
             if claim is False:
@@ -170,19 +178,19 @@
             check(not self._dispatched, "at-most-one-dispatch", request=self._request.request_id)
             self._dispatched = True
             if self._request.prompt is None:
-                result = self._call(target.address)
+                result = self._call(address)
                 ended = self._finish_call(result, grant)
                 whole = isinstance(result, Answer)
                 used, first = self._request.cost, time.monotonic() - started
             else:
                 stream = EngineStream(
-                    target.address,
+                    address,
                     uuid.uuid4().hex,
                     self._request.prompt.prompt,
                     self._request.prompt.max_tokens,
                     self._request.expires,
                 )
-                ended, used, whole = yield from self._relay(stream, target.address, grant)
+                ended, used, whole = yield from self._relay(stream, address, grant)
                 first, tokens = stream.first, stream.tokens
             if not ended and isinstance(claim, Won):
                 self._kernel.find("claims").release(self._claim_key(), claim.claim)
--- a/celeryrun/membership/_swim.py
+++ b/celeryrun/membership/_swim.py
@@ -5,78 +5,61 @@
 import random
 import threading
 import time
-from dataclasses import dataclass
+from collections.abc import Callable
 
 import logbook
 
 from celeryrun.kernel import Kernel
+from celeryrun.membership._member import NEWS_REPEATS, PRECEDENCE_BY_STATE, Member
 from celeryrun.membership._rendezvous import choose
 from celeryrun.platform import Vm
 from celeryrun.settings import Settings
 from celeryrun.wire import News, Ping, PingAck, PingRequest
 
-__all__ = ["Member", "Members"]
+__all__ = ["Members"]
 
 INDIRECT_PROBES = 2
+RELAYED_PROBES = 64  # kept at once
 NEWS_PER_MESSAGE = 6
-NEWS_REPEATS = 8
-FORGET_AFTER = 30.0  # s that a dead member is remembered
+FORGET_AFTER = 60.0  # s that a dead member is remembered once the list has dropped it
+GREETINGS_PER_PERIOD = 16  # listed members probed at once, so that a new node is soon known
+PAUSE_FACTOR = 2.0  # periods without a turn after which this node was paused itself
 
 log = logbook.Logger("members")
 
 
-@dataclass(slots=True)
-class Member:
-    """What this node believes of one member.
-
-    Parameters
-    ----------
-    changed : float
-        Monotonic time of the last change of state, in seconds.
-    repeats : int
-        How often the news is still to be passed on.
-    """
-
-    name: str
-    zone: str
-    address: str
-    operator: str
-    state: str
-    incarnation: int
-    changed: float
-    repeats: int = NEWS_REPEATS
-
-    def news(self) -> News:
-        """Return the belief as a message."""
-        return News(self.name, self.zone, self.address, self.operator, self.state, self.incarnation)
-
-
-PRECEDENCE_BY_STATE = {"alive": 0, "draining": 1, "suspect": 2, "dead": 3}
-
-
 class Members:
     """Service that keeps the list of live nodes.
 
     Each period it probes one member, through others if there is no answer, and passes news on
-    with the probes [1]_; the cost for each node does not grow with their number.
+    with the probes [1]_; the cost for each node does not grow with their number. A member that
+    only the platform's list knows is probed, but has no duty until somebody has heard it. A node
+    that was paused itself accuses nobody of silence [2]_.
 
     References
     ----------
     .. [1] Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group
        Membership Protocol", DSN 2002.
+    .. [2] Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for More Accurate Failure
+       Detection", DSN-W 2018.
     """
 
     __slots__ = (
         "_acked",
+        "_duty_by_key",
         "_kernel",
+        "_live",
         "_lock",
         "_probe",
         "_probes_by_relay",
+        "_random",
         "_rounds",
         "_settings",
         "_stopped",
+        "_told",
         "by_name",
         "me",
+        "watchers",
     )
 
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
@@ -85,19 +68,22 @@
         self._settings = settings.peers
         self._lock = threading.RLock()
         self._stopped = threading.Event()
+        self._random = random.Random()
         self._probe = 0
         self._rounds: list[str] = []
         self._acked: dict[int, threading.Event] = {}
         self._probes_by_relay: dict[int, tuple[str, int]] = {}
-        boot_incarnation = int(time.time())
+        self._live: list[str] | None = None
+        self._duty_by_key: dict[str, str | None] = {}
+        self._told: list[str] = [node.name]
+        self.watchers: list[Callable[[], None]] = []
         self.me = Member(
             node.name,
             node.zone,
             str(node.peer_address),
             str(node.operator_address),
             "alive",
-            boot_incarnation,
-            time.monotonic(),
+            int(time.time()),
         )
         self.by_name: dict[str, Member] = {node.name: self.me}
 
@@ -124,32 +110,51 @@
         with self._lock:
             self.me.state = "draining"
             self._bump()
-            members = [member.name for member in self.by_name.values() if member is not self.me]
+            self._forget_duties()
+            members = [member.name for member in self.by_name.values() if member.is_answering()]
         for name in members:
-            self._kernel.find("peers").send(name, Ping(0, self._version(), self._pick_news()))
+            if name != self.me.name:
+                self._send_ping(0, name)
+        self._tell_watchers()
 
     def live(self) -> list[str]:
         """Return the names of nodes that may have duties, in order."""
         with self._lock:
-            return sorted(
-                member.name
-                for member in self.by_name.values()
-                if member.state in ("alive", "suspect")
-            )
+            if self._live is None:
+                members = [item for item in self.by_name.values() if item.may_have_duty()]
+                members = members or [m for m in self.by_name.values() if m.is_answering()]
+                self._live = sorted(member.name for member in members)
+            return self._live
+
+    def known(self) -> list[str]:
+        """Return the names of all nodes that may run, the suspect and the dead included."""
+        with self._lock:
+            return sorted(self.by_name)
 
     def duty(self, key: str) -> str | None:
         """Return the node that has a duty, as far as this node knows."""
-        return choose(key, self.live())
+        with self._lock:
+            if key not in self._duty_by_key:
+                self._duty_by_key[key] = choose(key, self.live())
+            return self._duty_by_key[key]
 
     def is_duty(self, key: str) -> bool:
         """Tell whether this node has a duty."""
         return self.duty(key) == self.me.name
 
+    def is_whole(self) -> bool:
+        """Tell whether every node on the platform's list is heard, as far as this node knows."""
+        with self._lock:
+            listed = [member for member in self.by_name.values() if member.list_state]
+            return bool(self.me.list_state) and all(member.is_answering() for member in listed)
+
     def hear(self, news: tuple[News, ...]) -> None:
         """Take in what another node believes."""
         with self._lock:
             for item in news:
-                self._hear_one(item)
+                if item.state in PRECEDENCE_BY_STATE:
+                    self._hear_one(item)
+        self._tell_watchers()
 
     def _hear_one(self, item: News) -> None:
         if item.name == self.me.name:
@@ -158,18 +163,18 @@
         known = self.by_name.get(item.name)
         if known is None:
             if item.state != "dead":
-                self._add(item)
-            return
-        newer = (item.incarnation, PRECEDENCE_BY_STATE[item.state])
-        if newer > (known.incarnation, PRECEDENCE_BY_STATE[known.state]):
+                self._add(Member.from_news(item))
+        elif known.is_outweighed_by(item):
             known.incarnation = item.incarnation
-            self._set_state(known, item.state)
+            known.zone, known.operator = item.zone, item.operator
             known.address = item.address
             self._learn_address(known)
+            self._set_state(known, item.state)
 
     def _refute(self, item: News) -> None:
-        overrides = item.incarnation >= self.me.incarnation and item.state != self.me.state
-        if overrides and item.state != "alive":
+        # An earlier life of this node may have had another address and a faster clock.
+        differs = item.state != self.me.state or item.address != self.me.address
+        if differs and item.incarnation >= self.me.incarnation:
             self.me.incarnation = item.incarnation
             self._bump()
 
@@ -177,18 +182,10 @@
         self.me.incarnation += 1
         self.me.repeats = NEWS_REPEATS
 
-    def _add(self, item: News) -> None:
-        member = Member(
-            item.name,
-            item.zone,
-            item.address,
-            item.operator,
-            item.state,
-            item.incarnation,
-            time.monotonic(),
-        )
-        self.by_name[item.name] = member
+    def _add(self, member: Member) -> None:
+        self.by_name[member.name] = member
         self._learn_address(member)
+        self._forget_duties()
         log.info("member {} is {}", member.name, member.state)
 
     def _learn_address(self, member: Member) -> None:
@@ -200,42 +197,96 @@
         member.state = state
         member.changed = time.monotonic()
         member.repeats = NEWS_REPEATS
+        self._forget_duties()
+
+    def _forget_duties(self) -> None:
+        self._live = None
+        self._duty_by_key.clear()
+
+    def _tell_watchers(self) -> None:
+        with self._lock:
+            live = self.live()
+            if live == self._told:
+                return
+            self._told = live
+        for watcher in self.watchers:
+            watcher()
 
     def _on_list(self, vms: list[Vm]) -> None:
+        listed = {vm.name: vm for vm in vms if vm.role == "node"}
         with self._lock:
-            for vm in vms:
-                if vm.role == "node" and vm.name not in self.by_name and vm.state == "live":
-                    self._add(News(vm.name, vm.zone, vm.address, vm.operator, "alive", 0))
+            unknown = [vm for vm in listed.values() if vm.name not in self.by_name]
+            for vm in unknown:
+                self._add(Member.from_list(vm.name, vm.zone, vm.address, vm.operator))
+            for member in self.by_name.values():
+                vm_or_none = listed.get(member.name)
+                member.list_state = vm_or_none.state if vm_or_none is not None else ""
+                if vm_or_none is not None:
+                    self._follow_address(member, vm_or_none.address)
+            self._forget_duties()
+        self._greet([vm.name for vm in unknown if vm.name != self.me.name])
+        self._tell_watchers()
+
+    def _follow_address(self, member: Member, address: str) -> None:
+        # A node that came back elsewhere can't be reached, nor refute its death, at the old one.
+        if member.state in ("listed", "dead") and member.address != address:
+            member.address = address
+            self._learn_address(member)
+
+    def _greet(self, names: list[str]) -> None:
+        for name in self._random.sample(names, min(GREETINGS_PER_PERIOD, len(names))):
+            with self._lock:
+                self._probe += 1
+                probe = self._probe
+            self._send_ping(probe, name)
 
     def _run(self) -> None:
-        while not self._stopped.wait(self._settings.probe_period):
+        period = self._settings.probe_period
+        turn = time.monotonic()
+        while not self._stopped.wait(period):
+            last, turn = turn, time.monotonic()
+            if turn - last > PAUSE_FACTOR * period + 3 * self._settings.probe_timeout:
+                self._excuse(turn - last)
             self._expire()
+            self._tell_watchers()
             name = self._next_member()
             if name is not None and not self._probe_member(name):
                 self._suspect(name)
+                self._tell_watchers()
+
+    def _excuse(self, seconds: float) -> None:
+        """Add the time for which this node was paused to every suspect's time to refute."""
+        log.info("this node was paused for {:.1f} s", seconds)
+        with self._lock:
+            for member in self.by_name.values():
+                if member.state == "suspect":
+                    member.changed += seconds
 
     def _next_member(self) -> str | None:
         with self._lock:
             others = [name for name in self.by_name if name != self.me.name]
             self._rounds = [name for name in self._rounds if name in self.by_name]
             if not self._rounds:
-                self._rounds = random.sample(others, len(others))
+                self._rounds = self._random.sample(others, len(others))
             return self._rounds.pop() if self._rounds else None
 
     def _probe_member(self, name: str) -> bool:
-        peers = self._kernel.find("peers")
+        """Probe a member; a verdict is given only if this node ran all the while."""
+        timeout = self._settings.probe_timeout
         with self._lock:
             self._probe += 1
             probe = self._probe
             acked = self._acked[probe] = threading.Event()
+        started = time.monotonic()
         try:
-            peers.send(name, Ping(probe, self._version(), self._pick_news()))
-            if acked.wait(self._settings.probe_timeout):
+            self._send_ping(probe, name)
+            if acked.wait(timeout):
                 return True
             others = [other for other in self.live() if other not in (name, self.me.name)]
-            for relay in random.sample(others, min(INDIRECT_PROBES, len(others))):
-                peers.send(relay, PingRequest(probe, name))
-            return acked.wait(self._settings.probe_timeout * 2)
+            for relay in self._random.sample(others, min(INDIRECT_PROBES, len(others))):
+                self._kernel.find("peers").send(relay, PingRequest(probe, name))
+            answered = acked.wait(timeout * 2)
+            return answered or time.monotonic() - started > timeout * 3 * 2
         finally:
             with self._lock:
                 del self._acked[probe]
@@ -243,8 +294,13 @@
     def _suspect(self, name: str) -> None:
         with self._lock:
             member = self.by_name.get(name)
-            if member is not None and member.state in ("alive", "draining"):
+            if member is None:
+                return
+            if member.state == "alive":
                 self._set_state(member, "suspect")
+            elif member.state == "draining":
+                # It has no duty, so there is nothing to wait for; suspect it would have one again.
+                self._set_state(member, "dead")
 
     def _expire(self) -> None:
         now = time.monotonic()
@@ -253,30 +309,44 @@
                 age = now - member.changed
                 if member.state == "suspect" and age > self._settings.suspect_timeout:
                     self._set_state(member, "dead")
-                elif member.state == "dead" and age > FORGET_AFTER:
+                elif (
+                    member.state in ("dead", "listed")
+                    and not member.list_state
+                    and age > FORGET_AFTER
+                ):
                     del self.by_name[member.name]
 
     def _version(self) -> int:
         return self._kernel.find("configuration").current.version
 
-    def _pick_news(self) -> tuple[News, ...]:
+    def _send_ping(self, probe: int, name: str) -> None:
+        ping = Ping(probe, self._version(), self._pick_news(name))
+        self._kernel.find("peers").send(name, ping)
+        self._kernel.find("targets").gossip_to(name)
+
+    def _pick_news(self, receiver: str) -> tuple[News, ...]:
         with self._lock:
             fresh = [
                 member
                 for member in self.by_name.values()
-                if member.repeats > 0 and member is not self.me
+                if member.repeats > 0 and member.name not in (self.me.name, receiver)
             ]
             fresh.sort(key=lambda member: -member.repeats)
             chosen = fresh[: NEWS_PER_MESSAGE - 1]
             for member in chosen:
                 member.repeats -= 1
+            # An accused member must learn of it to refute it.
+            accused = self.by_name.get(receiver)
+            if accused is not None and accused.state in ("suspect", "dead"):
+                chosen.append(accused)
             return (self.me.news(), *(member.news() for member in chosen))
 
     def _on_ping(self, sender: str, message: Ping) -> None:
         self._hear_message(sender, message)
         if message.probe:
-            answer = PingAck(message.probe, self._version(), self._pick_news())
+            answer = PingAck(message.probe, self._version(), self._pick_news(sender))
             self._kernel.find("peers").send(sender, answer)
+            self._kernel.find("targets").gossip_to(sender)
 
     def _on_ack(self, sender: str, message: PingAck) -> None:
         self._hear_message(sender, message)
@@ -293,11 +363,11 @@
     def _on_request(self, sender: str, message: PingRequest) -> None:
         with self._lock:
             self._probe += 1
-            self._probes_by_relay[self._probe] = (sender, message.probe)
-            while len(self._probes_by_relay) > 64:
+            probe = self._probe
+            self._probes_by_relay[probe] = (sender, message.probe)
+            while len(self._probes_by_relay) > RELAYED_PROBES:
                 self._probes_by_relay.pop(next(iter(self._probes_by_relay)))
-            ping = Ping(self._probe, self._version(), self._pick_news())
-        self._kernel.find("peers").send(message.member, ping)
+        self._send_ping(probe, message.member)
 
     def _hear_message(self, sender: str, message: Ping | PingAck) -> None:
         self.hear(message.news)
--- a/celeryrun/pool/_client.py
+++ b/celeryrun/pool/_client.py
@@ -7,14 +7,18 @@
 import time
 from dataclasses import dataclass, field
 
+import logbook
+
 from celeryrun.exception import Refusal
-from celeryrun.kernel import Kernel
+from celeryrun.kernel import Kernel, check
+from celeryrun.pool._share import LocalShare
 from celeryrun.wire import Ask, Done, Grant, Hold, KeeperBeat, PoolBeat, Shed, Withdraw
 
 __all__ = ["PoolClient", "Waiter"]
 
 BEAT_PERIOD = 0.5  # s
 RESEND_AFTER = 0.4  # s that an ask may be on its way before it counts as lost
+KEEPER_SILENCE = 1.6  # s without a keeper's answer until a node uses its own share
 
 REFUSAL_BY_KIND = {
     "overload": (503, "more work waits than the targets can take; retry later"),
@@ -22,6 +26,8 @@
     "plan-limit": (429, "the plan's limit of outstanding requests is reached; wait for answers"),
 }
 
+log = logbook.Logger("pool-client")
+
 
 @dataclass(slots=True)
 class Waiter:
@@ -42,16 +48,28 @@
             ask.pool, ask.ask, ask.tier, ask.workspace, ask.cost, ask.prefix, max(0.0, remaining)
         )
 
+    def hold(self, grant: Grant) -> Hold:
+        """Return the grant as one that is held."""
+        ask = self.ask
+        return Hold(grant.grant, grant.target, ask.tier, ask.workspace, ask.cost)
+
 
 class PoolClient:
-    """Service through which requests get a slot on a target."""
+    """Service through which requests get a slot on a target.
+
+    While a pool's keeper is silent, the node grants itself its own share of the slots, the
+    highest tier first.
+    """
 
     __slots__ = (
         "_asks",
         "_epoch_by_pool",
+        "_heard_by_pool",
         "_hold_by_grant",
         "_kernel",
         "_lock",
+        "_share",
+        "_silent_pools",
         "_stopped",
         "_waiter_by_ask",
     )
@@ -59,11 +77,14 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._asks = itertools.count(1)
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._stopped = threading.Event()
         self._waiter_by_ask: dict[int, Waiter] = {}
         self._hold_by_grant: dict[int, tuple[str, Hold]] = {}
         self._epoch_by_pool: dict[str, int] = {}
+        self._heard_by_pool: dict[str, float] = {}
+        self._silent_pools: set[str] = set()
+        self._share = LocalShare("")
 
     def start(self) -> None:
         """Begin heartbeats."""
@@ -71,6 +92,9 @@
         peers.handle(Grant, self._on_grant)
         peers.handle(Shed, self._on_shed)
         peers.handle(KeeperBeat, self._on_keeper)
+        members = self._kernel.find("members")
+        self._share = LocalShare(members.me.name)
+        members.watchers.append(self._beat)
         threading.Thread(target=self._run, name="pool-client", daemon=True).start()
 
     def stop(self) -> None:
@@ -104,8 +128,13 @@
         ask = Ask(pool, next(self._asks), tier, workspace, cost, prefix, remaining)
         waiter = Waiter(ask, expires)
         with self._lock:
+            if not self._is_busy(pool):
+                # Only a keeper that has been told of work owes an answer.
+                self._heard_by_pool[pool] = time.monotonic()
             self._waiter_by_ask[ask.ask] = waiter
         self._send(waiter)
+        if pool in self._silent_pools:
+            self._grant_own(pool)
         return waiter
 
     def wait(self, waiter: Waiter) -> Grant | Refusal:
@@ -117,7 +146,7 @@
             result = waiter.result
         if result is not None:
             return result
-        self._tell_keeper(waiter.ask.pool, Withdraw(waiter.ask.pool, waiter.ask.ask))
+        self._withdraw(waiter)
         return _refusal("deadline", 1.0)
 
     def withdraw(self, waiter: Waiter, refusal: Refusal) -> None:
@@ -127,7 +156,7 @@
                 return
             waiter.result = refusal
             waiter.answered.set()
-        self._tell_keeper(waiter.ask.pool, Withdraw(waiter.ask.pool, waiter.ask.ask))
+        self._withdraw(waiter)
 
     def displace(self, tier: int, refusal: Refusal) -> bool:
         """Make the last request of the lowest tier below another give up, if any waits here.
@@ -171,14 +200,21 @@
         """
         with self._lock:
             self._hold_by_grant.pop(grant.grant, None)
+            self._share.give_back(grant.grant)
         done = Done(grant.pool, grant.grant, used, first, elapsed, whole, tokens)
         self._tell_keeper(grant.pool, done)
+        if grant.pool in self._silent_pools:
+            self._grant_own(grant.pool)
 
     def outstanding(self) -> tuple[int, int]:
         """Return how many requests wait and how many hold a slot."""
         with self._lock:
             return len(self._waiter_by_ask), len(self._hold_by_grant)
 
+    def _is_busy(self, pool: str) -> bool:
+        waits = any(waiter.ask.pool == pool for waiter in self._waiter_by_ask.values())
+        return waits or any(holder == pool for holder, _ in self._hold_by_grant.values())
+
     def _send(self, waiter: Waiter) -> None:
         keeper = self._kernel.find("members").duty(f"pool/{waiter.ask.pool}")
         waiter.sent = time.monotonic()
@@ -186,6 +222,9 @@
         if keeper is not None:
             self._kernel.find("peers").send(keeper, waiter.refreshed())
 
+    def _withdraw(self, waiter: Waiter) -> None:
+        self._tell_keeper(waiter.ask.pool, Withdraw(waiter.ask.pool, waiter.ask.ask))
+
     def _tell_keeper(self, pool: str, message: Withdraw | Done | PoolBeat) -> None:
         keeper = self._kernel.find("members").duty(f"pool/{pool}")
         if keeper is not None:
@@ -196,34 +235,72 @@
             waiter = self._waiter_by_ask.get(grant.ask)
             wanted = waiter is not None and waiter.result is None
             if waiter is not None and wanted:
-                waiter.result = grant
-                ask = waiter.ask
-                hold = Hold(grant.grant, grant.target, ask.tier, ask.workspace, ask.cost)
-                self._hold_by_grant[grant.grant] = (grant.pool, hold)
-                waiter.answered.set()
+                self._give(waiter, grant)
+            self._note_heard(grant.pool)
         if not wanted:
             unused = Done(grant.pool, grant.grant, 0.0, -1.0, 0.0, True)
             self._kernel.find("peers").send(sender, unused)
 
+    def _give(self, waiter: Waiter, grant: Grant) -> None:
+        waiter.result = grant
+        self._hold_by_grant[grant.grant] = (grant.pool, waiter.hold(grant))
+        waiter.answered.set()
+
     def _on_shed(self, sender: str, shed: Shed) -> None:
+        if sender != self._kernel.find("members").duty(f"pool/{shed.pool}"):
+            # A keeper that was paused may not know that another one has the lower tiers' asks.
+            return
         with self._lock:
+            self._note_heard(shed.pool)
             waiter = self._waiter_by_ask.get(shed.ask)
-            if waiter is not None and waiter.result is None:
-                waiter.result = _refusal(shed.kind, shed.retry_after)
-                waiter.answered.set()
+            if waiter is None or waiter.result is not None:
+                return
+            refused = self._lowest(waiter) if shed.kind == "overload" else waiter
+            if shed.kind == "overload":
+                self._check_order(refused)
+            refused.result = _refusal(shed.kind, shed.retry_after)
+            refused.answered.set()
+        if refused is not waiter:
+            self._withdraw(refused)
+            self._send(waiter)
+
+    def _lowest(self, waiter: Waiter) -> Waiter:
+        """Return the waiter to be shed in place of one: the lowest tier's youngest, if lower."""
+        lower = [
+            other for other in self._waiting(waiter.ask.pool) if other.ask.tier > waiter.ask.tier
+        ]
+        return max(lower, key=lambda other: (other.ask.tier, other.ask.ask), default=waiter)
+
+    def _check_order(self, refused: Waiter) -> None:
+        lower = [
+            other.ask.tier
+            for other in self._waiting(refused.ask.pool)
+            if other.ask.tier > refused.ask.tier
+        ]
+        check(not lower, "shed-lowest-first-on-node", shed=refused.ask.tier, waiting=len(lower))
+
+    def _waiting(self, pool: str) -> list[Waiter]:
+        return [
+            waiter
+            for waiter in self._waiter_by_ask.values()
+            if waiter.ask.pool == pool and waiter.result is None
+        ]
 
     def _on_keeper(self, sender: str, beat: KeeperBeat) -> None:
         with self._lock:
-            waiting = [
-                waiter
-                for waiter in self._waiter_by_ask.values()
-                if waiter.ask.pool == beat.pool and waiter.result is None
-            ]
+            self._note_heard(beat.pool)
+            waiting = self._waiting(beat.pool)
             lost = self._epoch_by_pool.get(beat.pool) != beat.epoch or beat.waiting < len(waiting)
             self._epoch_by_pool[beat.pool] = beat.epoch
         if lost:
             self._send_again(waiting)
 
+    def _note_heard(self, pool: str) -> None:
+        self._heard_by_pool[pool] = time.monotonic()
+        if pool in self._silent_pools:
+            self._silent_pools.discard(pool)
+            log.info("the keeper of {} answers again", pool)
+
     def _send_again(self, waiting: list[Waiter]) -> None:
         settled = time.monotonic() - RESEND_AFTER
         for waiter in waiting:
@@ -233,6 +310,7 @@
     def _run(self) -> None:
         while not self._stopped.wait(BEAT_PERIOD):
             self._beat()
+            self._watch_keepers()
 
     def _beat(self) -> None:
         with self._lock:
@@ -250,6 +328,39 @@
             if members.duty(f"pool/{waiter.ask.pool}") != waiter.keeper:
                 self._send(waiter)
 
+    def _watch_keepers(self) -> None:
+        oldest = time.monotonic() - KEEPER_SILENCE
+        with self._lock:
+            for pool, heard in self._heard_by_pool.items():
+                silent = heard < oldest and self._is_busy(pool)
+                if silent and pool not in self._silent_pools:
+                    self._silent_pools.add(pool)
+                    log.warning("the keeper of {} is silent; this node uses its share", pool)
+            silent_pools = list(self._silent_pools)
+        for pool in silent_pools:
+            self._grant_own(pool)
+
+    def _grant_own(self, pool: str) -> None:
+        """Grant this node's share of the slots, the highest tier first."""
+        known = self._kernel.find("configuration").current.pools_by_name.get(pool)
+        if known is None:
+            return
+        targets = self._kernel.find("targets").of_pool(pool)
+        nodes = self._kernel.find("members").known()
+        with self._lock:
+            waiting = sorted(self._waiting(pool), key=lambda item: (item.ask.tier, item.ask.ask))
+            served = []
+            for waiter in waiting:
+                taken = self._share.take(known.kind, targets, nodes)
+                if taken is None:
+                    break
+                grant, target = taken
+                granted = Grant(pool, waiter.ask.ask, grant, target.name, target.address)
+                self._give(waiter, granted)
+                served.append(waiter)
+        for waiter in served:
+            self._withdraw(waiter)
+
 
 def _refusal(kind: str, retry_after: float) -> Refusal:
     status, remedy = REFUSAL_BY_KIND[kind]
--- a/celeryrun/pool/_keeper.py
+++ b/celeryrun/pool/_keeper.py
@@ -8,15 +8,29 @@
 import logbook
 
 from celeryrun.kernel import Kernel
-from celeryrun.pool._queue import Waiting
+from celeryrun.pool._queue import WEIGHT_BY_TIER, Waiting
 from celeryrun.pool._state import PoolState
 from celeryrun.settings import Settings
-from celeryrun.wire import Ask, Done, Grant, KeeperBeat, PoolBeat, Shed, Withdraw
+from celeryrun.wire import (
+    Ask,
+    Done,
+    Grant,
+    HandOver,
+    KeeperBeat,
+    PoolBeat,
+    Relayed,
+    Shed,
+    Withdraw,
+)
 
 __all__ = ["Keepers"]
 
 TICK_PERIOD = 0.25  # s
-GRACE = 1.0  # s in which a new keeper only listens
+GRACE = 0.6  # s in which a keeper that nobody handed the pool to only listens
+SETTLE = 4.0  # s until a new keeper counts on having every node's asks
+NODE_SILENCE = 2.0  # s until the asks of a node that sends no heartbeat are dropped
+PAUSED = 1.0  # s without a turn after which this node was paused itself
+LOWEST_TIER = max(WEIGHT_BY_TIER)
 RETRY_AFTER = 1.0  # s
 
 log = logbook.Logger("keeper")
@@ -26,10 +40,21 @@
     """Service that keeps the pools which fall to this node.
 
     Two nodes may believe that they keep one pool; that can only cost goodput, since the node that
-    holds the caller's connection is the only one that dispatches.
+    holds the caller's connection is the only one that dispatches. A keeper sheds only the lowest
+    tier, in whose order nothing can be wrong, unless it has kept the pool for a while, hears every
+    listed node and was not paused.
     """
 
-    __slots__ = ("_kernel", "_lease", "_lock", "_max_waiting", "_stopped", "state_by_pool")
+    __slots__ = (
+        "_kernel",
+        "_lease",
+        "_lock",
+        "_max_waiting",
+        "_paused",
+        "_stopped",
+        "_turn",
+        "state_by_pool",
+    )
 
     def __init__(self, kernel: Kernel, lease: float, max_waiting: int) -> None:
         self._kernel = kernel
@@ -37,6 +62,8 @@
         self._max_waiting = max_waiting
         self._lock = threading.RLock()
         self._stopped = threading.Event()
+        self._turn = time.monotonic()
+        self._paused = 0.0
         self.state_by_pool: dict[str, PoolState] = {}
 
     @classmethod
@@ -51,6 +78,10 @@
         peers.handle(Withdraw, self._on_withdraw)
         peers.handle(Done, self._on_done)
         peers.handle(PoolBeat, self._on_beat)
+        peers.handle(HandOver, self._on_hand_over)
+        peers.handle(Relayed, self._on_relayed)
+        self._kernel.find("members").watchers.append(self._follow_duties)
+        self._turn = time.monotonic()
         threading.Thread(target=self._run, name="keepers", daemon=True).start()
 
     def stop(self) -> None:
@@ -84,58 +115,132 @@
                 self._tick()
 
     def _tick(self) -> None:
-        members = self._kernel.find("members")
-        for name in self._kernel.find("configuration").current.pools_by_name:
-            if members.is_duty(f"pool/{name}"):
-                self._state(name)
-            else:
-                self.state_by_pool.pop(name, None)
+        self._note_turn()
+        self._follow_duties()
         for state in self.state_by_pool.values():
             self._expire(state)
             self._pump(state)
+            self._shed_surplus(state)
+
+    def _note_turn(self) -> None:
+        """Notice that this node was paused: others may keep its pools by now."""
+        now = time.monotonic()
+        if now - self._turn > PAUSED:
+            self._paused = now
+        self._turn = now
+
+    def _follow_duties(self) -> None:
+        members = self._kernel.find("members")
+        with self._lock:
+            for name in self._kernel.find("configuration").current.pools_by_name:
+                if members.is_duty(f"pool/{name}"):
+                    self._state(name)
+                elif name in self.state_by_pool:
+                    self._hand_over(name, members.duty(f"pool/{name}"))
+
+    def _hand_over(self, pool: str, keeper: str | None) -> None:
+        state = self.state_by_pool.pop(pool)
+        stale = time.monotonic() - self._paused < SETTLE
+        if keeper is None or stale:
+            return
+        self._kernel.find("peers").send(keeper, HandOver(pool, state.shares()))
+        log.info("hands pool {} over to {}", pool, keeper)
+
+    def _on_hand_over(self, sender: str, message: HandOver) -> None:
+        with self._lock:
+            state = self._state(message.pool)
+            for share in message.shares:
+                state.renew(share.node, share.holds)
+                for ask in share.asks:
+                    state.push(share.node, ask)
+            state.listens_until = 0.0
+            self._pump(state)
+
+    def _relays(self, sender: str, message: Ask | Withdraw | Done | PoolBeat) -> bool:
+        """Pass a message on to the pool's keeper, if that is another node."""
+        keeper = self._kernel.find("members").duty(f"pool/{message.pool}")
+        if keeper is None or keeper == self._kernel.find("members").me.name:
+            return False
+        self._kernel.find("peers").send(keeper, Relayed(sender, message))
+        return True
+
+    def _on_relayed(self, sender: str, relayed: Relayed) -> None:
+        match relayed.message:
+            case Ask() as ask:
+                self._take_ask(relayed.origin, ask)
+            case Withdraw() as withdraw:
+                self._take_withdraw(relayed.origin, withdraw)
+            case Done() as done:
+                self._take_done(done)
+            case PoolBeat() as beat:
+                self._take_beat(relayed.origin, beat)
 
     def _state(self, pool: str) -> PoolState:
         state = self.state_by_pool.get(pool)
         if state is None:
-            state = self.state_by_pool[pool] = PoolState(pool, self._lease)
+            state = self.state_by_pool[pool] = PoolState(pool, self._lease, GRACE)
             log.info("keeps pool {}", pool)
         return state
 
     def _expire(self, state: PoolState) -> None:
         for granted in state.lapse():
             log.warning("lease of {} on {} lapsed", granted.node, granted.target)
+        for node in state.drop_silent(NODE_SILENCE):
+            log.warning("node {} is silent; its asks in {} are dropped", node, state.name)
+            state.started = time.monotonic()
         for waiting in state.queue.expired(time.monotonic()):
             self._refuse(state, waiting, "deadline")
 
     def _on_ask(self, sender: str, ask: Ask) -> None:
+        if not self._relays(sender, ask):
+            self._take_ask(sender, ask)
+
+    def _take_ask(self, node: str, ask: Ask) -> None:
         with self._lock:
             state = self._state(ask.pool)
-            if (sender, ask.ask) in state.queue.by_ask:
+            if (node, ask.ask) in state.queue.by_ask:
                 return
             if self._over_plan(state, ask):
-                self._send(sender, Shed(ask.pool, ask.ask, "plan-limit", RETRY_AFTER))
+                self._send(node, Shed(ask.pool, ask.ask, "plan-limit", RETRY_AFTER))
                 return
-            expires = time.monotonic() + ask.remaining
-            state.queue.push(
-                Waiting(sender, ask.ask, ask.tier, ask.workspace, ask.cost, ask.prefix, expires)
-            )
+            state.push(node, ask)
             self._pump(state)
-            while len(state.queue) > self._max_waiting:
-                waiting = state.queue.shed()
-                if waiting is not None:
-                    self._refuse(state, waiting, "overload")
+            self._shed_surplus(state)
+
+    def _shed_surplus(self, state: PoolState) -> None:
+        while len(state.queue) > self._max_waiting and self._may_shed(state):
+            waiting = state.queue.shed()
+            if waiting is None:
+                return
+            self._refuse(state, waiting, "overload")
+
+    def _may_shed(self, state: PoolState) -> bool:
+        """Tell whether no lower tier can be waiting elsewhere than in this queue."""
+        if state.queue.tier_by_number[LOWEST_TIER].size:
+            return True
+        self._note_turn()
+        settled = time.monotonic() - max(state.started, self._paused) > SETTLE
+        return settled and bool(self._kernel.find("members").is_whole())
 
     def _over_plan(self, state: PoolState, ask: Ask) -> bool:
         plan = self._kernel.find("configuration").current.plans_by_workspace.get(ask.workspace)
         return plan is not None and state.outstanding(ask.workspace) >= plan.max_outstanding
 
     def _on_withdraw(self, sender: str, withdraw: Withdraw) -> None:
+        if not self._relays(sender, withdraw):
+            self._take_withdraw(sender, withdraw)
+
+    def _take_withdraw(self, node: str, withdraw: Withdraw) -> None:
         with self._lock:
             state = self.state_by_pool.get(withdraw.pool)
             if state is not None:
-                state.queue.remove(sender, withdraw.ask)
+                state.queue.remove(node, withdraw.ask)
 
     def _on_done(self, sender: str, done: Done) -> None:
+        if not self._relays(sender, done):
+            self._take_done(done)
+
+    def _take_done(self, done: Done) -> None:
         with self._lock:
             state = self.state_by_pool.get(done.pool)
             if state is not None:
@@ -143,15 +248,19 @@
                 self._pump(state)
 
     def _on_beat(self, sender: str, beat: PoolBeat) -> None:
+        if not self._relays(sender, beat):
+            self._take_beat(sender, beat)
+
+    def _take_beat(self, node: str, beat: PoolBeat) -> None:
         with self._lock:
             state = self._state(beat.pool)
-            state.renew(sender, beat.holds)
-            known = state.queue.of_node(sender)
-            self._send(sender, KeeperBeat(beat.pool, state.epoch, known))
+            state.renew(node, beat.holds)
+            known = state.queue.of_node(node)
+            self._send(node, KeeperBeat(beat.pool, state.epoch, known))
 
     def _pump(self, state: PoolState) -> None:
         pool = self._kernel.find("configuration").current.pools_by_name.get(state.name)
-        if pool is None or time.monotonic() < state.started + GRACE:
+        if pool is None or time.monotonic() < state.listens_until:
             return
         targets = self._kernel.find("targets").of_pool(state.name)
         while True:
@@ -159,7 +268,9 @@
             if granted is None:
                 return
             grant, waiting, target = granted
-            self._send(waiting.node, Grant(state.name, waiting.ask, grant, target.name))
+            self._send(
+                waiting.node, Grant(state.name, waiting.ask, grant, target.name, target.address)
+            )
 
     def _refuse(self, state: PoolState, waiting: Waiting, kind: str) -> None:
         self._send(waiting.node, Shed(state.name, waiting.ask, kind, RETRY_AFTER))
--- a/celeryrun/pool/_state.py
+++ b/celeryrun/pool/_state.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import time
+from collections import defaultdict
 from dataclasses import dataclass
 
 from celeryrun.pool._choice import choose_target
@@ -12,7 +13,7 @@
 from celeryrun.pool._prefix import PrefixBelief
 from celeryrun.pool._queue import FairQueue, Waiting
 from celeryrun.pool._targets import Target
-from celeryrun.wire import Done, Hold
+from celeryrun.wire import Ask, Done, Hold, NodeShare
 
 __all__ = ["Granted", "PoolState"]
 
@@ -52,6 +53,8 @@
         The pool.
     lease : float
         Seconds that a grant lives without heartbeat.
+    grace : float
+        Seconds in which nothing is granted, until nodes have told what they hold.
     """
 
     __slots__ = (
@@ -62,18 +65,22 @@
         "belief",
         "epoch",
         "granted_by_id",
+        "heard_by_node",
         "limit_by_target",
+        "listens_until",
         "name",
         "queue",
         "started",
     )
 
-    def __init__(self, name: str, lease: float) -> None:
+    def __init__(self, name: str, lease: float, grace: float = 0.0) -> None:
         self.name = name
         self.epoch = random.getrandbits(31)
         self.started = time.monotonic()
+        self.listens_until = self.started + grace
         self.queue = FairQueue()
         self.granted_by_id: dict[int, Granted] = {}
+        self.heard_by_node: dict[str, float] = {}
         self.limit_by_target: dict[str, SlotLimit] = {}
         self.belief = PrefixBelief()
         self._lease = lease
@@ -123,7 +130,9 @@
 
     def renew(self, node: str, holds: tuple[Hold, ...]) -> None:
         """Renew the leases of grants that a node holds; unknown ones are adopted."""
-        expires = time.monotonic() + self._lease
+        now = time.monotonic()
+        expires = now + self._lease
+        self.heard_by_node[node] = now
         for hold in holds:
             granted = self.granted_by_id.get(hold.grant)
             if granted is None:
@@ -131,6 +140,51 @@
                 self._add(hold.grant, granted)
             granted.expires = expires
 
+    def push(self, node: str, ask: Ask) -> None:
+        """Let an ask wait."""
+        now = time.monotonic()
+        expires = now + ask.remaining
+        self.heard_by_node[node] = now
+        self.queue.push(
+            Waiting(node, ask.ask, ask.tier, ask.workspace, ask.cost, ask.prefix, expires)
+        )
+
+    def drop_silent(self, seconds: float) -> list[str]:
+        """Drop the asks of nodes that were silent for some seconds; a live one asks anew."""
+        oldest = time.monotonic() - seconds
+        silent = [node for node, heard in self.heard_by_node.items() if heard < oldest]
+        gone = [waiting for waiting in self.queue.by_ask.values() if waiting.node in silent]
+        for waiting in gone:
+            self.queue.remove(waiting.node, waiting.ask)
+        for node in silent:
+            del self.heard_by_node[node]
+        return sorted({waiting.node for waiting in gone})
+
+    def shares(self) -> tuple[NodeShare, ...]:
+        """Return what every node holds and waits for, to hand it to another keeper."""
+        now = time.monotonic()
+        holds_by_node: dict[str, list[Hold]] = defaultdict(list)
+        asks_by_node: dict[str, list[Ask]] = defaultdict(list)
+        for grant, item in self.granted_by_id.items():
+            hold = Hold(grant, item.target, item.tier, item.workspace, item.cost)
+            holds_by_node[item.node].append(hold)
+        for waiting in self.queue.by_ask.values():
+            asks_by_node[waiting.node].append(
+                Ask(
+                    self.name,
+                    waiting.ask,
+                    waiting.tier,
+                    waiting.workspace,
+                    waiting.cost,
+                    waiting.prefix,
+                    max(0.0, waiting.expires - now),
+                )
+            )
+        return tuple(
+            NodeShare(node, tuple(holds_by_node[node]), tuple(asks_by_node[node]))
+            for node in sorted(holds_by_node.keys() | asks_by_node.keys())
+        )
+
     def finish(self, done: Done) -> None:
         """Free a slot and learn from the work done."""
         granted = self.granted_by_id.get(done.grant)
--- /dev/null
+++ b/celeryrun/tests/network.py
@@ -0,0 +1,170 @@
+"""Nodes inside one process, with links that can be cut and nodes that can die."""
+
+from __future__ import annotations
+
+import queue
+import threading
+import time
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+from celeryrun.configuration import Pool
+from celeryrun.kernel import Kernel
+from celeryrun.membership import Members
+from celeryrun.platform import Vm
+from celeryrun.pool import Keepers, PoolClient, Targets
+from celeryrun.settings import Address, Settings
+from celeryrun.settings._schema import LimitSettings, NodeSettings, PeerSettings, PlatformSettings
+
+__all__ = ["FakeNode", "FakePeers", "Network", "build_peer_settings"]
+
+
+def build_peer_settings(name: str, zone: str = "zone-0", port: int = 1) -> Settings:
+    """Build settings with quick probes."""
+    address = Address("127.0.0.1", port)
+    return Settings(
+        NodeSettings(name, zone, address, address, address),
+        PlatformSettings("http://127.0.0.1:9", "http://127.0.0.1:9"),
+        PeerSettings(
+            "0" * 16, probe_period=0.05, probe_timeout=0.04, suspect_timeout=0.4, lease=1.0
+        ),
+        LimitSettings(),
+    )
+
+
+class FakePeers:
+    """Delivers messages in order through a thread of its own."""
+
+    def __init__(self, name: str, network: Network) -> None:
+        self.name = name
+        self.network = network
+        self.address_by_name: dict[str, str] = {}
+        self.handler_by_type: dict[type, Callable[[str, Any], None]] = {}
+        self.inbox: queue.SimpleQueue[tuple[str, Any] | None] = queue.SimpleQueue()
+        self.sent: list[tuple[str, Any]] = []
+
+    def handle(self, message_type: type, handler: Callable[[str, Any], None]) -> None:
+        self.handler_by_type[message_type] = handler
+
+    def start(self) -> None:
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def stop(self) -> None:
+        self.inbox.put(None)
+
+    def run(self) -> None:
+        while (item := self.inbox.get()) is not None:
+            sender, message = item
+            handler = self.handler_by_type.get(type(message))
+            if handler is not None and self.name not in self.network.dead:
+                handler(sender, message)
+
+    def send(self, name: str, message: Any) -> bool:
+        self.sent.append((name, message))
+        self.network.carry(self.name, name, self.address_by_name.get(name), message)
+        return True
+
+
+class FakeNode:
+    """A kernel with membership, targets and pools before fakes."""
+
+    def __init__(self, name: str, network: Network, port: int = 1) -> None:
+        self.kernel = Kernel()
+        self.peers = FakePeers(name, network)
+        self.vms = SimpleNamespace(watchers=[], start=lambda: None, stop=lambda: None)
+        current = SimpleNamespace(
+            version=0, pools_by_name=network.pools_by_name, plans_by_workspace={}
+        )
+        configuration = SimpleNamespace(current=current, hear=lambda *_: None)
+        configuration.start = configuration.stop = lambda: None
+        self.configuration = configuration
+        settings = build_peer_settings(name, port=port)
+        self.members = Members.from_config(self.kernel, settings)
+        self.targets = Targets(self.kernel)
+        self.keepers = Keepers(self.kernel, settings.peers.lease, network.max_waiting)
+        self.pools = PoolClient(self.kernel)
+        for service, item in {
+            "peers": self.peers,
+            "vms": self.vms,
+            "configuration": configuration,
+            "targets": self.targets,
+            "members": self.members,
+            "keepers": self.keepers,
+            "pools": self.pools,
+        }.items():
+            self.kernel.register(service, item)
+
+    def show(self, vms: list[Vm]) -> None:
+        """Give the node the platform's list."""
+        for watcher in self.vms.watchers:
+            watcher(vms)
+
+    def states(self) -> dict[str, str]:
+        """Return the state by name of every member but this."""
+        return {
+            name: member.state
+            for name, member in list(self.members.by_name.items())
+            if member is not self.members.me
+        }
+
+
+class Network:
+    """Nodes by name, and the links between them.
+
+    Parameters
+    ----------
+    pools : tuple of Pool
+        Pools that every node knows.
+    max_waiting : int
+        Asks that a keeper lets wait for one pool.
+    """
+
+    def __init__(self, pools: tuple[Pool, ...] = (), max_waiting: int = 400) -> None:
+        self.pools_by_name = {pool.name: pool for pool in pools}
+        self.max_waiting = max_waiting
+        self.node_by_name: dict[str, FakeNode] = {}
+        self.dead: set[str] = set()
+        self.group_by_name: dict[str, int] = {}
+
+    def add(self, name: str, port: int | None = None) -> FakeNode:
+        """Start a node; one with the same name is replaced."""
+        port = port if port is not None else len(self.node_by_name) + 1
+        node = self.node_by_name[name] = FakeNode(name, self, port)
+        self.dead.discard(name)
+        node.kernel.start()
+        return node
+
+    def vms(self) -> list[Vm]:
+        """Return the platform's list: every node ever added."""
+        return [
+            Vm(name, "zone-0", node.members.me.address, "live", "node")
+            for name, node in self.node_by_name.items()
+        ]
+
+    def carry(self, sender: str, receiver: str, address: str | None, message: Any) -> None:
+        """Deliver a message unless the link is cut or nobody listens at the address."""
+        node = self.node_by_name.get(receiver)
+        group = self.group_by_name.get
+        if node is None or address != node.members.me.address:
+            if receiver != sender:
+                return
+        if {sender, receiver} & self.dead or group(sender, 0) != group(receiver, 0):
+            return
+        if node is not None:
+            node.peers.inbox.put((sender, message))
+
+    def stop(self) -> None:
+        """Stop every node."""
+        for node in self.node_by_name.values():
+            node.kernel.stop()
+
+
+def wait_until(holds: Callable[[], bool], patience: float = 10.0) -> bool:
+    """Wait until something holds."""
+    until = time.monotonic() + patience
+    while not holds():
+        if time.monotonic() > until:
+            return False
+        time.sleep(0.02)
+    return True
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -12,17 +12,22 @@
     "ConfigurationState",
     "Done",
     "Grant",
+    "HandOver",
     "Heard",
     "Hold",
     "KeeperBeat",
     "LogRecord",
     "Message",
     "News",
+    "NodeShare",
     "Ping",
     "PingAck",
     "PingRequest",
     "PoolBeat",
+    "Relayed",
     "Shed",
+    "TargetGossip",
+    "TargetNews",
     "Withdraw",
 ]
 
@@ -94,12 +99,19 @@
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """A slot on a target, leased to the asking node."""
+    """A slot on a target, leased to the asking node.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the target, for a node whose list does not show it yet.
+    """
 
     pool: str
     ask: int
     grant: int
     target: str
+    address: str = ""
 
 
 class Shed(msgspec.Struct, frozen=True, array_like=True, tag=6):
@@ -243,6 +255,60 @@
     """Nothing but the envelope: the receiver's messages arrive."""
 
 
+class TargetNews(msgspec.Struct, frozen=True, array_like=True):
+    """What was seen of a target.
+
+    Parameters
+    ----------
+    address : str
+        The target's address; another one is another target under the same name.
+    kind : str
+        ``leaving`` (its own answer said so), ``listed`` (the platform's list shows it as leaving)
+        or ``unreachable`` (it refused a connection).
+    age : float
+        Seconds since it was seen.
+    """
+
+    name: str
+    address: str
+    kind: str
+    age: float
+
+
+class TargetGossip(msgspec.Struct, frozen=True, array_like=True, tag=50):
+    """News of targets, to the pool's keeper at once and to others with the probes."""
+
+    news: tuple[TargetNews, ...]
+
+
+class NodeShare(msgspec.Struct, frozen=True, array_like=True):
+    """What one node holds and waits for in a pool."""
+
+    node: str
+    holds: tuple[Hold, ...]
+    asks: tuple[Ask, ...]
+
+
+class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=51):
+    """A keeper's state, to the node that keeps the pool from here on."""
+
+    pool: str
+    shares: tuple[NodeShare, ...]
+
+
+class Relayed(msgspec.Struct, frozen=True, array_like=True, tag=52):
+    """A message to a keeper, passed on by a node that does not keep the pool any more.
+
+    Parameters
+    ----------
+    origin : str
+        The node that sent it.
+    """
+
+    origin: str
+    message: Ask | Withdraw | Done | PoolBeat
+
+
 Message = (
     Ping
     | PingAck
@@ -259,4 +325,7 @@
     | ConfigurationDelta
     | ConfigurationNotice
     | Heard
+    | TargetGossip
+    | HandOver
+    | Relayed
 )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -278,7 +278,8 @@
             return False
         targets = sum(len(pool["targets"]) for pool in status["pools"])
         wanted = sum(1 for vm in self.vms if vm["role"] == "target")
-        return bool(status["ready"] and len(status["members"]) >= live and targets >= wanted)
+        alive = sum(1 for member in status["members"] if member["state"] == "alive")
+        return bool(status["ready"] and alive >= live and targets >= wanted)
 
     def status(self, name: str) -> Any:
         """Return a node's status."""
