Drain without cutting what was accepted

Cause: a node stopped once nothing was active for a moment, and never while callers kept sending; its listener was closed with accepted connections unread, which resets them, and workers were cut after 1 s.

Change: after the drain lag the listener is emptied and closed, kept connections are served until each is told to close, and the process stops when every worker is idle. A drained node is not ready from the signal on.

--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -15,6 +15,7 @@
 from celeryrun.front._answers import AnswerBook, Exchange, Head
 from celeryrun.front._request import Request, admit
 from celeryrun.front._runner import Runner, refusal_head
+from celeryrun.front._server import Server
 from celeryrun.kernel import Kernel
 from celeryrun.observe import request_context
 from celeryrun.settings import Settings
@@ -47,9 +48,9 @@
         return environ
 
 
-def serve(address: tuple[str, int], app: Any, threads: int, timeout: int) -> Any:
+def serve(address: tuple[str, int], app: Any, threads: int, timeout: int) -> Server:
     """Start a WSGI server with a fixed number of threads and return it."""
-    server = cheroot.wsgi.Server(
+    server = Server(
         address,
         app,
         numthreads=threads,
@@ -103,8 +104,15 @@
             self._server.stop()
 
     def drain(self) -> None:
-        """Finish all that is held; the caller of this waits until nothing is active."""
+        """Go not-ready, and tell callers to close their connections; requests are still taken."""
         self.draining = True
+        if self._server is not None:
+            self._server.draining = True
+
+    def finish(self) -> None:
+        """Stop listening, and return when every accepted request is answered."""
+        if self._server is not None:
+            self._server.finish(lambda: self._active == 0)
 
     def _app(self, environ: dict[str, Any], start_response: StartResponse) -> Iterator[bytes]:
         with self._lock:
@@ -193,6 +201,4 @@
             headers.append(("Request-Id", request_id))
         if length is not None and head.status not in BODILESS_STATUSES:
             headers.append(("Content-Length", str(length)))
-        if self.draining:
-            headers.append(("Connection", "close"))
         start(f"{head.status} {reason}", headers)
--- a/celeryrun/node/_node.py
+++ b/celeryrun/node/_node.py
@@ -21,9 +21,6 @@
 
 __all__ = ["Node"]
 
-DRAIN_PERIOD = 0.1  # s
-READY_PATIENCE = 10.0  # s
-
 log = logbook.Logger("node")
 
 
@@ -38,13 +35,12 @@
         Checked settings.
     """
 
-    __slots__ = ("_draining", "_drained", "_settings", "kernel")
+    __slots__ = ("_draining", "_settings", "kernel")
 
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
         self.kernel = kernel
         self._settings = settings
         self._draining = threading.Event()
-        self._drained = threading.Event()
 
     @classmethod
     def from_config(cls, settings: Settings) -> Node:
@@ -78,12 +74,17 @@
 
     def drain(self) -> None:
         """Begin to leave: no request that is held or still arrives is cut."""
+        self.kernel.find("front").drain()
         self._draining.set()
 
     def _finish(self) -> None:
+        """Hand duties over, serve what the balancer still sends, and finish what is held.
+
+        Peers are kept until the last answer is out: what waits here still needs slots, and what
+        comes late for a keeper is passed on.
+        """
         front = self.kernel.find("front")
         front.drain()
         self.kernel.find("members").drain()
-        until = time.monotonic() + self._settings.node.drain_lag
-        while time.monotonic() < until or front.active:
-            time.sleep(DRAIN_PERIOD)
+        time.sleep(self._settings.node.drain_lag)
+        front.finish()
