--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -34,6 +34,8 @@
 __all__ = ["REUSED", "Runner", "claim_key", "is_known_unrun", "refusal_head"]
 
 AVOID_SECONDS = 1.0
+FIRST_PAUSE = 0.02  # s before a slot is asked for anew, when one could not be used
+LONGEST_PAUSE = 0.5  # s
 CLAIM_TIMEOUT = 3.0  # s that a slot is held while a claim is not resolved
 FAILED = Refusal(500, "node-failed", "the node failed; retry, and tell your operator", 1.0)
 SYNC_TIMEOUT = 1.0  # s for reading the log to its end before "not run" is said of a key
@@ -167,21 +169,22 @@
             raise
 
     def _steps(self) -> Generator[None, None, None]:
+        pause = FIRST_PAUSE
         try:
             if self._request.key:
                 self._held = self._kernel.find("claims").holder(claim_key(self._request))
             elif self._request.named and (yield from self._find_answer()):
                 return
-            ended = False
-            while not ended:
+            while True:
                 if self._held is not None:
                     ended = yield from self._meet(self._held)
-                    continue
-                grant = self._wait_for_slot()
-                if isinstance(grant, Refusal):
-                    ended = self._refuse(grant)
                 else:
-                    ended = yield from self._use(grant)
+                    ended = yield from self._take_turn()
+                if ended:
+                    return
+                if self._held is None:
+                    time.sleep(pause)
+                    pause = min(LONGEST_PAUSE, pause * 2)
         except Exception:
             log.exception("running request {}", self._request.request_id)
             self._fail()
@@ -189,6 +192,13 @@
             if self._won is not None and not self._won.dispatched:
                 self._kernel.find("claims").release(self._won)
 
+    def _take_turn(self) -> Generator[None, None, bool]:
+        """Wait for a slot and use it; returns whether the request has ended."""
+        grant = self._wait_for_slot()
+        if isinstance(grant, Refusal):
+            return self._refuse(grant)
+        return (yield from self._use(grant))
+
     def _fail(self) -> None:
         if self._exchange.finished is not None:
             return
@@ -281,8 +291,10 @@
         started = time.monotonic()
         used, first, whole, tokens = 0.0, -1.0, False, 0
         try:
-            target = self._kernel.find("targets").by_name.get(grant.target)
-            if target is None or target.leaving:
+            targets = self._kernel.find("targets")
+            address = targets.address_of(grant.target, grant.address)
+            if address is None:
+                targets.tell_keeper(grant.target)
                 return False
             if self._request.key and self._won is None:
                 ended = self._claim()
@@ -293,19 +305,19 @@
             check(not self._dispatched, "at-most-one-dispatch", request=self._request.request_id)
             self._dispatched = True
             if self._request.prompt is None:
-                result = self._call(target.address)
+                result = self._call(address)
                 ended = self._finish_call(result, grant)
                 whole = isinstance(result, Answer)
                 used, first = self._request.cost, time.monotonic() - started
             else:
                 stream = EngineStream(
-                    target.address,
+                    address,
                     uuid.uuid4().hex,
                     self._request.prompt.prompt,
                     self._request.prompt.max_tokens,
                     self._request.expires,
                 )
-                ended, used, whole = yield from self._relay(stream, target.address, grant)
+                ended, used, whole = yield from self._relay(stream, address, grant)
                 first, tokens = stream.first, stream.tokens
             return ended
         finally:
