Join the peers' tasks on stop, and let tests silence their own calls again

Cause: pynng aborts the process (pthread_mutex_lock: Invalid argument) if it ends while a task waits in a socket: seen at the end of a run of the whole suite, after which the process had crashed. A node that had drained could end so too.

--- a/celeryrun/node/tests/test_silence.py
+++ b/celeryrun/node/tests/test_silence.py
@@ -3,6 +3,9 @@
 import json
 import threading
 import time
+from contextlib import suppress
+
+import urllib3
 
 from celeryrun.node.tests.test_dispatch import wait_for
 from celeryrun.tests.builders import fresh_key
@@ -10,6 +13,15 @@
 STREAM = {"prompt": "a contract of some length", "max_tokens": 400, "stream": True}
 
 
+def silence(fleet, *names):
+    """Let every open connection to stand-ins go silent, those of this call too."""
+    for name in names:
+        with suppress(urllib3.exceptions.HTTPError):
+            url = fleet.url(name) + "/control"
+            fleet.http.request("POST", url, body=b'{"silent": true, "slow": 0}', timeout=0.3)
+    fleet.http.clear()
+
+
 def in_background(call):
     results = []
     thread = threading.Thread(target=lambda: results.append(call()))
@@ -23,8 +35,7 @@
     )
     engines = ("engine-0", "engine-1")
     wait_for(lambda: any(fleet.call("GET", name, "/record")["running"] for name in engines))
-    for name in engines:
-        fleet.fault(name, silent=True)
+    silence(fleet, *engines)
     thread.join()
     events = answers[0].data.decode().strip().split("\n\n")
     indexes = [json.loads(event.removeprefix("data: "))["index"] for event in events[:-1]]
@@ -43,8 +54,7 @@
         )
     )
     time.sleep(0.2)
-    for name in ("application-0", "application-1"):
-        fleet.fault(name, silent=True, slow=0)
+    silence(fleet, "application-0", "application-1")
     thread.join()
     runs = [
         run
@@ -60,7 +70,7 @@
 
 def test_platform_that_falls_silent_delays_bookings_and_runs_none_twice(fleet):
     keys = [fresh_key() for _ in range(6)]
-    fleet.fault("platform", silent=True)
+    silence(fleet, "platform")
     answers = [
         fleet.request(
             fleet.nodes[number % 3],
--- a/celeryrun/wire/_peers.py
+++ b/celeryrun/wire/_peers.py
@@ -99,6 +99,7 @@
         "_owed",
         "_received_by_name",
         "_stopped",
+        "_tasks",
         "_warned",
         "address",
         "address_by_name",
@@ -117,6 +118,7 @@
         self._outbox_by_name: dict[str, _Outbox] = {}
         self._owed: set[str] = set()
         self._received_by_name: dict[str, Received] = {}
+        self._tasks: list[threading.Thread] = []
         self._warned = 0.0
         self._local: queue.SimpleQueue[Any] = queue.SimpleQueue()
         self._lock = threading.Lock()
@@ -141,7 +143,9 @@
             recv_max_size=MAX_MESSAGE_BYTES,
         )
         for task in (self._receive, self._deliver_local, self._watch):
-            threading.Thread(target=task, name=f"peers{task.__name__}", daemon=True).start()
+            thread = threading.Thread(target=task, name=f"peers{task.__name__}", daemon=True)
+            self._tasks.append(thread)
+            thread.start()
 
     def stop(self) -> None:
         """Close every socket."""
@@ -151,6 +155,9 @@
             for outbox in self._outbox_by_name.values():
                 outbox.socket.close()
             self._outbox_by_name.clear()
+        # The library aborts the process if it ends while a task waits in a socket.
+        for thread in self._tasks:
+            thread.join()
 
     def send(self, name: str, message: Any) -> bool:
         """Send a message; return False if it was dropped at once."""
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -22,9 +22,6 @@
 CONTROL_HEADER = "Stand-In-Control"
 
 
-TEST_PATHS = ("/control", "/record")  # asked by tests, never silenced
-
-
 class Faults:
     """Faults now commanded."""
 
@@ -107,7 +104,7 @@
 
     def stay_silent_if_told(self) -> None:
         """Never answer on a connection that a fault has silenced."""
-        while self.path_only not in TEST_PATHS and self.generation < self.faults.silent_generation:
+        while self.generation < self.faults.silent_generation:
             time.sleep(3600)
 
     def send_json(self, status: int, content: Any, headers: dict[str, str] | None = None) -> None:
