Refuse a request that takes one target after the other down

Cause: a request that crashes its target, sent again by its caller, took every target of the pool. Ruled out: telling every node, gossip (later than the retry), a query that must be waited for. Change: deaths are counted by a hash of workspace, path and body at the pool's keeper and the next in line; refused as not run after two deaths alone, or three in company; whole answers clear; 120 s.

--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -29,6 +29,7 @@
 from celeryrun.front._request import Request
 from celeryrun.kernel import Kernel, check
 from celeryrun.pool._prefix import hash_prefix
+from celeryrun.suspicion import hash_request
 from celeryrun.wire import Grant
 
 __all__ = ["REUSED", "Runner", "claim_key", "is_known_unrun", "refusal_head"]
@@ -119,10 +120,12 @@
         "_dispatched",
         "_exchange",
         "_fetched",
+        "_fingerprint",
         "_gone",
         "_held",
         "_kernel",
         "_request",
+        "_target",
         "_won",
     )
 
@@ -142,6 +145,8 @@
         self._fetched = False
         self._held: Held | None = None
         self._won: Won | None = None
+        self._fingerprint = hash_request(request.plan.workspace, request.path, request.body)
+        self._target = ""
 
     def is_kept(self) -> bool:
         """Tell whether the ended answer is kept for a caller that comes back."""
@@ -256,6 +261,8 @@
         if self._gone.is_set():
             return GONE
         client = self._kernel.find("pools")
+        suspicion = self._kernel.find("suspicion")
+        suspicion.query(request.pool.name, self._fingerprint)
         prefix = hash_prefix(request.prompt.prompt) if request.prompt is not None else ()
         waiter = client.ask(
             request.pool.name,
@@ -274,6 +281,10 @@
         label = metrics.label(request.plan.workspace)
         waited = time.monotonic() - request.arrived
         metrics.queue_wait.labels(label, str(request.plan.tier)).observe(waited)
+        suspect: Refusal | None = suspicion.refusal(self._fingerprint)
+        if suspect is not None and isinstance(result, Grant):
+            client.release(result, 0.0, -1.0, 0.0, True)
+            return suspect
         return result
 
     def _use(self, grant: Grant) -> Generator[None, None, bool]:
@@ -291,6 +302,7 @@
             if time.monotonic() >= self._request.expires:
                 return self._refuse(LATE)
             check(not self._dispatched, "at-most-one-dispatch", request=self._request.request_id)
+            self._target = grant.target
             self._dispatched = True
             if self._request.prompt is None:
                 result = self._call(target.address)
@@ -344,12 +356,18 @@
             case NotDispatched():
                 self._note_not_dispatched(grant, result)
                 return False
-            case Unknown(reason):
+            case Unknown(reason, target_died):
+                self._note_death(target_died)
                 self._unknown(reason)
             case Answer(status, headers, body):
                 self._complete(Head(status, "complete", headers), body)
         return True
 
+    def _note_death(self, target_died: bool) -> None:
+        if target_died:
+            suspicion = self._kernel.find("suspicion")
+            suspicion.report(self._request.pool.name, self._target, self._fingerprint)
+
     def _note_not_dispatched(self, grant: Grant, result: NotDispatched) -> None:
         self._dispatched = False
         if self._won is not None:
@@ -387,7 +405,8 @@
                     case NotDispatched():
                         self._note_not_dispatched(grant, item)
                         return False, 0.0, False
-                    case Unknown(reason):
+                    case Unknown(reason, target_died):
+                        self._note_death(target_died)
                         self._unknown("the caller hung up" if self._gone.is_set() else reason)
                         _cancel_later(address, stream.stream_id)
         return True, self._request.cost, False
@@ -422,6 +441,7 @@
             self._exchange.begin(Head(200, "stream", (("Content-Type", "text/event-stream"),)))
         self._end_event(_StreamEnd("complete"))
         self._exchange.finish(whole=True)
+        self._kernel.find("suspicion").clear(self._request.pool.name, self._fingerprint)
         self._count("complete")
 
     def _end_event(self, end: _StreamEnd) -> None:
@@ -430,6 +450,7 @@
     def _complete(self, head: Head, body: bytes) -> None:
         self._observe_first()
         self._answer(head, body)
+        self._kernel.find("suspicion").clear(self._request.pool.name, self._fingerprint)
         self._count("complete")
 
     def _refuse(self, refusal: Refusal) -> bool:
--- a/celeryrun/node/_node.py
+++ b/celeryrun/node/_node.py
@@ -18,6 +18,7 @@
 from celeryrun.platform import VmList
 from celeryrun.pool import Keepers, PoolClient, Targets
 from celeryrun.settings import Settings
+from celeryrun.suspicion import Suspicion
 from celeryrun.wire import Peers
 
 __all__ = ["Node"]
@@ -62,6 +63,7 @@
         kernel.register("configuration", ConfigurationService.from_config(kernel, settings))
         kernel.register("keepers", Keepers.from_config(kernel, settings))
         kernel.register("pools", PoolClient(kernel))
+        kernel.register("suspicion", Suspicion(kernel))
         kernel.register("claims", ClaimBook.from_config(kernel, settings))
         kernel.register("answers", AnswerService.from_config(kernel, settings))
         kernel.register("hangups", HangupWatch())
--- /dev/null
+++ b/celeryrun/suspicion/_service.py
@@ -0,0 +1,157 @@
+"""Suspicion between nodes: the keeper of a pool judges the requests of that pool."""
+
+from __future__ import annotations
+
+import hashlib
+import threading
+import time
+from collections import OrderedDict
+
+import logbook
+
+from celeryrun.exception import Refusal
+from celeryrun.kernel import Kernel, check
+from celeryrun.membership._rendezvous import rank
+from celeryrun.suspicion._ledger import MAX_REQUESTS, Ledger
+from celeryrun.wire import (
+    SuspicionCleared,
+    SuspicionQuery,
+    SuspicionVerdict,
+    TargetDeath,
+)
+
+__all__ = ["Suspicion", "hash_request"]
+
+SUSPICION_AGE = 120.0  # s
+HOLDERS = 2  # the pool's keeper, and the node that keeps it next
+MAX_QUERIES = 2048
+FINGERPRINT_BYTES = 7
+
+REMEDY = "targets died while they ran this request; change it, or send it again later"
+
+log = logbook.Logger("suspicion")
+
+
+def hash_request(workspace: str, path: str, body: bytes) -> int:
+    """Return what a request is known by when it is sent again.
+
+    Examples
+    --------
+    >>> hash_request("cajas", "/a", b"") == hash_request("cajas", "/a", b"")
+    True
+    >>> hash_request("cajas", "/a", b"") == hash_request("cordillera", "/a", b"")
+    False
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (workspace.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return int.from_bytes(digest.digest(), "big")
+
+
+class Suspicion:
+    """Service that refuses a request which takes one target after the other down.
+
+    A query goes to the pool's keeper, on the same link and before the ask for a slot; only a
+    suspect gets an answer, which so arrives before the grant.
+
+    Parameters
+    ----------
+    age : float
+        Seconds after which a death is forgotten.
+    """
+
+    __slots__ = ("_age", "_kernel", "_ledger", "_lock", "_nodes_by_fingerprint", "_verdicts")
+
+    def __init__(self, kernel: Kernel, age: float = SUSPICION_AGE) -> None:
+        self._age = age
+        self._kernel = kernel
+        self._ledger = Ledger(age)
+        self._lock = threading.Lock()
+        self._nodes_by_fingerprint: OrderedDict[int, tuple[str, ...]] = OrderedDict()
+        # A verdict of 0.0 stands for a suspect on trial, else it is the end of a refusal.
+        self._verdicts: OrderedDict[int, float] = OrderedDict()
+
+    def start(self) -> None:
+        """Begin to judge."""
+        peers = self._kernel.find("peers")
+        peers.handle(SuspicionQuery, self._on_query)
+        peers.handle(SuspicionVerdict, self._on_verdict)
+        peers.handle(TargetDeath, self._on_death)
+        peers.handle(SuspicionCleared, self._on_cleared)
+
+    def stop(self) -> None:
+        """Nothing is held."""
+
+    def query(self, pool: str, fingerprint: int) -> None:
+        """Ask the pool's keeper for what it holds against a request."""
+        self._tell(pool, SuspicionQuery(fingerprint), 1)
+
+    def refusal(self, fingerprint: int) -> Refusal | None:
+        """Return the refusal of a request that must not take another target."""
+        with self._lock:
+            ends = self._verdicts.get(fingerprint, 0.0)
+        remaining = ends - time.monotonic()
+        return Refusal(503, "suspect", REMEDY, remaining) if remaining > 0 else None
+
+    def report(self, pool: str, target: str, fingerprint: int) -> None:
+        """Note that a target died with a request in flight."""
+        log.warning("target {} died with request {:x} in flight", target, fingerprint)
+        self._keep(fingerprint, 0.0)
+        self._tell(pool, TargetDeath(target, fingerprint), HOLDERS)
+
+    def clear(self, pool: str, fingerprint: int) -> None:
+        """Note that a request has completed."""
+        with self._lock:
+            suspect = self._verdicts.pop(fingerprint, None) is not None
+        if suspect:
+            self._tell(pool, SuspicionCleared(fingerprint), HOLDERS)
+
+    def _tell(
+        self, pool: str, message: SuspicionQuery | TargetDeath | SuspicionCleared, count: int
+    ) -> None:
+        live = self._kernel.find("members").live()
+        for name in rank(f"pool/{pool}", live)[:count]:
+            self._kernel.find("peers").send(name, message)
+
+    def _keep(self, fingerprint: int, ends: float) -> None:
+        with self._lock:
+            self._verdicts[fingerprint] = max(ends, self._verdicts.get(fingerprint, 0.0))
+            self._verdicts.move_to_end(fingerprint)
+            while len(self._verdicts) > MAX_REQUESTS:
+                self._verdicts.popitem(last=False)
+
+    def _on_query(self, sender: str, query: SuspicionQuery) -> None:
+        with self._lock:
+            nodes = self._nodes_by_fingerprint.pop(query.fingerprint, ())
+            if sender not in nodes:
+                nodes = (*nodes, sender)
+            self._nodes_by_fingerprint[query.fingerprint] = nodes
+            while len(self._nodes_by_fingerprint) > MAX_QUERIES:
+                self._nodes_by_fingerprint.popitem(last=False)
+        self._answer(query.fingerprint, (sender,))
+
+    def _on_death(self, sender: str, death: TargetDeath) -> None:
+        with self._lock:
+            self._ledger.report(death.fingerprint, death.target, time.monotonic())
+            check(len(self._ledger) <= MAX_REQUESTS, "suspicion-is-bounded")
+            nodes = self._nodes_by_fingerprint.get(death.fingerprint, ())
+        # Copies of it may wait for a slot already.
+        self._answer(death.fingerprint, nodes)
+
+    def _answer(self, fingerprint: int, nodes: tuple[str, ...]) -> None:
+        with self._lock:
+            verdict = self._ledger.judge(fingerprint, time.monotonic())
+        if not verdict.deaths:
+            return
+        retry_after = verdict.retry_after if verdict.refused else 0.0
+        for name in nodes:
+            message = SuspicionVerdict(fingerprint, retry_after)
+            self._kernel.find("peers").send(name, message)
+
+    def _on_verdict(self, sender: str, verdict: SuspicionVerdict) -> None:
+        ends = time.monotonic() + min(verdict.retry_after, self._age)
+        self._keep(verdict.fingerprint, ends if verdict.retry_after > 0 else 0.0)
+
+    def _on_cleared(self, sender: str, cleared: SuspicionCleared) -> None:
+        with self._lock:
+            self._ledger.clear(cleared.fingerprint)
--- /dev/null
+++ b/celeryrun/suspicion/tests/test_ledger.py
@@ -0,0 +1,103 @@
+"""Who is refused after which deaths."""
+
+import random
+
+from celeryrun.suspicion import Ledger
+from celeryrun.suspicion._ledger import MAX_REQUESTS
+
+POISON = 0
+AGE = 60.0
+
+
+def die(ledger, target, now, *fingerprints):
+    for fingerprint in fingerprints:
+        ledger.report(fingerprint, target, now)
+
+
+def refused(ledger, now, *fingerprints):
+    return [item for item in fingerprints if ledger.judge(item, now).refused]
+
+
+def test_bystanders_of_one_death_are_not_refused():
+    ledger = Ledger(AGE)
+    die(ledger, "a", 0.0, *range(20))
+    assert refused(ledger, 1.0, *range(20)) == []
+
+
+def test_several_reports_of_one_death_count_once():
+    ledger = Ledger(AGE)
+    for now in (0.0, 0.2, 0.4):
+        die(ledger, "a", now, POISON)
+    assert ledger.judge(POISON, 1.0).deaths == 1
+
+
+def test_only_the_cause_is_refused_when_the_bystanders_differ():
+    ledger = Ledger(AGE)
+    die(ledger, "a", 0.0, POISON, 1, 2, 3)
+    die(ledger, "b", 5.0, POISON, 4, 5)
+    assert refused(ledger, 6.0, *range(6)) == [POISON]
+
+
+def test_bystander_that_shares_both_deaths_is_cleared_when_it_completes():
+    ledger = Ledger(AGE)
+    die(ledger, "a", 0.0, POISON, 1)
+    die(ledger, "b", 5.0, POISON, 1)
+    assert refused(ledger, 6.0, POISON, 1) == []
+    ledger.clear(1)
+    assert refused(ledger, 6.0, POISON, 1) == [POISON]
+
+
+def test_third_death_refuses_whoever_shares_it():
+    ledger = Ledger(AGE)
+    for number, target in enumerate("abc"):
+        die(ledger, target, number * 5.0, POISON, 1)
+    assert refused(ledger, 20.0, POISON, 1) == [POISON, 1]
+
+
+def test_one_target_that_dies_twice_counts_twice():
+    ledger = Ledger(AGE)
+    die(ledger, "a", 0.0, POISON, 1)
+    ledger.clear(1)
+    die(ledger, "a", 5.0, POISON, 1)
+    assert refused(ledger, 6.0, POISON, 1) == [POISON]
+
+
+def test_mended_request_is_let_in_again():
+    ledger = Ledger(AGE)
+    die(ledger, "a", 0.0, POISON)
+    die(ledger, "b", 30.0, POISON)
+    verdict = ledger.judge(POISON, 40.0)
+    assert verdict.refused and verdict.retry_after == 20.0
+    assert not ledger.judge(POISON, 61.0).refused
+    assert ledger.judge(POISON, 91.0).deaths == 0
+
+
+def test_memory_is_bounded():
+    ledger = Ledger(AGE)
+    for fingerprint in range(3 * MAX_REQUESTS):
+        ledger.report(fingerprint, "a", 0.0)
+    assert len(ledger) == MAX_REQUESTS
+
+
+def run_poison(choices, targets, callers):
+    """Send poison beside callers that try again; return targets lost and innocents refused."""
+    ledger, now, lost, wronged = Ledger(AGE), 0.0, 0, set()
+    while not ledger.judge(POISON, now).refused:
+        in_flight = [caller for caller in callers if choices.random() < 1 / targets]
+        for caller in in_flight:
+            if ledger.judge(caller, now).refused:
+                wronged.add(caller)
+        die(ledger, f"target-{choices.randrange(targets)}", now, POISON, *in_flight)
+        lost += 1
+        for caller in callers:
+            if caller not in in_flight or choices.random() < 0.5:
+                ledger.clear(caller)
+        now += 2.0
+    return lost, len(wronged)
+
+
+def test_poison_takes_three_targets_at_most_and_refuses_no_innocent():
+    for seed in range(200):
+        lost, wronged = run_poison(random.Random(seed), 5, range(1, 30))
+        assert lost <= 3
+        assert wronged == 0
--- a/celeryrun/wire/__init__.py
+++ b/celeryrun/wire/__init__.py
@@ -24,6 +24,10 @@
     PingRequest,
     PoolBeat,
     Shed,
+    SuspicionCleared,
+    SuspicionQuery,
+    SuspicionVerdict,
+    TargetDeath,
     Withdraw,
 )
 from celeryrun.wire._peers import Peers
@@ -54,5 +58,9 @@
     "PoolBeat",
     "Sealer",
     "Shed",
+    "SuspicionCleared",
+    "SuspicionQuery",
+    "SuspicionVerdict",
+    "TargetDeath",
     "Withdraw",
 ]
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -27,6 +27,10 @@
     "PingRequest",
     "PoolBeat",
     "Shed",
+    "SuspicionCleared",
+    "SuspicionQuery",
+    "SuspicionVerdict",
+    "TargetDeath",
     "Withdraw",
 ]
 
@@ -315,6 +319,44 @@
     whole: bool = False
 
 
+class SuspicionQuery(msgspec.Struct, frozen=True, array_like=True, tag=61):
+    """Question what is held against a request; only a suspect gets an answer.
+
+    Parameters
+    ----------
+    fingerprint : int
+        Hash of workspace, path and body.
+    """
+
+    fingerprint: int
+
+
+class SuspicionVerdict(msgspec.Struct, frozen=True, array_like=True, tag=62):
+    """A request is suspect.
+
+    Parameters
+    ----------
+    retry_after : float
+        Seconds for which it is refused, 0 if it may run.
+    """
+
+    fingerprint: int
+    retry_after: float
+
+
+class TargetDeath(msgspec.Struct, frozen=True, array_like=True, tag=63):
+    """A target died with a request in flight."""
+
+    target: str
+    fingerprint: int
+
+
+class SuspicionCleared(msgspec.Struct, frozen=True, array_like=True, tag=64):
+    """A suspect request has completed."""
+
+    fingerprint: int
+
+
 Message = (
     Ping
     | PingAck
@@ -335,4 +377,8 @@
     | AnswerFound
     | AnswerPull
     | AnswerPart
+    | SuspicionQuery
+    | SuspicionVerdict
+    | TargetDeath
+    | SuspicionCleared
 )
