--- a/celeryrun/node/tests/test_silence.py
+++ b/celeryrun/node/tests/test_silence.py
@@ -10,6 +10,12 @@
 STREAM = {"prompt": "a contract of some length", "max_tokens": 400, "stream": True}
 
 
+def silence(fleet, *names):
+    """Let every open connection to stand-ins go silent."""
+    for name in names:
+        fleet.fault(name, silent=True, slow=0)
+
+
 def in_background(call):
     results = []
     thread = threading.Thread(target=lambda: results.append(call()))
@@ -23,8 +29,7 @@
     )
     engines = ("engine-0", "engine-1")
     wait_for(lambda: any(fleet.call("GET", name, "/record")["running"] for name in engines))
-    for name in engines:
-        fleet.fault(name, silent=True)
+    silence(fleet, *engines)
     thread.join()
     events = answers[0].data.decode().strip().split("\n\n")
     indexes = [json.loads(event.removeprefix("data: "))["index"] for event in events[:-1]]
@@ -43,8 +48,7 @@
         )
     )
     time.sleep(0.2)
-    for name in ("application-0", "application-1"):
-        fleet.fault(name, silent=True, slow=0)
+    silence(fleet, "application-0", "application-1")
     thread.join()
     runs = [
         run
@@ -60,7 +64,7 @@
 
 def test_platform_that_falls_silent_delays_bookings_and_runs_none_twice(fleet):
     keys = [fresh_key() for _ in range(6)]
-    fleet.fault("platform", silent=True)
+    silence(fleet, "platform")
     answers = [
         fleet.request(
             fleet.nodes[number % 3],
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -30,6 +30,10 @@
     "PoolBeat",
     "Relayed",
     "Shed",
+    "SuspicionCleared",
+    "SuspicionQuery",
+    "SuspicionVerdict",
+    "TargetDeath",
     "TargetGossip",
     "TargetNews",
     "Withdraw",
@@ -347,7 +351,7 @@
     age: float
 
 
-class TargetGossip(msgspec.Struct, frozen=True, array_like=True, tag=50):
+class TargetGossip(msgspec.Struct, frozen=True, array_like=True, tag=70):
     """News of targets, to the pool's keeper at once and to others with the probes."""
 
     news: tuple[TargetNews, ...]
@@ -361,14 +365,14 @@
     asks: tuple[Ask, ...]
 
 
-class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=51):
+class HandOver(msgspec.Struct, frozen=True, array_like=True, tag=71):
     """A keeper's state, to the node that keeps the pool from here on."""
 
     pool: str
     shares: tuple[NodeShare, ...]
 
 
-class Relayed(msgspec.Struct, frozen=True, array_like=True, tag=52):
+class Relayed(msgspec.Struct, frozen=True, array_like=True, tag=72):
     """A message to a keeper, passed on by a node that does not keep the pool any more.
 
     Parameters
@@ -381,6 +385,44 @@
     message: Ask | Withdraw | Done | PoolBeat
 
 
+class SuspicionQuery(msgspec.Struct, frozen=True, array_like=True, tag=61):
+    """Question what is held against a request; only a suspect gets an answer.
+
+    Parameters
+    ----------
+    fingerprint : int
+        Hash of workspace, path and body.
+    """
+
+    fingerprint: int
+
+
+class SuspicionVerdict(msgspec.Struct, frozen=True, array_like=True, tag=62):
+    """A request is suspect.
+
+    Parameters
+    ----------
+    retry_after : float
+        Seconds for which it is refused, 0 if it may run.
+    """
+
+    fingerprint: int
+    retry_after: float
+
+
+class TargetDeath(msgspec.Struct, frozen=True, array_like=True, tag=63):
+    """A target died with a request in flight."""
+
+    target: str
+    fingerprint: int
+
+
+class SuspicionCleared(msgspec.Struct, frozen=True, array_like=True, tag=64):
+    """A suspect request has completed."""
+
+    fingerprint: int
+
+
 Message = (
     Ping
     | PingAck
@@ -404,4 +446,8 @@
     | TargetGossip
     | HandOver
     | Relayed
+    | SuspicionQuery
+    | SuspicionVerdict
+    | TargetDeath
+    | SuspicionCleared
 )
