Log and count every refusal, violation and library complaint

Cause: cheroot, uncaught thread errors and the standard library wrote plain text between the JSON lines; refusals before admission were not counted; violations were one gauge without a name; a taken address ended in a traceback.

Change: LoggedServer, redirect_output, counters by refusal kind and by invariant, an info line with the request's id for each answer.

--- a/celeryrun/cli/_commands.py
+++ b/celeryrun/cli/_commands.py
@@ -9,6 +9,7 @@
 
 import click
 import msgspec
+import pynng
 from click.shell_completion import ShellComplete, get_completion_class
 
 from celeryrun import __version__
@@ -17,9 +18,10 @@
 from celeryrun.cli._publish import publish_lists, read_lists, wait_in_force
 from celeryrun.cli._status import format_statuses
 from celeryrun.configuration import hash_key
+from celeryrun.exception import CeleryrunError
 from celeryrun.kernel import set_strict
 from celeryrun.node import Node
-from celeryrun.observe import json_handler
+from celeryrun.observe import json_handler, redirect_output
 from celeryrun.settings import Address, load_settings
 
 __all__ = ["main"]
@@ -47,7 +49,12 @@
     signal.signal(signal.SIGINT, lambda *_: running.drain())
     gc.freeze()
     with json_handler(settings.node.name, settings.node.log_level).applicationbound():
-        running.run()
+        redirect_output()
+        try:
+            running.run()
+        except (OSError, pynng.NNGException) as error:
+            reason = f"can't listen ({error}); free the [node] addresses or choose others"
+            raise CeleryrunError(reason) from error
 
 
 @main.command()
--- a/celeryrun/cli/tests/test_commands.py
+++ b/celeryrun/cli/tests/test_commands.py
@@ -3,6 +3,8 @@
 import json
 import re
 import signal
+import subprocess
+import sys
 
 import pytest
 from click.testing import CliRunner
@@ -164,6 +166,14 @@
     assert run("drain", "node-0").exit_code == 2
 
 
+def test_node_says_which_address_is_taken(fleet):
+    settings = fleet.settings_path(fleet.nodes[0])
+    command = [sys.executable, "-m", "celeryrun", "node", str(settings)]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=20)
+    assert result.returncode == 1
+    assert "free the [node] addresses or choose others" in result.stderr
+
+
 def test_drain_by_name_and_by_address(fleet):
     settings = fleet.settings_path(fleet.nodes[0])
     unknown = run("drain", "node-9", "--settings", settings)
--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -16,7 +16,7 @@
 from celeryrun.front._request import Request, admit
 from celeryrun.front._runner import REUSED, Runner, is_known_unrun, refusal_head
 from celeryrun.kernel import Kernel
-from celeryrun.observe import request_context
+from celeryrun.observe import LoggedServer, request_context
 from celeryrun.settings import Settings
 
 __all__ = ["FrontDoor", "serve"]
@@ -48,7 +48,7 @@
 
 def serve(address: tuple[str, int], app: Any, threads: int, timeout: int) -> Any:
     """Start a WSGI server with a fixed number of threads and return it."""
-    server = cheroot.wsgi.Server(
+    server = LoggedServer(
         address,
         app,
         numthreads=threads,
@@ -147,6 +147,7 @@
     def _refuse(
         self, start: StartResponse, refusal: Refusal, request_id: str, known: bool = True
     ) -> Iterator[bytes]:
+        self._kernel.find("metrics").count_refusal(refusal.kind)
         head, body = refusal_head(refusal, known)
         self._start(start, head, request_id, len(body))
         yield body
--- a/celeryrun/front/_operators.py
+++ b/celeryrun/front/_operators.py
@@ -175,7 +175,7 @@
         gauges.labels("waiting").set(waiting)
         gauges.labels("holding").set(holding)
         gauges.labels("version").set(self._kernel.find("configuration").current.version)
-        gauges.labels("invariant violations").set(sum(violations.values()))
+        gauges.labels("ready").set(self.is_ready())
         for what, count in self._kernel.find("peers").counts.items():
             gauges.labels(f"peer messages {what}").set(count)
 
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -453,6 +453,7 @@
         check(is_true, "not-run-is-true", request=self._request.request_id)
         self._answer(*refusal_head(refusal))
         self._count(refusal.kind)
+        self._kernel.find("metrics").count_refusal(refusal.kind)
 
     def _answer(self, head: Head, body: bytes) -> None:
         self._exchange.begin(head)
@@ -482,4 +483,6 @@
         label = metrics.label(self._request.plan.workspace)
         tier = str(self._request.plan.tier)
         metrics.answers.labels(label, tier, outcome).inc()
-        metrics.whole.labels(label, tier).observe(time.monotonic() - self._request.arrived)
+        passed = time.monotonic() - self._request.arrived
+        metrics.whole.labels(label, tier).observe(passed)
+        log.info("answered {} after {:.3f} s", outcome, passed)
--- a/celeryrun/observe/__init__.py
+++ b/celeryrun/observe/__init__.py
@@ -1,6 +1,11 @@
 """Logs and metrics."""
 
-from celeryrun.observe._logging import json_handler, request_context
+from celeryrun.observe._logging import (
+    LoggedServer,
+    json_handler,
+    redirect_output,
+    request_context,
+)
 from celeryrun.observe._metrics import Metrics
 
-__all__ = ["Metrics", "json_handler", "request_context"]
+__all__ = ["LoggedServer", "Metrics", "json_handler", "redirect_output", "request_context"]
--- a/celeryrun/observe/_logging.py
+++ b/celeryrun/observe/_logging.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import sys
+import threading
 from contextlib import AbstractContextManager
+from types import TracebackType
 from typing import Any, TextIO
 
+import cheroot.wsgi
 import logbook
+import logbook.compat
 import msgspec
 
-__all__ = ["json_handler", "request_context"]
+__all__ = ["LoggedServer", "json_handler", "redirect_output", "request_context"]
+
+http_log = logbook.Logger("http")
+process_log = logbook.Logger("process")
 
 LEVEL_BY_NAME = {
     "debug": logbook.DEBUG,
@@ -36,6 +43,31 @@
     return handler
 
 
+class LoggedServer(cheroot.wsgi.Server):
+    """WSGI server whose own complaints are log lines."""
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Log a message of the server."""
+        exc_info = sys.exc_info() if traceback else None
+        http_log.warning("{}", str(msg).strip(), exc_info=exc_info)
+
+
+def redirect_output() -> None:
+    """Log what Python and the libraries would write to standard error themselves."""
+    sys.excepthook = _log_uncaught
+    threading.excepthook = lambda args: _log_uncaught(
+        args.exc_type, args.exc_value or args.exc_type(), args.exc_traceback
+    )
+    logbook.compat.redirect_logging()
+    logbook.compat.redirect_warnings()
+
+
+def _log_uncaught(
+    kind: type[BaseException], error: BaseException, trace: TracebackType | None
+) -> None:
+    process_log.critical("uncaught {}", kind.__name__, exc_info=(kind, error, trace))
+
+
 def request_context(request_id: str, workspace: str) -> AbstractContextManager[Any]:
     """Put a request's id and workspace on every line logged inside the context."""
 
--- a/celeryrun/observe/_metrics.py
+++ b/celeryrun/observe/_metrics.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Iterator
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+from celeryrun.kernel import violations
 
 __all__ = ["Metrics"]
 
@@ -13,6 +18,20 @@
 SECONDS_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.32, 0.5, 1, 2, 5, 15, 60)
 
 
+class _Violations(Collector):
+    """Counts of violated invariants, by name."""
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        family = CounterMetricFamily(
+            "celeryrun_invariant_violations",
+            "Violated invariants; report any",
+            labels=["invariant"],
+        )
+        for invariant, count in sorted(violations.items()):
+            family.add_metric([invariant], count)
+        yield family
+
+
 class Metrics:
     """Service that holds the metrics.
 
@@ -27,6 +46,7 @@
         "first_byte",
         "gauges",
         "queue_wait",
+        "refusals",
         "registry",
         "whole",
     )
@@ -45,6 +65,13 @@
             ("workspace", "tier", "outcome"),
             registry=self.registry,
         )
+        self.refusals = Counter(
+            "celeryrun_refusals",
+            "Requests that were not run, by kind of refusal",
+            ("kind",),
+            registry=self.registry,
+        )
+        self.registry.register(_Violations())
         self.gauges = Gauge(
             "celeryrun_state", "State of the node", ("what",), registry=self.registry
         )
@@ -71,6 +98,18 @@
                 return workspace
             return OTHER
 
+    def count_refusal(self, kind: str) -> None:
+        """Count a request that was not run.
+
+        Examples
+        --------
+        >>> metrics = Metrics()
+        >>> metrics.count_refusal("plan-limit")
+        >>> b'celeryrun_refusals_total{kind="plan-limit"} 1.0' in metrics.text()
+        True
+        """
+        self.refusals.labels(kind).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the exposition format."""
         return generate_latest(self.registry)
--- /dev/null
+++ b/celeryrun/observe/tests/test_observe.py
@@ -0,0 +1,101 @@
+"""Logs and metrics, in memory and of real nodes."""
+
+import io
+import json
+import re
+import socket
+import threading
+
+import logbook
+
+from celeryrun.kernel import check, violations
+from celeryrun.observe import LoggedServer, Metrics, json_handler, redirect_output, request_context
+from celeryrun.observe._metrics import MAX_WORKSPACE_LABELS
+
+
+def test_lines_are_json_whatever_stands_in_them():
+    stream = io.StringIO()
+    with json_handler("node-0", "info", stream).applicationbound():
+        with request_context("id-1", "cajas"):
+            logbook.Logger("test").info("two\nlines and a {}", '"quote"')
+        try:
+            raise ValueError("bad")
+        except ValueError:
+            LoggedServer(("127.0.0.1", 0), None).error_log("oops", traceback=True)
+    first, second = map(json.loads, stream.getvalue().splitlines())
+    assert (first["request_id"], first["workspace"]) == ("id-1", "cajas")
+    assert first["message"] == 'two\nlines and a "quote"'
+    assert second["from"] == "http"
+    assert "ValueError: bad" in second["exception"]
+
+
+def test_uncaught_error_of_a_thread_is_a_line(monkeypatch):
+    monkeypatch.setattr("sys.excepthook", None)
+    monkeypatch.setattr("threading.excepthook", None)
+    monkeypatch.setattr("logbook.compat.redirect_logging", lambda: None)
+    monkeypatch.setattr("logbook.compat.redirect_warnings", lambda: None)
+    redirect_output()
+    stream = io.StringIO()
+    with json_handler("node-0", "info", stream).applicationbound():
+        thread = threading.Thread(target=lambda: 1 / 0)
+        thread.start()
+        thread.join()
+    line = json.loads(stream.getvalue())
+    assert line["message"] == "uncaught ZeroDivisionError"
+    assert "1 / 0" in line["exception"]
+
+
+def test_labels_are_bounded():
+    metrics = Metrics()
+    for number in range(2400):
+        label = metrics.label(f"workspace-{number}")
+        metrics.whole.labels(label, "1").observe(0.1)
+    counts = re.findall(rb"celeryrun_whole_answer_seconds_count\{", metrics.text())
+    assert len(counts) == MAX_WORKSPACE_LABELS + 1
+    other = rb'celeryrun_whole_answer_seconds_count\{tier="1",workspace="other"\} (\S+)'
+    assert float(re.search(other, metrics.text())[1]) == 2400 - MAX_WORKSPACE_LABELS
+
+
+def test_violations_are_counted_by_invariant():
+    check(False, "test-invariant")
+    try:
+        text = Metrics().text()
+    finally:
+        del violations["test-invariant"]
+    assert b'celeryrun_invariant_violations_total{invariant="test-invariant"} 1.0' in text
+
+
+def test_every_line_of_a_nodes_log_is_json_and_requests_are_named(fleet):
+    node = fleet.nodes[0]
+    for number in range(3):
+        headers = {"Request_Id": f"log-{number}"}
+        body = {"prompt": "x", "max_tokens": 1}
+        answer = fleet.request(node, "routes", "POST", "/drafts/v1/generate", body, **headers)
+        assert answer.status == 200
+    fleet.request(node, "routes", "GET", "/nowhere")
+    with socket.create_connection(("127.0.0.1", fleet.port_by_name[node]), 2.0) as broken:
+        broken.sendall(b"\x16\x03\x01 this is no HTTP\r\n\r\n")
+        broken.recv(100)
+    for name in fleet.nodes:
+        lines = (fleet.folder / f"{name}.log").read_text().splitlines()
+        parsed = [json.loads(line) for line in lines]
+        assert parsed
+        assert all({"time", "level", "node", "from", "message"} <= set(line) for line in parsed)
+        if name == node:
+            named = {line.get("request_id") for line in parsed if "answered" in line["message"]}
+            assert {"log-0", "log-1", "log-2"} <= named
+
+
+def test_health_and_metrics_of_a_node(fleet):
+    node = fleet.nodes[1]
+    fleet.request(node, "routes", "GET", "/nowhere")
+    fleet.request(node, "routes", "GET", "/warehouse/stock/crates")
+    base = f"http://127.0.0.1:{fleet.operator_by_name[node]}"
+    assert fleet.http.request("GET", base + "/livez").status == 200
+    assert fleet.http.request("GET", base + "/readyz").status == 200
+    assert fleet.http.request("GET", base + "/other").status == 404
+    text = fleet.http.request("GET", base + "/metrics").data.decode()
+    assert 'celeryrun_refusals_total{kind="unknown-pool"} 1.0' in text
+    assert 'celeryrun_queue_wait_seconds_count{tier="2",workspace="routes"} 1.0' in text
+    assert 'celeryrun_answers_total{outcome="complete",tier="2",workspace="routes"} 1.0' in text
+    assert 'celeryrun_state{what="ready"} 1.0' in text
--- a/proofs/configuration.py
+++ b/proofs/configuration.py
@@ -19,7 +19,7 @@
 
 import urllib3
 
-from celeryrun.configuration import Configuration, Plan, Publisher, hash_key, new_change_id
+from celeryrun.configuration import Configuration, Plan, Pool, Publisher, hash_key, new_change_id
 from celeryrun.exception import CeleryrunError, ConfigurationRejectedError, LogUnavailableError
 from celeryrun.platform import LogClient
 from standins.fleet import PEER_KEY, Fleet, FleetPlan
@@ -33,6 +33,7 @@
 WATCH_PERIOD = 0.15  # s
 START_GRACE = 8.0  # s in which a started node may not answer yet
 MAX_PAUSE = 4.0  # s
+COUNTER = "counter"  # pool whose only plan is a number that each change raises
 WORKSPACES = 40  # kept in the lists; older ones are dropped again
 
 
@@ -57,6 +58,7 @@
         self.quiet_since = time.monotonic()
         self.disturbed_by_node: dict[str, float] = {}
         self.accepted: list[tuple[int, float, str]] = []
+        self.rejected: list[str] = []
         self.digest_by_version: dict[int, str] = {}
         self.seen_by_node: dict[str, tuple[Any, int]] = {}
         self.frozen: set[str] = set()
@@ -74,23 +76,33 @@
 
 
 def with_plan(current: Configuration, workspace: str) -> Configuration:
-    """Return the lists with one more workspace, the oldest dropped if there are many."""
+    """Return the lists with one more workspace, the oldest dropped, and the counter raised."""
     names = sorted(current.plans_by_workspace, key=lambda name: name.rpartition("-")[2])
     kept = names[max(0, len(names) - WORKSPACES) :]
     plans = [current.plans_by_workspace[name] for name in kept]
     plans.append(Plan(workspace, "all", 1, hash_key(workspace)))
-    return Configuration.from_lists(0, tuple(plans), current.pools)
+    counter = Pool(COUNTER, "engine", (str(read_counter(current) + 1),))
+    pools = [pool for pool in current.pools if pool.name != COUNTER]
+    return Configuration.from_lists(0, tuple(plans), (*pools, counter))
+
+
+def read_counter(current: Configuration) -> int:
+    """Return how many changes have raised the counter, each from what it had read."""
+    pool = current.pools_by_name.get(COUNTER)
+    return int(pool.plans[0]) if pool is not None else 0
 
 
 def publish_on(run: Run, name: str, source: random.Random) -> None:
     """Publish one change after the other, repeating those whose outcome is unknown."""
-    number = 0
     while not run.stopped.wait(source.uniform(0.0, 0.4)):
-        number += 1
-        workspace = f"{name}-{number:06}"
+        workspace = f"{name}-{time.monotonic_ns():020}"
         change_id = new_change_id()
-        while not publish_once(run, workspace, change_id):
-            run.counts["unknown, repeated"] += 1
+        try:
+            while not publish_once(run, workspace, change_id):
+                run.counts["unknown, repeated"] += 1
+        except CeleryrunError as error:
+            run.fail(f"publisher {name}: {error}")
+            return
 
 
 def publish_once(run: Run, workspace: str, change_id: str) -> bool:
@@ -101,8 +113,8 @@
         wanted = with_plan(current, workspace)
         outcome = publisher.publish(wanted, change_id, current.version)
     except ConfigurationRejectedError:
-        # A base refused on a repeat may hide an earlier acceptance, which the next try finds.
         run.counts["rejected"] += 1
+        run.rejected.append(workspace)
         return True
     except LogUnavailableError:
         return False
@@ -261,10 +273,15 @@
     versions = [version for version, _, _ in run.accepted]
     if len(set(versions)) != len(versions):
         run.fail("two accepted changes have one version")
+    if read_counter(truth) != len(versions):
+        run.fail(f"{len(versions)} changes accepted, but {read_counter(truth)} took place")
     newest = sorted(run.accepted)[-WORKSPACES // 2 :]
     for version, _, workspace in newest:
         if workspace not in truth.plans_by_workspace:
             run.fail(f"{workspace}, accepted as version {version}, is not in force")
+    for workspace in run.rejected:
+        if workspace in truth.plans_by_workspace:
+            run.fail(f"{workspace}, told to be rejected, is in force")
 
 
 def main() -> None:
