--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,7 @@
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install -q -e '.[dev]'
 	touch $@
+
+build: $(VENV)/.installed
+	rm -rf build
+	$(VENV)/bin/shiv -q --reproducible -c celeryrun -p "/usr/bin/env python3" -o dist/celeryrun .
