--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -155,6 +155,7 @@
     def _refuse(
         self, start: StartResponse, refusal: Refusal, request_id: str, known: bool = True
     ) -> Iterator[bytes]:
+        self._kernel.find("metrics").count_refusal(refusal.kind)
         head, body = refusal_head(refusal, known)
         self._start(start, head, request_id, len(body))
         yield body
--- a/celeryrun/front/_server.py
+++ b/celeryrun/front/_server.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-import cheroot.wsgi
+from celeryrun.observe import LoggedServer
 
 __all__ = ["Server"]
 
@@ -14,7 +14,7 @@
 READ_PATIENCE = 2  # s for a connection on which no whole request has come
 
 
-class Server(cheroot.wsgi.Server):
+class Server(LoggedServer):
     """Server with a fixed number of threads that drains before it stops.
 
     Attributes
