--- a/celeryrun/answers/tests/test_retries.py
+++ b/celeryrun/answers/tests/test_retries.py
@@ -154,3 +154,12 @@
     assert outcome(first()) == "complete"
     assert book(fleet, other, key).data == first().data
     assert len(runs(fleet, key)) == 1
+
+
+def test_refusal_at_the_door_of_a_key_that_may_have_run_is_unknown(fleet):
+    key = fresh_key()
+    book(fleet, fleet.nodes[0], key)
+    refused = book(fleet, fleet.nodes[1], key, Authorization="Bearer nobody")
+    assert (refused.status, outcome(refused)) == (401, "unknown")
+    refused = book(fleet, fleet.nodes[1], "booking-1")
+    assert (refused.status, outcome(refused)) == (400, "not-run")
--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -11,6 +11,7 @@
 import cheroot.wsgi
 import logbook
 
+from celeryrun.claims import key_age
 from celeryrun.exception import Refusal
 from celeryrun.front._answers import AnswerBook, Exchange, Head
 from celeryrun.front._request import Request, admit
@@ -27,6 +28,9 @@
 KEEP_ALIVE = 60  # s
 MIN_SPARE_THREADS = 4
 SPARE_THREADS_SHARE = 10  # one thread in so many is kept for refusing
+EMPTY = Refusal(
+    503, "no-configuration", "this node has no configuration yet; retry, another node has", 1.0
+)
 NODE_FULL = Refusal(
     503, "node-full", "this node has no thread free; retry, another node will take it", 1.0
 )
@@ -121,7 +125,9 @@
         window, now = claims.table.window, claims.now()
         request = admit(environ, configuration, self._settings.limits, window, now)
         if isinstance(request, Refusal):
-            yield from self._refuse(start, request, "")
+            # A retry may be refused here of a call that has run: its plan may have changed since.
+            known = key_age(environ.get("HTTP_IDEMPOTENCY_KEY", ""), now) is None
+            yield from self._refuse(start, request if configuration.version else EMPTY, "", known)
             return
         if self._is_full() and not self._kernel.find("pools").displace(
             request.plan.tier, NODE_FULL
