Ask no dead member for an answer, and count keys that are stuck

Cause: a retry whose holder is known to be dead waited 2 s for four pulls before it was told "unknown" or ran anew.

Change: a member that is dead is not asked; proofs.claims counts such keys after healing (no violation: a node that dies between claim and dispatch leaves one). A test pins that the clock at the door is the log's.

--- a/celeryrun/claims/tests/test_book.py
+++ b/celeryrun/claims/tests/test_book.py
@@ -184,3 +184,12 @@
     assert not book.sync(now, now)
     book._fold(build_claim_page(), time.monotonic())
     assert book.sync(now, now)
+
+
+def test_clock_is_the_logs_and_not_the_nodes():
+    book, _ = build_book()
+    assert abs(book.now() - time.time()) < 60
+    page = build_claim_page()
+    ahead = type(page)(page.first, page.end, page.now + 3600, page.records)
+    book._fold(ahead, time.monotonic())
+    assert 3540 < book.now() - time.time() < 3660
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -231,7 +231,8 @@
 
     def _fetch(self, node: str) -> Generator[None, None, Fetched]:
         answers = self._kernel.find("answers")
-        if node not in self._kernel.find("members").by_name:
+        member = self._kernel.find("members").by_name.get(node)
+        if member is None or member.state == "dead":
             return Fetched.SILENT
         for fetched in answers.fetch(node, self._request, self._exchange, self._request.expires):
             if fetched is not None:
--- a/proofs/claims.py
+++ b/proofs/claims.py
@@ -360,6 +360,17 @@
                 world.send(node, workspace, key, 0)
 
 
+def count_stuck(world: World, runs: list[Run]) -> int:
+    """Count the keys that can't be booked any more though they never ran.
+
+    A node that dies between a claim and its dispatch, or while a release is on its way, leaves one.
+    """
+    ran = {(run.key, run.path) for run in runs}
+    last = {(a.key, a.path): a.outcome for a in world.attempts if a.content == 0}
+    young = {(a.key, a.path) for a in world.attempts if a.sent > time.time() - RETENTION}
+    return sum(last[item] == "unknown" for item in young & set(last) if item not in ran)
+
+
 def failed_nodes(fleet: Fleet) -> list[str]:
     """Return what the nodes themselves found broken."""
     lines = []
@@ -395,6 +406,7 @@
             if item["key"]
         ]
         violations = judge(world.attempts, runs) + failed_nodes(fleet)
+    world.counts["keys never run, unknown after healing"] = count_stuck(world, runs)
     world.counts["attempts"] = len(world.attempts)
     world.counts["keys"] = len({(a.workspace, a.key) for a in world.attempts})
     world.counts["runs"] = len(runs)
