--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,5 @@
 
 build: $(VENV)/.installed
 	rm -rf build
+	mkdir -p dist
 	$(VENV)/bin/shiv -q --reproducible -c celeryrun -p "/usr/bin/env python3" -o dist/celeryrun .
--- a/celeryrun/pool/tests/test_keeper.py
+++ b/celeryrun/pool/tests/test_keeper.py
@@ -39,13 +39,13 @@
 
 
 def ask(node, tier=3, seconds=60.0):
-    return node.pools.ask("drafts", tier, f"w{tier}", 10.0, (), time.monotonic() + seconds)
+    return node.pools.ask("drafts", tier, "w", 10.0, (), time.monotonic() + seconds)
 
 
 def fill(network):
-    """Use every slot, so that what is asked next waits."""
+    """Use every slot by the highest tier, beyond which none goes; what is asked next waits."""
     node = others(network)[0]
-    grants = [node.pools.wait(ask(node)) for _ in range(SLOTS)]
+    grants = [node.pools.wait(ask(node, tier=1)) for _ in range(SLOTS)]
     assert all(isinstance(grant, Grant) for grant in grants)
 
 
