Tell a keeper that was started anew what is held against requests

Ruled out: asking both holders for each request (twice the messages). Change: holders pass on their deaths, with their age, to a node that becomes a holder or has a new incarnation; ledgers are by pool; a node that holds a pool no more forgets.

--- a/celeryrun/suspicion/_ledger.py
+++ b/celeryrun/suspicion/_ledger.py
@@ -5,21 +5,23 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-__all__ = ["Ledger", "Verdict"]
+__all__ = ["Death", "Ledger", "Verdict"]
 
 DEATH_WINDOW = 1.0  # s within which reports of one target tell of one death
 DEATHS_ALONE = 2  # refused if no other request shares both the count and the last death
 DEATHS_AT_MOST = 3  # refused whoever shares them
-MAX_REQUESTS = 1024
+MAX_REQUESTS = 256
 MAX_DEATHS = 4  # remembered for one request
 
 
 @dataclass(frozen=True, slots=True)
-class _Death:
+class Death:
+    """A target that died, and when in monotonic seconds."""
+
     target: str
     time: float
 
-    def is_same(self, other: _Death) -> bool:
+    def is_same(self, other: Death) -> bool:
         return self.target == other.target and abs(self.time - other.time) <= DEATH_WINDOW
 
 
@@ -73,7 +75,7 @@
 
     def __init__(self, age: float) -> None:
         self._age = age
-        self._deaths_by_fingerprint: OrderedDict[int, list[_Death]] = OrderedDict()
+        self._deaths_by_fingerprint: OrderedDict[int, list[Death]] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._deaths_by_fingerprint)
@@ -86,15 +88,24 @@
         now : float
             Monotonic time in seconds.
         """
-        death = _Death(target, now)
+        death = Death(target, now)
         deaths = self._recent(fingerprint, now)
         if not any(known.is_same(death) for known in deaths):
             deaths.append(death)
+            deaths.sort(key=lambda known: known.time)
         self._deaths_by_fingerprint[fingerprint] = deaths[-MAX_DEATHS:]
         self._deaths_by_fingerprint.move_to_end(fingerprint)
         while len(self._deaths_by_fingerprint) > MAX_REQUESTS:
             self._deaths_by_fingerprint.popitem(last=False)
 
+    def deaths(self, now: float) -> list[tuple[int, Death]]:
+        """Return every death that is remembered, with the request that was in flight."""
+        return [
+            (fingerprint, death)
+            for fingerprint in self._deaths_by_fingerprint
+            for death in self._recent(fingerprint, now)
+        ]
+
     def clear(self, fingerprint: int) -> None:
         """Forget what is held against a request, since it has completed."""
         self._deaths_by_fingerprint.pop(fingerprint, None)
@@ -111,11 +122,11 @@
             refused = not self._has_company(fingerprint, deaths[-1], now)
         return Verdict(count, refused, deaths[0].time + self._age - now)
 
-    def _recent(self, fingerprint: int, now: float) -> list[_Death]:
+    def _recent(self, fingerprint: int, now: float) -> list[Death]:
         deaths = self._deaths_by_fingerprint.get(fingerprint, [])
         return [death for death in deaths if death.time + self._age > now]
 
-    def _has_company(self, fingerprint: int, last: _Death, now: float) -> bool:
+    def _has_company(self, fingerprint: int, last: Death, now: float) -> bool:
         others = (other for other in self._deaths_by_fingerprint if other != fingerprint)
         for other in others:
             deaths = self._recent(other, now)
--- a/celeryrun/suspicion/_service.py
+++ b/celeryrun/suspicion/_service.py
@@ -24,6 +24,7 @@
 
 SUSPICION_AGE = 120.0  # s
 HOLDERS = 2  # the pool's keeper, and the node that keeps it next
+HOLDER_PERIOD = 0.3  # s between two looks for new holders
 MAX_QUERIES = 2048
 FINGERPRINT_BYTES = 7
 
@@ -60,13 +61,24 @@
         Seconds after which a death is forgotten.
     """
 
-    __slots__ = ("_age", "_kernel", "_ledger", "_lock", "_nodes_by_fingerprint", "_verdicts")
+    __slots__ = (
+        "_age",
+        "_holders_by_pool",
+        "_kernel",
+        "_ledger_by_pool",
+        "_lock",
+        "_nodes_by_fingerprint",
+        "_stopped",
+        "_verdicts",
+    )
 
     def __init__(self, kernel: Kernel, age: float = SUSPICION_AGE) -> None:
         self._age = age
         self._kernel = kernel
-        self._ledger = Ledger(age)
+        self._holders_by_pool: dict[str, frozenset[tuple[str, int]]] = {}
+        self._ledger_by_pool: dict[str, Ledger] = {}
         self._lock = threading.Lock()
+        self._stopped = threading.Event()
         self._nodes_by_fingerprint: OrderedDict[int, tuple[str, ...]] = OrderedDict()
         # A verdict of 0.0 stands for a suspect on trial, else it is the end of a refusal.
         self._verdicts: OrderedDict[int, float] = OrderedDict()
@@ -78,13 +90,15 @@
         peers.handle(SuspicionVerdict, self._on_verdict)
         peers.handle(TargetDeath, self._on_death)
         peers.handle(SuspicionCleared, self._on_cleared)
+        threading.Thread(target=self._run, name="suspicion", daemon=True).start()
 
     def stop(self) -> None:
-        """Nothing is held."""
+        """End."""
+        self._stopped.set()
 
     def query(self, pool: str, fingerprint: int) -> None:
         """Ask the pool's keeper for what it holds against a request."""
-        self._tell(pool, SuspicionQuery(fingerprint), 1)
+        self._tell(pool, SuspicionQuery(pool, fingerprint), 1)
 
     def refusal(self, fingerprint: int) -> Refusal | None:
         """Return the refusal of a request that must not take another target."""
@@ -97,22 +111,50 @@
         """Note that a target died with a request in flight."""
         log.warning("target {} died with request {:x} in flight", target, fingerprint)
         self._keep(fingerprint, 0.0)
-        self._tell(pool, TargetDeath(target, fingerprint), HOLDERS)
+        self._tell(pool, TargetDeath(pool, target, fingerprint, 0.0), HOLDERS)
 
     def clear(self, pool: str, fingerprint: int) -> None:
         """Note that a request has completed."""
         with self._lock:
             suspect = self._verdicts.pop(fingerprint, None) is not None
         if suspect:
-            self._tell(pool, SuspicionCleared(fingerprint), HOLDERS)
+            self._tell(pool, SuspicionCleared(pool, fingerprint), HOLDERS)
 
     def _tell(
         self, pool: str, message: SuspicionQuery | TargetDeath | SuspicionCleared, count: int
     ) -> None:
-        live = self._kernel.find("members").live()
-        for name in rank(f"pool/{pool}", live)[:count]:
+        for name in self._holders(pool)[:count]:
             self._kernel.find("peers").send(name, message)
 
+    def _holders(self, pool: str) -> list[str]:
+        return rank(f"pool/{pool}", self._kernel.find("members").live())[:HOLDERS]
+
+    def _run(self) -> None:
+        while not self._stopped.wait(HOLDER_PERIOD):
+            for pool in list(self._ledger_by_pool):
+                self._tell_new_holders(pool)
+
+    def _tell_new_holders(self, pool: str) -> None:
+        """Pass on what is held against a pool's requests; a node started anew knows nothing."""
+        members = self._kernel.find("members")
+        by_name = members.by_name
+        if members.me.name not in self._holders(pool):
+            with self._lock:
+                del self._ledger_by_pool[pool]
+            return
+        holders = frozenset(
+            (name, by_name[name].incarnation) for name in self._holders(pool) if name in by_name
+        )
+        fresh = holders - self._holders_by_pool.get(pool, frozenset())
+        self._holders_by_pool[pool] = holders
+        now = time.monotonic()
+        with self._lock:
+            deaths = self._ledger_by_pool[pool].deaths(now) if fresh else []
+        for name, _ in fresh:
+            for fingerprint, death in deaths:
+                message = TargetDeath(pool, death.target, fingerprint, now - death.time)
+                self._kernel.find("peers").send(name, message)
+
     def _keep(self, fingerprint: int, ends: float) -> None:
         with self._lock:
             self._verdicts[fingerprint] = max(ends, self._verdicts.get(fingerprint, 0.0))
@@ -128,19 +170,23 @@
             self._nodes_by_fingerprint[query.fingerprint] = nodes
             while len(self._nodes_by_fingerprint) > MAX_QUERIES:
                 self._nodes_by_fingerprint.popitem(last=False)
-        self._answer(query.fingerprint, (sender,))
+        self._answer(query.pool, query.fingerprint, (sender,))
 
     def _on_death(self, sender: str, death: TargetDeath) -> None:
         with self._lock:
-            self._ledger.report(death.fingerprint, death.target, time.monotonic())
-            check(len(self._ledger) <= MAX_REQUESTS, "suspicion-is-bounded")
+            ledger = self._ledger_by_pool.setdefault(death.pool, Ledger(self._age))
+            ledger.report(death.fingerprint, death.target, time.monotonic() - death.age)
+            check(len(ledger) <= MAX_REQUESTS, "suspicion-is-bounded")
             nodes = self._nodes_by_fingerprint.get(death.fingerprint, ())
         # Copies of it may wait for a slot already.
-        self._answer(death.fingerprint, nodes)
+        self._answer(death.pool, death.fingerprint, nodes)
 
-    def _answer(self, fingerprint: int, nodes: tuple[str, ...]) -> None:
+    def _answer(self, pool: str, fingerprint: int, nodes: tuple[str, ...]) -> None:
         with self._lock:
-            verdict = self._ledger.judge(fingerprint, time.monotonic())
+            ledger = self._ledger_by_pool.get(pool)
+            if ledger is None:
+                return
+            verdict = ledger.judge(fingerprint, time.monotonic())
         if not verdict.deaths:
             return
         retry_after = verdict.retry_after if verdict.refused else 0.0
@@ -154,4 +200,6 @@
 
     def _on_cleared(self, sender: str, cleared: SuspicionCleared) -> None:
         with self._lock:
-            self._ledger.clear(cleared.fingerprint)
+            ledger = self._ledger_by_pool.get(cleared.pool)
+            if ledger is not None:
+                ledger.clear(cleared.fingerprint)
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -394,6 +394,7 @@
         Hash of workspace, path and body.
     """
 
+    pool: str
     fingerprint: int
 
 
@@ -411,15 +412,24 @@
 
 
 class TargetDeath(msgspec.Struct, frozen=True, array_like=True, tag=63):
-    """A target died with a request in flight."""
+    """A target died with a request in flight.
 
+    Parameters
+    ----------
+    age : float
+        Seconds since then.
+    """
+
+    pool: str
     target: str
     fingerprint: int
+    age: float
 
 
 class SuspicionCleared(msgspec.Struct, frozen=True, array_like=True, tag=64):
     """A suspect request has completed."""
 
+    pool: str
     fingerprint: int
 
 
