Let threads of a node take shorter turns

Cause: a node works off each request in many short steps of many threads, and with all of a core used a thread may hold the interpreter for 5 ms while others wait for it at each system call. Change: sys.setswitchinterval(0.0005) in the node.

--- a/celeryrun/node/_node.py
+++ b/celeryrun/node/_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 import time
 
@@ -23,6 +24,8 @@
 
 __all__ = ["Node"]
 
+SWITCH_INTERVAL = 0.0005  # s
+
 log = logbook.Logger("node")
 
 
@@ -69,6 +72,8 @@
 
     def run(self) -> None:
         """Start, serve until drained, and stop."""
+        # Requests take many short steps in many threads; a long turn of one delays all others.
+        sys.setswitchinterval(SWITCH_INTERVAL)
         self.kernel.start()
         log.info("node {} serves", self._settings.node.name)
         self._draining.wait()
