--- a/celeryrun/cli/_publish.py
+++ b/celeryrun/cli/_publish.py
@@ -48,12 +48,14 @@
     """Wait until every node has a version in force, and report which have; else end the process."""
     until = time.monotonic() + patience
     while True:
+        # The last look begins after the patience, so that a slow one is not reported as it began.
+        is_last = time.monotonic() > until
         statuses = fetch_statuses(settings)
         behind = {name: item for name, item in statuses.items() if not _has(item, version)}
         if statuses and not behind:
             click.echo(f"in force on all {len(statuses)} nodes: {', '.join(statuses)}")
             return
-        if time.monotonic() > until:
+        if is_last:
             break
         time.sleep(STATUS_PERIOD)
     there = [name for name in statuses if name not in behind]
--- a/proofs/configuration.py
+++ b/proofs/configuration.py
@@ -45,8 +45,10 @@
 
     Attributes
     ----------
-    quiet_since : float
-        Monotonic time from which on the log has answered without a fault.
+    healthy_since : float or None
+        Monotonic time from which on the log has answered without a fault; None while it does not.
+    healthy_before : float
+        Seconds that the log was without a fault before that.
     disturbed_by_node : dict
         Monotonic time until which a node may be late, for it was frozen or started.
     """
@@ -58,7 +60,8 @@
         self.failures: list[str] = []
         self.stopped = threading.Event()
         self.lock = threading.Lock()
-        self.quiet_since = time.monotonic()
+        self.healthy_since: float | None = time.monotonic()
+        self.healthy_before = 0.0
         self.disturbed_by_node: dict[str, float] = {}
         self.accepted: list[tuple[int, float, str]] = []
         self.rejected: list[str] = []
@@ -66,6 +69,16 @@
         self.seen_by_node: dict[str, tuple[Any, int]] = {}
         self.frozen: set[str] = set()
 
+    def healthy(self) -> float:
+        """Return the seconds for which the log has been without a fault, in all."""
+        since = self.healthy_since
+        return self.healthy_before + (time.monotonic() - since if since is not None else 0.0)
+
+    def set_healthy(self, healthy: bool) -> None:
+        """Note that a fault of the log begins or ends."""
+        self.healthy_before = self.healthy()
+        self.healthy_since = time.monotonic() if healthy else None
+
     def fail(self, text: str) -> None:
         """Note a violation."""
         with self.lock:
@@ -123,7 +136,7 @@
         return False
     run.counts["accepted"] += 1
     with run.lock:
-        run.accepted.append((outcome.version, time.monotonic(), workspace))
+        run.accepted.append((outcome.version, run.healthy(), workspace))
     return True
 
 
@@ -165,17 +178,18 @@
         run.fail(f"{name} has another content at version {version}")
     if status["violations"]:
         run.fail(f"{name} counts {status['violations']}")
+    run.counts["polls that ask for a version"] += status["ready"] and wanted > 0
     if status["ready"] and version < wanted:
-        run.fail(f"{name} is ready with {version}, but {wanted} was accepted {IN_FORCE} s ago")
+        run.fail(f"{name} is ready with {version}, but {wanted} was accepted {IN_FORCE:g} s ago")
 
 
 def required_version(run: Run, name: str) -> int:
     """Return the version that a ready node must have by now."""
-    now = time.monotonic()
-    if now - run.quiet_since < IN_FORCE or now < run.disturbed_by_node.get(name, 0.0):
+    if time.monotonic() < run.disturbed_by_node.get(name, 0.0):
         return 0
+    latest = run.healthy() - IN_FORCE
     with run.lock:
-        return max((v for v, when, _ in run.accepted if now - when > IN_FORCE), default=0)
+        return max((version for version, when, _ in run.accepted if when < latest), default=0)
 
 
 def freeze(run: Run, name: str) -> None:
@@ -219,11 +233,11 @@
 
 def disturb_log(run: Run, **faults: Any) -> None:
     """Command a fault of the log for a while."""
-    run.quiet_since = float("inf")
+    run.set_healthy(False)
     control(run, **faults)
     run.stopped.wait(run.random.uniform(0.5, MAX_PAUSE))
     control(run, **dict.fromkeys(faults, 0))
-    run.quiet_since = time.monotonic()
+    run.set_healthy(True)
 
 
 def control(run: Run, **faults: Any) -> None:
