Choose the target that is fastest as it is loaded now

Cause: ties went to the first name, and unlike speeds were not seen: equal parts of slots used count as equal although one engine is half as fast. Ruled out: least outstanding, the same fault. Change: after cached prefix, the least seconds for each token expected at the target's next level; then load, then chance.

--- a/bench/_report.py
+++ b/bench/_report.py
@@ -23,13 +23,21 @@
     tiers = " ".join(f"{tier}:{group.part():.3f}" for tier, group in sorted(result.by_tier.items()))
     print(
         f"{result.deployment:10} {result.load:18} {result.policy:17} seed {result.seed}"
-        f" tiers {tiers} outside {result.outside.part():.3f} p95 {result.outside.p95():.3f}"
+        f" tiers {tiers} outside {result.outside.part():.3f} p95 {_p95s(result)}"
         f" work {result.work_rate:.3f}/{result.offered_rate:.2f} wasted {result.wasted:.3f}"
         f" lag {result.lag * 1000:.0f}ms {result.statuses}",
         flush=True,
     )
 
 
+def _p95s(result: Result) -> str:
+    return " ".join(
+        f"{name[:-7]}:{group.p95():.3f}"
+        for name, group in sorted(result.by_workspace.items())
+        if name.endswith("/drafts")
+    )
+
+
 class Table:
     """Runs found by deployment, load, policy and seed."""
 
--- a/celeryrun/pool/_choice.py
+++ b/celeryrun/pool/_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from celeryrun.pool._queue import Waiting
@@ -14,7 +15,7 @@
 
 
 def choose_target(state: PoolState, waiting: Waiting, free: list[Target]) -> Target:
-    """Return the target with the longest prefix believed cached, then the least loaded.
+    """Return the target with the longest prefix believed cached, then the fastest as loaded now.
 
     Parameters
     ----------
@@ -26,9 +27,10 @@
         Targets with a free slot, at least one.
     """
 
-    def preference(target: Target) -> tuple[int, float, str]:
+    def preference(target: Target) -> tuple[int, float, float, float]:
         cached = state.belief.cached_blocks(target.name, waiting.prefix)
-        load = state.in_flight(target.name) / state.limit_by_target[target.name].slots
-        return (-cached, load, target.name)
+        limit, running = state.limit_by_target[target.name], state.in_flight(target.name)
+        gap = limit.expected_gap(running + 1)
+        return (-cached, gap, running / limit.slots, random.random())
 
     return min(free, key=preference)
