Let higher tiers and small workspaces go a little beyond a full target

Ruled out: slots kept free for urgent work (costs goodput at all other times). Change: beyond a target's limit, up to a quarter of it, a tier may take as many slots as lower tiers hold, and a workspace that runs less than an equal part may follow.

--- a/celeryrun/pool/_queue.py
+++ b/celeryrun/pool/_queue.py
@@ -8,7 +8,7 @@
 from celeryrun.kernel import check
 from celeryrun.pool._heap import LazyHeap
 
-__all__ = ["FairQueue", "Waiting"]
+__all__ = ["LOWEST_TIER", "FairQueue", "Waiting"]
 
 WEIGHT_BY_TIER = {1: 16.0, 2: 4.0, 3: 1.0}
 LOWEST_TIER = max(WEIGHT_BY_TIER)
@@ -181,19 +181,22 @@
         lowest : int
             Number of the lowest tier that may be served.
         """
-        tiers = [tier for tier in self._busy_tiers() if tier.number <= lowest]
-        if not tiers:
+        found = self._next(lowest)
+        if found is None:
             return None
-        tier = min(tiers, key=lambda tier: (tier.virtual, tier.number))
+        tier, lane = found
         self.virtual = max(self.virtual, tier.virtual)
-        lane = tier.least.first()
-        assert lane is not None
         tier.floor = max(tier.floor, lane.served)
         waiting = next(iter(lane.waiting_by_key.values()))
         tier.charge(lane, waiting.cost)
         self._forget(waiting)
         return waiting
 
+    def peek(self) -> Waiting | None:
+        """Return the ask to be served next."""
+        found = self._next(LOWEST_TIER)
+        return None if found is None else next(iter(found[1].waiting_by_key.values()))
+
     def correct(self, tier_number: int, workspace: str, difference: float) -> None:
         """Charge the difference between the work done and the estimate."""
         tier = self.tier_by_number[tier_number]
@@ -222,6 +225,10 @@
         self._forget(waiting)
         return waiting
 
+    def has_waiting(self, lowest: int) -> bool:
+        """Tell whether anything waits of a tier or of a higher one."""
+        return any(tier.number <= lowest for tier in self._busy_tiers())
+
     def waiting_below(self, tier_number: int) -> int:
         """Count the asks of lower tiers than one."""
         return sum(tier.size for tier in self._busy_tiers() if tier.number > tier_number)
@@ -244,6 +251,15 @@
         """Count the asks of one workspace."""
         return self._count_by_workspace[workspace]
 
+    def _next(self, lowest: int) -> tuple[_Tier, _Lane] | None:
+        tiers = [tier for tier in self._busy_tiers() if tier.number <= lowest]
+        if not tiers:
+            return None
+        tier = min(tiers, key=lambda tier: (tier.virtual, tier.number))
+        lane = tier.least.first()
+        assert lane is not None
+        return tier, lane
+
     def _busy_tiers(self) -> list[_Tier]:
         return [tier for tier in self.tier_by_number.values() if tier.size]
 
--- a/celeryrun/pool/_state.py
+++ b/celeryrun/pool/_state.py
@@ -5,19 +5,20 @@
 import itertools
 import random
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass
 
 from celeryrun.pool._choice import choose_target
 from celeryrun.pool._limit import SlotLimit
 from celeryrun.pool._prefix import PrefixBelief
-from celeryrun.pool._queue import FairQueue, Waiting
+from celeryrun.pool._queue import LOWEST_TIER, FairQueue, Waiting
 from celeryrun.pool._targets import Target
 from celeryrun.wire import Ask, Done, Hold, NodeShare
 
 __all__ = ["Granted", "PoolState"]
 
 SLOTS_BY_KIND = {"engine": 8.0, "application": 16.0}
+HEADROOM = 0.25  # of a limit, for higher tiers and small workspaces while others hold it
 MIN_GAP = 0.0001  # s
 CALL_TOKENS = 8  # that a call of an application counts as when its target's limit is learned
 
@@ -61,6 +62,8 @@
         "_ids",
         "_in_flight_by_target",
         "_lease",
+        "_running",
+        "_running_by_workspace",
         "_usage_by_target",
         "belief",
         "epoch",
@@ -86,6 +89,8 @@
         self._lease = lease
         self._ids = itertools.count(1)
         self._in_flight_by_target: dict[str, int] = {}
+        self._running: Counter[tuple[str, int]] = Counter()
+        self._running_by_workspace: Counter[str] = Counter()
         self._usage_by_target: dict[str, tuple[float, float]] = {}
 
     def in_flight(self, target: str) -> int:
@@ -94,8 +99,7 @@
 
     def outstanding(self, workspace: str) -> int:
         """Count a workspace's requests that wait or run."""
-        running = sum(1 for held in self.granted_by_id.values() if held.workspace == workspace)
-        return running + self.queue.of_workspace(workspace)
+        return self._running_by_workspace[workspace] + self.queue.of_workspace(workspace)
 
     def next_grant(self, kind: str, targets: list[Target]) -> tuple[int, Waiting, Target] | None:
         """Grant a slot to the ask served next, or return None if nothing can be granted.
@@ -107,8 +111,7 @@
         targets : list of Target
             All targets of the pool.
         """
-        free = [target for target in targets if self._has_slot(kind, target)]
-        waiting = self.queue.pop() if free else None
+        waiting, free = self._next_served(kind, targets)
         if waiting is None:
             return None
         target = choose_target(self, waiting, free)
@@ -201,6 +204,36 @@
         lapsed = [grant for grant, item in self.granted_by_id.items() if item.expires <= now]
         return [self._remove(grant) for grant in lapsed]
 
+    def _next_served(self, kind: str, targets: list[Target]) -> tuple[Waiting | None, list[Target]]:
+        """Take the ask served next, with the targets that it may have."""
+        free = [target for target in targets if self._has_slot(kind, target)]
+        if free:
+            return self.queue.pop(), free
+        for tier in range(1, LOWEST_TIER):
+            if self.queue.has_waiting(tier):
+                spare = [target for target in targets if self._has_headroom(target, tier)]
+                if spare:
+                    return self.queue.pop(tier), spare
+        first = self.queue.peek()
+        if first is not None and self._is_small(first.workspace):
+            spare = [target for target in targets if self._has_headroom(target, 0)]
+            if spare:
+                return self.queue.pop(), spare
+        return None, []
+
+    def _has_headroom(self, target: Target, tier: int) -> bool:
+        """Tell whether a tier may go beyond the limit where tiers below it hold slots."""
+        limit = self.limit_by_target[target.name].slots
+        below = range(tier + 1, LOWEST_TIER + 1)
+        lower = sum(self._running[target.name, number] for number in below)
+        most = int(limit) + min(lower, max(1, int(limit * HEADROOM)))
+        return target.is_usable() and self.in_flight(target.name) < most
+
+    def _is_small(self, workspace: str) -> bool:
+        """Tell whether a workspace runs less than an equal part of what runs."""
+        running = self._running_by_workspace
+        return running[workspace] * len(running) < len(self.granted_by_id)
+
     def _learn(self, granted: Granted, done: Done) -> None:
         limit = self.limit_by_target.get(granted.target)
         lasted = time.monotonic() - granted.since
@@ -231,9 +264,15 @@
         granted.usage = self._usage(granted.target)
         self.granted_by_id[grant] = granted
         self._in_flight_by_target[granted.target] = self.in_flight(granted.target) + 1
+        self._running[granted.target, granted.tier] += 1
+        self._running_by_workspace[granted.workspace] += 1
 
     def _remove(self, grant: int) -> Granted:
         granted = self.granted_by_id.pop(grant)
         self._usage(granted.target)
         self._in_flight_by_target[granted.target] -= 1
+        self._running[granted.target, granted.tier] -= 1
+        self._running_by_workspace[granted.workspace] -= 1
+        if not self._running_by_workspace[granted.workspace]:
+            del self._running_by_workspace[granted.workspace]
         return granted
