Refuse an ask that no target can end by its deadline

Cause: wasted prefill of 0.015 to 0.025 in floods, since an ask may be dispatched too late to end. Change: steps for each workspace are learned as a proportion of its estimate; where no target, as loaded now, ends an ask in time and nothing lower waits, it is refused without a dispatch. Ruled out: refusing a higher tier while a lower waits (shed order).

--- a/celeryrun/pool/_keeper.py
+++ b/celeryrun/pool/_keeper.py
@@ -265,6 +265,8 @@
         targets = self._kernel.find("targets").of_pool(state.name)
         while True:
             granted = state.next_grant(pool.kind, targets)
+            for hopeless in state.take_hopeless():
+                self._refuse(state, hopeless, "deadline")
             if granted is None:
                 return
             grant, waiting, target = granted
--- a/celeryrun/pool/_state.py
+++ b/celeryrun/pool/_state.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
 from celeryrun.pool._choice import choose_target
+from celeryrun.pool._estimate import LengthEstimates
 from celeryrun.pool._limit import SlotLimit
 from celeryrun.pool._prefix import PrefixBelief
 from celeryrun.pool._queue import LOWEST_TIER, FairQueue, Waiting
@@ -69,11 +71,13 @@
         "epoch",
         "granted_by_id",
         "heard_by_node",
+        "hopeless",
         "limit_by_target",
         "listens_until",
         "name",
         "queue",
         "started",
+        "steps",
     )
 
     def __init__(self, name: str, lease: float, grace: float = 0.0) -> None:
@@ -86,6 +90,8 @@
         self.heard_by_node: dict[str, float] = {}
         self.limit_by_target: dict[str, SlotLimit] = {}
         self.belief = PrefixBelief()
+        self.steps = LengthEstimates()
+        self.hopeless: list[Waiting] = []
         self._lease = lease
         self._ids = itertools.count(1)
         self._in_flight_by_target: dict[str, int] = {}
@@ -112,6 +118,9 @@
             All targets of the pool.
         """
         waiting, free = self._next_served(kind, targets)
+        while waiting is not None and self._is_hopeless(waiting, targets):
+            self.hopeless.append(waiting)
+            waiting, free = self._next_served(kind, targets)
         if waiting is None:
             return None
         target = choose_target(self, waiting, free)
@@ -204,6 +213,28 @@
         lapsed = [grant for grant, item in self.granted_by_id.items() if item.expires <= now]
         return [self._remove(grant) for grant in lapsed]
 
+    def take_hopeless(self) -> list[Waiting]:
+        """Return the asks that were taken out since they could not meet their deadline."""
+        taken, self.hopeless = self.hopeless, []
+        return taken
+
+    def _is_hopeless(self, waiting: Waiting, targets: list[Target]) -> bool:
+        """Tell whether no target can meet an ask's deadline.
+
+        While lower tiers wait it is not told, so that load never refuses a higher tier first.
+        """
+        steps = self.steps.steps(waiting.workspace, waiting.cost)
+        if not steps or self.queue.waiting_below(waiting.tier):
+            return False
+        remaining = waiting.expires - time.monotonic()
+        return all(steps * self._expected_gap(target) > remaining for target in targets)
+
+    def _expected_gap(self, target: Target) -> float:
+        limit = self.limit_by_target.get(target.name)
+        if limit is None or not target.is_usable():
+            return math.inf
+        return limit.expected_gap(self.in_flight(target.name) + 1)
+
     def _next_served(self, kind: str, targets: list[Target]) -> tuple[Waiting | None, list[Target]]:
         """Take the ask served next, with the targets that it may have."""
         free = [target for target in targets if self._has_slot(kind, target)]
@@ -240,6 +271,9 @@
         if limit is None or not granted.since or lasted <= 0 or done.elapsed <= 0:
             return
         level = (self._usage(granted.target) - granted.usage) / lasted
+        expected = limit.expected_gap(max(1, round(level)))
+        if expected:
+            self.steps.observe(granted.workspace, granted.cost, done.elapsed / expected)
         if done.tokens > 1:
             gap = (done.elapsed - done.first) / (done.tokens - 1)
             limit.observe(level, max(MIN_GAP, gap), done.tokens - 1)
