--- a/celeryrun/pool/_limit.py
+++ b/celeryrun/pool/_limit.py
@@ -11,6 +11,7 @@
 BUSY_MARGIN = 1.5  # slots below the limit that still count as full
 COMPARED_SHARE = 0.75  # of a level, with which its rate is compared
 LEAST_GAIN = 0.35  # relative gain of rate for a relative gain of slots
+START_GAIN = 0.5  # slots for each answer until the first fall
 INERTIA = 64.0  # tokens that an average looks back upon
 
 
@@ -21,7 +22,7 @@
     requests slow down together. By Little's law [1]_ the throughput at a level is the number in
     flight divided by the seconds that each takes for a token. The limit climbs while a relative
     gain of slots brings a relative gain of throughput, and falls when it does not, as congestion
-    control does with the gradient of delay [2]_.
+    control does with the gradient of delay [2]_. Until it first falls it climbs fast.
 
     Parameters
     ----------
@@ -35,7 +36,7 @@
     >>> limit.observe(level=4.0, gap=0.02, tokens=50)
     >>> limit.slots > 4.0
     True
-    >>> for _ in range(20):
+    >>> for _ in range(30):
     ...     limit.observe(level=5.0, gap=0.04, tokens=50)
     >>> limit.slots < 4.0
     True
@@ -47,11 +48,12 @@
        IEEE Journal on Selected Areas in Communications 13, 1995.
     """
 
-    __slots__ = ("_rate_by_level", "slots")
+    __slots__ = ("_rate_by_level", "_starting", "slots")
 
     def __init__(self, slots: float) -> None:
         self.slots = slots
         self._rate_by_level: dict[int, float] = {}
+        self._starting = True
 
     def observe(self, level: float, gap: float, tokens: int) -> None:
         """Learn from one whole answer.
@@ -70,8 +72,11 @@
         known = self._rate_by_level.get(number, rate)
         self._rate_by_level[number] = known + (rate - known) * tokens / (tokens + INERTIA)
         if level >= self.slots - BUSY_MARGIN:
-            change = 1.0 if self._gain(number) > LEAST_GAIN else -1.0
-            self.slots = min(MAX_SLOTS, max(MIN_SLOTS, self.slots + change / self.slots))
+            gains = self._gain(number) > LEAST_GAIN
+            self._starting = self._starting and gains
+            step = START_GAIN if self._starting else 1.0 / self.slots
+            changed = self.slots + (step if gains else -step)
+            self.slots = min(MAX_SLOTS, max(MIN_SLOTS, changed))
 
     def expected_gap(self, level: int) -> float:
         """Return the seconds for each token at a level, 0 while nothing is known."""
--- a/celeryrun/pool/_state.py
+++ b/celeryrun/pool/_state.py
@@ -19,7 +19,7 @@
 
 __all__ = ["Granted", "PoolState"]
 
-SLOTS_BY_KIND = {"engine": 8.0, "application": 16.0}
+SLOTS_BY_KIND = {"engine": 4.0, "application": 4.0}
 HEADROOM = 0.25  # of a limit, for higher tiers and small workspaces while others hold it
 MIN_GAP = 0.0001  # s
 CALL_TOKENS = 8  # that a call of an application counts as when its target's limit is learned
