--- a/celeryrun/front/_operators.py
+++ b/celeryrun/front/_operators.py
@@ -105,7 +105,8 @@
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
         caught_up = self._kernel.find("configuration").caught_up.is_set()
-        return caught_up and not self._kernel.find("front").draining
+        joined = self._kernel.find("members").is_joined()
+        return joined and caught_up and not self._kernel.find("front").draining
 
     def status(self) -> Status:
         """Return the status of this node."""
--- a/celeryrun/membership/_swim.py
+++ b/celeryrun/membership/_swim.py
@@ -48,6 +48,7 @@
         "_acked",
         "_duty_by_key",
         "_kernel",
+        "_list_seen",
         "_live",
         "_lock",
         "_probe",
@@ -74,6 +75,7 @@
         self._acked: dict[int, threading.Event] = {}
         self._probes_by_relay: dict[int, tuple[str, int]] = {}
         self._live: list[str] | None = None
+        self._list_seen = False
         self._duty_by_key: dict[str, str | None] = {}
         self._told: list[str] = [node.name]
         self.watchers: list[Callable[[], None]] = []
@@ -142,6 +144,14 @@
         """Tell whether this node has a duty."""
         return self.duty(key) == self.me.name
 
+    def is_joined(self) -> bool:
+        """Tell whether another node was heard, or the platform's list shows no other."""
+        with self._lock:
+            others = [member for member in self.by_name.values() if member is not self.me]
+            if any(member.is_answering() for member in others):
+                return True
+            return self._list_seen and not any(member.list_state for member in others)
+
     def is_whole(self) -> bool:
         """Tell whether every node on the platform's list is heard, as far as this node knows."""
         with self._lock:
@@ -215,6 +225,7 @@
     def _on_list(self, vms: list[Vm]) -> None:
         listed = {vm.name: vm for vm in vms if vm.role == "node"}
         with self._lock:
+            self._list_seen = True
             unknown = [vm for vm in listed.values() if vm.name not in self.by_name]
             for vm in unknown:
                 self._add(Member.from_list(vm.name, vm.zone, vm.address, vm.operator))
--- a/celeryrun/membership/tests/test_swim.py
+++ b/celeryrun/membership/tests/test_swim.py
@@ -110,3 +110,15 @@
     assert wait_until(lambda: me.incarnation > incarnation)
     states = [n.states for name, n in network.node_by_name.items() if name != "node-4"]
     assert wait_until(lambda: all(state()["node-4"] == "alive" for state in states))
+
+
+def test_node_has_joined_once_another_was_heard_or_the_list_shows_it_alone():
+    network = Network()
+    alone = network.add("alone")
+    assert not alone.members.is_joined()
+    alone.show(network.vms())
+    assert alone.members.is_joined()
+    other = Vm("other", "zone-0", "127.0.0.1:500", "live", "node")
+    alone.show([*network.vms(), other])
+    assert not alone.members.is_joined()
+    network.stop()
--- a/proofs/_tiers.py
+++ b/proofs/_tiers.py
@@ -52,6 +52,8 @@
 
     Parameters
     ----------
+    fleet : Fleet
+        What they call.
     seed : int
         Seed of every choice.
     count_by_tier : dict
@@ -62,6 +64,7 @@
         self.fleet = fleet
         self.calls: list[TierCall] = []
         self.stopped = threading.Event()
+        self.unready: set[str] = set()
         tiers = [tier for tier, count in count_by_tier.items() for _ in range(count)]
         self.workspace_by_tier = {tier: name for name, tier in fleet.plan.plans.items()}
         self.threads = [
@@ -84,7 +87,7 @@
         """Send until stopped."""
         http = urllib3.PoolManager(retries=False, num_pools=50)
         while not self.stopped.is_set():
-            node = choices.choice(self.fleet.nodes)
+            node = choices.choice([n for n in self.fleet.nodes if n not in self.unready])
             marker = f"t{tier}-{choices.getrandbits(48):x}"
             call = TierCall(marker, node, tier, time.time())
             self.calls.append(call)
--- a/proofs/fleet.py
+++ b/proofs/fleet.py
@@ -53,6 +53,7 @@
     with Fleet(plan) as fleet:
         callers = TierCallers(fleet, seed, COUNT_BY_TIER)
         shifts = Shifts(fleet, seed, period)
+        shifts.unready = callers.unready
         callers.start()
         try:
             shifts.run(seconds)
