--- a/celeryrun/node/_node.py
+++ b/celeryrun/node/_node.py
@@ -12,7 +12,7 @@
 from celeryrun.configuration import ConfigurationService
 from celeryrun.front import FrontDoor, OperatorDoor
 from celeryrun.front._hangup import HangupWatch
-from celeryrun.kernel import Kernel
+from celeryrun.kernel import Kernel, check
 from celeryrun.membership import Members
 from celeryrun.observe import Metrics
 from celeryrun.platform import VmList
@@ -92,3 +92,4 @@
         self.kernel.find("members").drain()
         time.sleep(self._settings.node.drain_lag)
         front.finish()
+        check(front.active == 0, "drained-means-idle", active=front.active)
