--- a/proofs/_shifts.py
+++ b/proofs/_shifts.py
@@ -16,6 +16,7 @@
 
 __all__ = ["Shifts", "Span"]
 
+POOL = "warehouse"
 MAX_NODES = 6
 MAX_PAUSE = 6.0  # s that a node is stopped
 LEAVE = 7.0  # s that a target stays away
@@ -55,6 +56,9 @@
             "roll a node": lambda: self.with_node(self.roll),
             "kill a node": lambda: self.with_node(self.kill),
             "pause a node": lambda: self.with_node(self.pause),
+            "kill the keeper": lambda: self.with_keeper(self.kill),
+            "pause the keeper": lambda: self.with_keeper(self.pause),
+            "roll the keeper": lambda: self.with_keeper(self.roll),
             "add a node": self.add,
             "target leaves by the list": lambda: self.with_target(self.leave_by_list),
             "target leaves by its answer": lambda: self.with_target(self.leave_by_answer),
@@ -77,6 +81,18 @@
         if len(free) > 1:
             self.do(shift, self.choices.choice(free))
 
+    def with_keeper(self, shift: Callable[[str], None]) -> None:
+        """Shift the node that keeps the pool, as a node that nothing is done to sees it."""
+        free = [name for name in self.fleet.nodes if name not in self.busy]
+        try:
+            pools = self.fleet.status(self.choices.choice(free))["pools"]
+        except (urllib3.exceptions.HTTPError, IndexError, KeyError, ValueError):
+            return
+        for pool in pools:
+            if pool["name"] == POOL and pool["keeper"] in free and len(free) > 1:
+                self.counts["of the keeper"] += 1
+                self.do(shift, pool["keeper"])
+
     def with_target(self, shift: Callable[[str], None]) -> None:
         """Shift a target; one always stays."""
         free = [name for name in self.targets if name not in self.busy]
--- a/proofs/fleet.py
+++ b/proofs/fleet.py
@@ -28,7 +28,7 @@
 
 __all__ = ["main"]
 
-MARGIN = 0.5  # s that a message may be on its way on a busy machine
+MARGIN = 0.25  # s that a message may be on its way on a busy machine
 LIST_LAG = 1.0  # s
 LEAVE_BOUND = 4.0  # s from the change on the list to the last new work
 NOTICE_BOUND = 3.0  # s until a silent node is noticed by a keeper
@@ -129,6 +129,8 @@
         expired = call.outcome == "unknown" and call.ended - call.started >= DEADLINE
         if call.outcome in ("broken", "unknown", "missing") and not (killed or expired):
             violations.append(f"{name} was cut: {call.outcome} {call.error} {call.reason}")
+        if call.error == "caller-gone":
+            violations.append(f"{name} was told that its caller hung up")
         late = call.ended - call.started > DEADLINE + HANG_TOLERANCE
         if late and not (killed or paused):
             violations.append(f"{name} hung for {call.ended - call.started:.1f} s")
