Refuse bookings before they take a slot while appends fail

Ruled out: a claim before the slot, which costs the log two appends for each booking that a flood sheds.

Change: once appends have failed for 0.3 s, and while something is left to append that probes the log, a booking is refused before it asks for a slot.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -28,6 +28,8 @@
 SECONDS = 4.0  # for each rate
 NODES = (1, 7)  # whose appends share the log's rate
 CALLS = 300  # of each kind
+BOOKERS = 80  # callers at once, more than the applications' slots
+LOOKERS = 4
 
 
 class _Members:
@@ -151,6 +153,43 @@
         )
 
 
+def measure_outage(fleet: Fleet) -> None:
+    """Print how lookups fare beside many bookings, before and in an outage of the log."""
+    times: dict[str, list[float]] = {"before": [], "in the outage": []}
+    phase = ["before"]
+    stopped = threading.Event()
+
+    def repeat(kind: str, seed: int) -> None:
+        rng = random.Random(seed)
+        while not stopped.is_set():
+            now = phase[0]
+            started = time.monotonic()
+            call(fleet, rng.choice(fleet.nodes), kind, rng)
+            if kind == "lookup":
+                times[now].append(time.monotonic() - started)
+
+    kinds = ["booking"] * BOOKERS + ["lookup"] * LOOKERS
+    threads = [
+        threading.Thread(target=repeat, args=(kind, seed)) for seed, kind in enumerate(kinds)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(SECONDS)
+    fleet.fault("platform", outage=True)
+    phase[0] = "in the outage"
+    time.sleep(SECONDS)
+    stopped.set()
+    fleet.fault("platform", outage=False)
+    for thread in threads:
+        thread.join()
+    for name, samples in times.items():
+        samples.sort()
+        print(
+            f"lookups {name}: {len(samples) / SECONDS:.0f}/s, p50 {at(samples, 0.5):.0f} ms,"
+            f" p95 {at(samples, 0.95):.0f} ms, longest {at(samples, 1.0):.0f} ms"
+        )
+
+
 def call(fleet: Fleet, node: str, kind: str, rng: random.Random) -> int:
     """Make one call and return its status."""
     if kind == "booking":
@@ -167,6 +206,8 @@
         measure_table(count)
     with Fleet(FleetPlan(engines=0)) as fleet:
         measure_latency(fleet)
+    with Fleet(FleetPlan(engines=0)) as fleet:
+        measure_outage(fleet)
     for nodes in NODES:
         for rate in RATES:
             with Fleet(FleetPlan(nodes=1, engines=0, applications=0)) as fleet:
--- a/celeryrun/claims/_book.py
+++ b/celeryrun/claims/_book.py
@@ -18,7 +18,7 @@
 from celeryrun.platform import LogClient, Page, Record, TooManyAppendsError
 from celeryrun.settings import Settings
 
-__all__ = ["TOO_OLD", "ClaimBook", "Lost", "Unresolved", "Won"]
+__all__ = ["TOO_OLD", "UNAVAILABLE", "ClaimBook", "Lost", "Unresolved", "Won"]
 
 CLAIM_STREAM = "claims"
 BATCH_CLAIMS = 200
@@ -27,6 +27,7 @@
 POLL_WAIT = 1.0  # s
 RETRY_PERIOD = 0.2  # s
 LOG_STALE = 4.0  # s without a read to the end before new claims are refused
+FAILING_LIMIT = 0.3  # s of failing appends before new claims are refused
 STOP_PATIENCE = 2.0  # s for the last releases
 
 UNAVAILABLE = Refusal(
@@ -99,6 +100,7 @@
         "_changed",
         "_clock",
         "_decoder",
+        "_failing_since",
         "_folded_to",
         "_fresh_to",
         "_kernel",
@@ -133,6 +135,7 @@
         self._folded_to = 0
         self._fresh_to = float("-inf")
         self._sync_from = float("-inf")
+        self._failing_since: float | None = None
         self._clock: tuple[float, float] | None = None
         self._changed = threading.Condition()
         self._pending_by_claim: dict[str, _Pending] = {}
@@ -172,6 +175,17 @@
         """Tell whether the log was lately read to its end."""
         return time.monotonic() - self._fresh_to <= LOG_STALE
 
+    def can_claim(self) -> bool:
+        """Tell whether a claim is likely to be decided soon.
+
+        While appends fail, what still is to be appended probes the log; with nothing left to
+        append the next claim does.
+        """
+        since = self._failing_since
+        is_failing = since is not None and time.monotonic() - since > FAILING_LIMIT
+        probes = bool(self._outbox_by_claim or self._release_by_claim)
+        return self.is_ready() and not (is_failing and probes)
+
     def holder(self, key: str) -> Held | None:
         """Return the claim that holds a key, as far as this node has read."""
         with self._changed:
@@ -197,7 +211,7 @@
         claim = Claim(key, new_claim_id(digest), self._name)
         pending = _Pending(claim)
         with self._changed:
-            if not self.is_ready():
+            if not self.can_claim():
                 return UNAVAILABLE
             held = self.table.holder(key)
             if held is not None:
@@ -303,6 +317,10 @@
             log.warning("claims: {}", error)
         with self._changed:
             self.appends += 1
+            if appended:
+                self._failing_since = None
+            elif self._failing_since is None:
+                self._failing_since = time.monotonic()
             for pending in claims:
                 pending.in_flight = False
                 pending.may_stand |= may_stand
--- a/celeryrun/claims/tests/test_book.py
+++ b/celeryrun/claims/tests/test_book.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from celeryrun.claims import ClaimBook, ClaimTable, Lost, Unresolved, Won
+from celeryrun.claims import ClaimBook, ClaimTable, Lost, Unresolved, Won, _book
 from celeryrun.claims._records import Batch, digest_of
 from celeryrun.exception import InvariantViolatedError, LogUnavailableError, Refusal
 from celeryrun.kernel import set_strict
@@ -193,3 +193,16 @@
     ahead = type(page)(page.first, page.end, page.now + 3600, page.records)
     book._fold(ahead, time.monotonic())
     assert 3540 < book.now() - time.time() < 3660
+
+
+def test_claims_are_refused_while_appends_fail_and_something_probes(monkeypatch):
+    monkeypatch.setattr(_book, "FAILING_LIMIT", -1.0)
+    book, _ = build_book(LOST_ANSWER)
+    assert book.can_claim()
+    verdict = claim_in_background(book, build_claim_key(), patience=0.2)
+    write(book)
+    assert not book.can_claim()
+    assert isinstance(book.claim(build_claim_key(), DIGEST, 0.0), Refusal)
+    assert isinstance(verdict(), Unresolved)
+    assert write(book)
+    assert book.can_claim()
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from celeryrun.answers import Fetched
-from celeryrun.claims import TOO_OLD, Held, Lost, Unresolved, Won, digest_of
+from celeryrun.claims import TOO_OLD, UNAVAILABLE, Held, Lost, Unresolved, Won, digest_of
 from celeryrun.dispatch import (
     Answer,
     EngineStream,
@@ -199,7 +199,7 @@
 
     def _take_turn(self) -> Generator[None, None, bool]:
         """Wait for a slot and use it; returns whether the request has ended."""
-        grant = self._wait_for_slot()
+        grant = self._wait_for_slot() if self._may_claim() else UNAVAILABLE
         if isinstance(grant, Refusal):
             return self._refuse(grant)
         return (yield from self._use(grant))
@@ -337,6 +337,11 @@
             elapsed = time.monotonic() - started
             self._kernel.find("pools").release(grant, used, first, elapsed, whole, tokens)
 
+    def _may_claim(self) -> bool:
+        # Without a slot: a log that is down must not cost the other work its slots.
+        needs_claim = bool(self._request.key) and self._won is None
+        return not needs_claim or self._kernel.find("claims").can_claim()
+
     def _claim(self) -> bool:
         """Claim the key; returns whether the request has ended."""
         until = min(self._request.expires, time.monotonic() + CLAIM_TIMEOUT)
