Let the claim alone decide which content a key stands for

By reading: a node that holds a waiting exchange of the same key with another content refuses the first content at the door, whatever the claim says.

Change: the content's digest is part of the id under which an exchange is kept and pulled.

--- a/celeryrun/answers/_service.py
+++ b/celeryrun/answers/_service.py
@@ -34,7 +34,6 @@
 
     FINISHED = "finished"
     GONE = "gone"
-    OTHER_CONTENT = "other-content"
     SILENT = "silent"
     BROKEN = "broken"
 
@@ -116,9 +115,6 @@
                 ended = Fetched.SILENT if part is None else Fetched.GONE
                 yield Fetched.BROKEN if begun else ended
                 return
-            if part.state == "other-content":
-                yield Fetched.OTHER_CONTENT
-                return
             if exchange.take_part(part):
                 yield None
             if exchange.finished is not None:
@@ -136,7 +132,6 @@
                 next(self._calls),
                 request.plan.workspace,
                 request.answer_id,
-                request.digest,
                 exchange.size,
             )
             id_hash = hash_id(pull.workspace, pull.answer_id)
@@ -180,8 +175,6 @@
         exchange = self._kernel.find("front").answers.find(message.workspace, message.answer_id)
         if exchange is None:
             part = AnswerPart(message.call, id_hash, "gone")
-        elif exchange.digest != message.digest:
-            part = AnswerPart(message.call, id_hash, "other-content")
         else:
             part = exchange.part(message.call, id_hash, message.position)
         self._kernel.find("peers").send(sender, part)
--- a/celeryrun/front/_answers.py
+++ b/celeryrun/front/_answers.py
@@ -27,18 +27,11 @@
 
 
 class Exchange:
-    """One request's answer while it grows; any number of callers may read it.
+    """One request's answer while it grows; any number of callers may read it."""
 
-    Parameters
-    ----------
-    digest : bytes
-        Of the request's content.
-    """
-
-    __slots__ = ("_changed", "_chunks", "digest", "finished", "head", "size", "whole")
+    __slots__ = ("_changed", "_chunks", "finished", "head", "size", "whole")
 
-    def __init__(self, digest: bytes = b"") -> None:
-        self.digest = digest
+    def __init__(self) -> None:
         self._changed = threading.Condition()
         self._chunks: list[bytes] = []
         self.head: Head | None = None
@@ -132,7 +125,8 @@
 class AnswerBook:
     """Exchanges by workspace and answer id, bounded in bytes and age.
 
-    An answer id is the idempotency key of a call that has one, otherwise the request id.
+    An answer id is the idempotency key of a call that has one, otherwise the request id, with the
+    digest of the content.
     """
 
     __slots__ = ("_age", "_lock", "_memory", "exchange_by_id")
@@ -148,14 +142,14 @@
         """Build the book from settings."""
         return cls(limits.answer_memory, limits.answer_age)
 
-    def open(self, workspace: str, answer_id: str, digest: bytes) -> tuple[Exchange, bool]:
-        """Return the exchange under an id, and whether it is new; its digest may be another."""
+    def open(self, workspace: str, answer_id: str) -> tuple[Exchange, bool]:
+        """Return the exchange under an id, and whether it is new."""
         with self._lock:
             self._evict()
             known = self.exchange_by_id.get((workspace, answer_id))
             if known is not None:
                 return known, False
-            exchange = self.exchange_by_id[workspace, answer_id] = Exchange(digest)
+            exchange = self.exchange_by_id[workspace, answer_id] = Exchange()
             return exchange, True
 
     def find(self, workspace: str, answer_id: str) -> Exchange | None:
--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -15,7 +15,7 @@
 from celeryrun.exception import Refusal
 from celeryrun.front._answers import AnswerBook, Exchange, Head
 from celeryrun.front._request import Request, admit
-from celeryrun.front._runner import REUSED, Runner, is_known_unrun, refusal_head
+from celeryrun.front._runner import Runner, is_known_unrun, refusal_head
 from celeryrun.front._server import Server
 from celeryrun.kernel import Kernel
 from celeryrun.observe import request_context
@@ -144,13 +144,9 @@
             yield from self._refuse(start, NODE_FULL, request.request_id, known)
             return
         with request_context(request.request_id, request.plan.workspace):
-            exchange, is_new = self.answers.open(
-                request.plan.workspace, request.answer_id, request.digest
-            )
+            exchange, is_new = self.answers.open(request.plan.workspace, request.answer_id)
             if is_new:
                 yield from self._run(environ, start, request, exchange)
-            elif exchange.digest != request.digest:
-                yield from self._refuse(start, REUSED, request.request_id)
             else:
                 yield from self._attach(environ, start, request, exchange)
 
--- a/celeryrun/front/_request.py
+++ b/celeryrun/front/_request.py
@@ -67,8 +67,9 @@
 
     @property
     def answer_id(self) -> str:
-        """Id under which a retry finds the answer: the key if there is one."""
-        return f"key/{self.key}" if self.key else f"request/{self.request_id}"
+        """Id under which a retry finds the answer; another content makes it another request."""
+        name = f"key/{self.key}" if self.key else f"request/{self.request_id}"
+        return f"{name}/{self.digest.hex()}"
 
     @property
     def cost(self) -> float:
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -32,7 +32,7 @@
 from celeryrun.suspicion import hash_request
 from celeryrun.wire import Grant
 
-__all__ = ["REUSED", "Runner", "claim_key", "is_known_unrun", "refusal_head"]
+__all__ = ["Runner", "claim_key", "is_known_unrun", "refusal_head"]
 
 AVOID_SECONDS = 1.0
 FIRST_PAUSE = 0.02  # s before a slot is asked for anew, when one could not be used
@@ -46,8 +46,8 @@
 LATE = Refusal(504, "deadline", "the deadline passed before the call could go out; retry", 1.0)
 REUSED = Refusal(
     422,
-    "id-reused",
-    "the id or idempotency key stands for a request with other content; use a new one",
+    "idempotency-key-reused",
+    "the key stands for a request with other content; use a new key",
 )
 
 log = logbook.Logger("runner")
@@ -232,8 +232,9 @@
         claims = self._kernel.find("claims")
         fetched = Fetched.GONE
         if digest_of(held.claim) != self._request.digest:
-            fetched = Fetched.OTHER_CONTENT
-        elif held.node != self._kernel.find("peers").name:
+            self._tell_not_run(REUSED)
+            return True
+        if held.node != self._kernel.find("peers").name:
             fetched = yield from self._fetch(held.node)
         if fetched is not Fetched.GONE:
             return self._end_fetched(fetched)
@@ -261,8 +262,6 @@
                 assert self._exchange.head is not None
                 self._fetched = self._exchange.head.outcome in ("complete", "stream")
                 self._count("fetched")
-            case Fetched.OTHER_CONTENT:
-                self._tell_not_run(REUSED)
             case _:
                 self._unknown("the node that has this request does not answer")
         return True
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -293,9 +293,7 @@
     Parameters
     ----------
     answer_id : str
-        Request id or idempotency key, with a prefix that says which.
-    digest : bytes
-        Of the request's content.
+        Request id or idempotency key, with a prefix that says which, and the content's digest.
     position : int
         Bytes of the body that are already had.
     """
@@ -303,7 +301,6 @@
     call: int
     workspace: str
     answer_id: str
-    digest: bytes
     position: int
 
 
@@ -313,7 +310,7 @@
     Parameters
     ----------
     state : str
-        ``gone``, ``other-content``, ``running`` or ``finished``.
+        ``gone``, ``running`` or ``finished``.
     status : int
         HTTP status, 0 while there is no head.
     whole : bool
