--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from celeryrun.answers import Fetched
-from celeryrun.claims import TOO_OLD, Held, Lost, Unresolved, Won, digest_of
+from celeryrun.claims import TOO_OLD, UNAVAILABLE, Held, Lost, Unresolved, Won, digest_of
 from celeryrun.dispatch import (
     Answer,
     EngineStream,
@@ -32,7 +32,7 @@
 from celeryrun.suspicion import hash_request
 from celeryrun.wire import Grant
 
-__all__ = ["REUSED", "Runner", "claim_key", "is_known_unrun", "refusal_head"]
+__all__ = ["Runner", "claim_key", "is_known_unrun", "refusal_head"]
 
 AVOID_SECONDS = 1.0
 FIRST_PAUSE = 0.02  # s before a slot is asked for anew, when one could not be used
@@ -46,8 +46,8 @@
 LATE = Refusal(504, "deadline", "the deadline passed before the call could go out; retry", 1.0)
 REUSED = Refusal(
     422,
-    "id-reused",
-    "the id or idempotency key stands for a request with other content; use a new one",
+    "idempotency-key-reused",
+    "the key stands for a request with other content; use a new key",
 )
 
 log = logbook.Logger("runner")
@@ -199,7 +199,7 @@
 
     def _take_turn(self) -> Generator[None, None, bool]:
         """Wait for a slot and use it; returns whether the request has ended."""
-        grant = self._wait_for_slot()
+        grant = self._wait_for_slot() if self._may_claim() else UNAVAILABLE
         if isinstance(grant, Refusal):
             return self._refuse(grant)
         return (yield from self._use(grant))
@@ -232,8 +232,9 @@
         claims = self._kernel.find("claims")
         fetched = Fetched.GONE
         if digest_of(held.claim) != self._request.digest:
-            fetched = Fetched.OTHER_CONTENT
-        elif held.node != self._kernel.find("peers").name:
+            self._tell_not_run(REUSED)
+            return True
+        if held.node != self._kernel.find("peers").name:
             fetched = yield from self._fetch(held.node)
         if fetched is not Fetched.GONE:
             return self._end_fetched(fetched)
@@ -261,8 +262,6 @@
                 assert self._exchange.head is not None
                 self._fetched = self._exchange.head.outcome in ("complete", "stream")
                 self._count("fetched")
-            case Fetched.OTHER_CONTENT:
-                self._tell_not_run(REUSED)
             case _:
                 self._unknown("the node that has this request does not answer")
         return True
@@ -337,6 +336,11 @@
             elapsed = time.monotonic() - started
             self._kernel.find("pools").release(grant, used, first, elapsed, whole, tokens)
 
+    def _may_claim(self) -> bool:
+        # Without a slot: a log that is down must not cost the other work its slots.
+        needs_claim = bool(self._request.key) and self._won is None
+        return not needs_claim or self._kernel.find("claims").can_claim()
+
     def _claim(self) -> bool:
         """Claim the key; returns whether the request has ended."""
         until = min(self._request.expires, time.monotonic() + CLAIM_TIMEOUT)
