Notice a log that forgets sooner than the settings say

Cause: with [platform] retention set longer than what the log keeps, the lists were carried forward too late, and a restart of all nodes lost them.

Change: the age of the youngest forgotten record bounds retention from above; tests of the ranks of the duty, of that bound, and of a node with a gap.

--- a/celeryrun/configuration/_carry.py
+++ b/celeryrun/configuration/_carry.py
@@ -25,6 +25,7 @@
 PERIOD_SHARE = 0.01
 MAX_PERIOD = 5.0  # s
 REPEAT_SHARE = 0.05
+SURE_SHARE = 0.9
 
 log = logbook.Logger("configuration")
 
@@ -68,8 +69,9 @@
         "_jitter",
         "_kernel",
         "_lock",
-        "_platform",
+        "_retention",
         "_stopped",
+        "_stream",
         "_whole",
         "_written_at",
     )
@@ -78,7 +80,8 @@
         self, kernel: Kernel, platform: PlatformSettings, fold: Fold, lock: threading.Lock
     ) -> None:
         self._kernel = kernel
-        self._platform = platform
+        self._retention = platform.retention
+        self._stream = platform.configuration_stream
         self._fold = fold
         self._lock = lock
         self._client = LogClient(platform.log_url, platform.timeout)
@@ -97,12 +100,17 @@
         self._stopped.set()
 
     def note_read(self, step: Step) -> None:
-        """Learn the platform's clock, and whether the log was read without a gap."""
+        """Learn the platform's clock, whether the log was read whole, and what it forgets."""
         self._clock_offset = step.now - time.monotonic()
         self._whole = step.caught_up
+        age = step.forgotten_age
+        if age is not None and age < self._retention:
+            if age < self._retention * SURE_SHARE:
+                log.error("the log forgets after {:.0f} s; set [platform] retention to that", age)
+            self._retention = age
 
     def _run(self) -> None:
-        period = min(MAX_PERIOD, self._platform.retention * PERIOD_SHARE)
+        period = min(MAX_PERIOD, self._retention * PERIOD_SHARE)
         while not self._stopped.wait(period):
             if self._is_due():
                 self._append()
@@ -111,19 +119,19 @@
         if not self._whole or not self._fold.current.version:
             return False
         now = time.monotonic()
-        if now - self._written_at < self._platform.retention * REPEAT_SHARE:
+        if now - self._written_at < self._retention * REPEAT_SHARE:
             return False
         members = self._kernel.find("members")
         order = rank("configuration", {*members.live(), members.me.name})
         share = due_share(order.index(members.me.name), self._jitter)
         age = now + self._clock_offset - self._fold.carried
-        return age > self._platform.retention * share
+        return age > self._retention * share
 
     def _append(self) -> None:
         with self._lock:
             body = encode_record(self._fold.snapshot())
         try:
-            offset = self._client.append(self._platform.configuration_stream, body)
+            offset = self._client.append(self._stream, body)
         except (LogUnavailableError, TooManyAppendsError) as error:
             log.warning("snapshot not known to be appended: {}", error)
             return
--- a/celeryrun/configuration/_follow.py
+++ b/celeryrun/configuration/_follow.py
@@ -29,12 +29,15 @@
         The platform's clock, in seconds since the epoch.
     moved : bool
         Whether the page held anything new.
+    forgotten_age : float or None
+        Seconds since the youngest record that the log has forgotten was written, if known.
     """
 
     at_end: bool
     caught_up: bool
     now: float
     moved: bool
+    forgotten_age: float | None = None
 
 
 class Follower:
@@ -88,8 +91,14 @@
         seen_to = page.records[-1].offset + 1 if page.records else max(start, page.first)
         if page.first <= after:
             self._scanned_to = 0
-            return Step(after >= page.end, after >= page.end, page.now, bool(page.records))
+            at_end = after >= page.end
+            age = self._age_of(page.first - 1, page.now)
+            return Step(at_end, at_end, page.now, bool(page.records), age)
         if seen_to >= page.end and self._scanned_to < page.end:
             log.error("records {} to {} are forgotten without a snapshot", after, page.first)
         self._scanned_to = seen_to
         return Step(seen_to >= page.end, False, page.now, bool(page.records))
+
+    def _age_of(self, offset: int, now: float) -> float | None:
+        written = self.fold.time_by_offset.get(offset)
+        return now - written if written is not None else None
--- a/celeryrun/configuration/tests/memory_log.py
+++ b/celeryrun/configuration/tests/memory_log.py
@@ -17,6 +17,7 @@
     def __init__(self, *contents: object) -> None:
         self.bodies: list[bytes] = []
         self.first = 0
+        self.born = 0.0
         self.lose_answers = 0
         self.before_append = lambda: None
         for content in contents:
@@ -39,7 +40,7 @@
     def read(self, stream: str, start: int, wait: float = 0.0) -> Page:
         begin = max(start, self.first)
         records = tuple(
-            Record(offset, float(offset), self.bodies[offset])
+            Record(offset, self.born + offset, self.bodies[offset])
             for offset in range(begin, min(begin + PAGE_RECORDS, len(self.bodies)))
         )
         return Page(self.first, len(self.bodies), time.time(), records)
--- /dev/null
+++ b/celeryrun/configuration/tests/test_carry.py
@@ -0,0 +1,75 @@
+"""When a node appends a snapshot."""
+
+import threading
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from celeryrun.configuration import Fold, Follower
+from celeryrun.configuration._carry import CarryDuty
+from celeryrun.configuration.tests.memory_log import MemoryLog
+from celeryrun.kernel import Kernel
+from celeryrun.membership._rendezvous import rank
+from celeryrun.settings import parse_settings
+from celeryrun.tests.builders import build_change, build_plan, build_settings
+
+NAMES = ["a", "b", "c"]
+HOUR = 3600.0
+
+
+def duty(name, fold):
+    kernel = Kernel()
+    members = SimpleNamespace(me=SimpleNamespace(name=name), live=lambda: list(NAMES))
+    kernel.register("members", members)
+    platform = parse_settings(build_settings(platform__retention="1h")).platform
+    return CarryDuty(kernel, platform, fold, threading.Lock())
+
+
+def follow(age):
+    """Fold a log of one change, written so many seconds ago."""
+    log = MemoryLog(build_change(put_plans=(build_plan("a"),)))
+    log.born = time.time() - age
+    fold = Fold()
+    return log, Follower(log, "", fold, threading.Lock())
+
+
+@pytest.mark.parametrize(
+    ("place", "age", "is_due"),
+    [
+        (0, 0.29 * HOUR, False),
+        (0, 0.31 * HOUR, True),
+        (1, 0.31 * HOUR, False),
+        (1, 0.36 * HOUR, True),
+        (2, 0.36 * HOUR, False),
+        (2, 0.41 * HOUR, True),
+    ],
+)
+def test_duty_passes_down_the_ranks(place, age, is_due):
+    _, follower = follow(age)
+    carry = duty(rank("configuration", NAMES)[place], follower.fold)
+    assert not carry._is_due()
+    carry.note_read(follower.step(0.0))
+    assert carry._is_due() == is_due
+
+
+def test_log_that_forgets_sooner_than_it_should_is_noticed():
+    log, follower = follow(0.2 * HOUR)
+    carry = duty(rank("configuration", NAMES)[2], follower.fold)
+    carry.note_read(follower.step(0.0))
+    assert not carry._is_due()
+    log.first = 1
+    carry.note_read(follower.step(0.0))
+    assert carry._is_due()
+
+
+def test_node_with_a_gap_does_not_carry():
+    log, follower = follow(HOUR)
+    carry = duty(rank("configuration", NAMES)[0], follower.fold)
+    carry.note_read(follower.step(0.0))
+    assert carry._is_due()
+    for _ in range(3):
+        log.write(b"unseen")
+    log.first = 2
+    carry.note_read(follower.step(0.0))
+    assert not carry._is_due()
--- a/celeryrun/observe/_logging.py
+++ b/celeryrun/observe/_logging.py
@@ -75,7 +75,7 @@
         record.extra["request_id"] = request_id
         record.extra["workspace"] = workspace
 
-    return logbook.Processor(inject).threadbound()
+    return logbook.Processor(inject)
 
 
 def _format(node: str, record: logbook.LogRecord) -> str:
