Keep the long run's watcher alive while a node is being added

Cause: the watcher ended with KeyError 'fresh-5' when it looked between a node's address and its process (seed 13, with no node following the log).

Change: it passes such a node over, and any other error of its own is a violation.

--- a/proofs/configuration.py
+++ b/proofs/configuration.py
@@ -145,12 +145,17 @@
     http = urllib3.PoolManager(retries=False)
     while not run.stopped.wait(WATCH_PERIOD):
         for name in run.fleet.nodes:
-            watch_node(run, http, name)
+            try:
+                watch_node(run, http, name)
+            except Exception as error:
+                run.fail(f"watching {name}: {error!r}")
 
 
 def watch_node(run: Run, http: urllib3.PoolManager, name: str) -> None:
     """Poll one node and judge what it says."""
-    process = run.fleet.process_by_name[name]
+    process = run.fleet.process_by_name.get(name)
+    if process is None:
+        return
     wanted = required_version(run, name)
     port = run.fleet.operator_by_name.get(name)
     try:
