--- a/bench/path.py
+++ b/bench/path.py
@@ -8,6 +8,7 @@
 
 import argparse
 import json
+import os
 import socket
 import statistics
 import time
@@ -36,13 +37,12 @@
     parser.add_argument("--seconds", type=float, default=6.0, help="of each throughput run")
     parser.add_argument("parts", nargs="*", default=["latency", "throughput", "memory"])
     options = parser.parse_args()
-    if "latency" in options.parts or "throughput" in options.parts:
-        plan = FleetPlan(engines=1, applications=1, application_seconds=0.0)
-        with Fleet(plan) as fleet:
-            if "latency" in options.parts:
-                measure_latency(fleet, options.turns)
-            if "throughput" in options.parts:
-                measure_throughput(fleet, options.seconds)
+    if "latency" in options.parts:
+        with Fleet(FleetPlan(engines=1, applications=1, application_seconds=0.0)) as fleet:
+            measure_latency(fleet, options.turns)
+    if "throughput" in options.parts:
+        with Fleet(FleetPlan(engines=1, applications=3, application_seconds=0.0)) as fleet:
+            measure_throughput(fleet, options.seconds)
     if "memory" in options.parts:
         measure_memory()
 
@@ -92,15 +92,39 @@
 
 
 def measure_throughput(fleet: Fleet, seconds: float) -> None:
-    """Keep callers busy on one node, then on all."""
+    """Keep callers busy on the targets alone, on one node, and on all nodes."""
+    targets = [fleet.url(name) + "/stock" for name in fleet.port_by_name if "application" in name]
+    show("throughput", nodes=0, per_second=drive_all(targets, seconds))
     for nodes in (fleet.nodes[:1], fleet.nodes):
         urls = [fleet.url(node) + STOCK for node in nodes]
-        with ProcessPoolExecutor(WORKERS) as workers:
-            counts = list(workers.map(drive, [urls] * WORKERS, [seconds] * WORKERS))
-        answered = sum(count for count, _ in counts)
-        other = sum(count for _, count in counts)
-        rate = round(answered / seconds, 1)
-        show("throughput", nodes=len(nodes), per_second=rate, whole=answered, other=other)
+        before = [processor_seconds(fleet, node) for node in nodes]
+        rate = drive_all(urls, seconds)
+        after = [processor_seconds(fleet, node) for node in nodes]
+        used = [round(end - start, 2) for start, end in zip(before, after, strict=True)]
+        cost = round(sum(used) / (rate * seconds) * 1000, 2)
+        show(
+            "throughput",
+            nodes=len(nodes),
+            per_second=rate,
+            processor_seconds=used,
+            processor_ms_each=cost,
+        )
+
+
+def drive_all(urls: list[str], seconds: float) -> float:
+    """Drive from several processes; returns whole answers a second."""
+    with ProcessPoolExecutor(WORKERS) as workers:
+        counts = list(workers.map(drive, [urls] * WORKERS, [seconds] * WORKERS))
+    assert not any(other for _, other in counts)
+    return round(sum(whole for whole, _ in counts) / seconds, 1)
+
+
+def processor_seconds(fleet: Fleet, node: str) -> float:
+    """Read the processor time that a process has used."""
+    fields = (
+        Path(f"/proc/{fleet.process_by_name[node].pid}/stat").read_text().split(") ")[1].split()
+    )
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 def drive(urls: list[str], seconds: float) -> tuple[int, int]:
