--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -407,6 +407,7 @@
             for item in stream.events():
                 match item:
                     case Token(index, text):
+                        check(index == len(texts), "tokens-once-and-in-order", index=index)
                         texts.append(text)
                         if prompt.stream and not self._gone.is_set():
                             self._stream_token(index, text)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -173,6 +173,7 @@
 class _Handler(Handler):
     engine: Engine
     recorder: Recorder
+    crash_on: str
 
     def answer(self) -> None:
         engine, parts = self.engine, self.path_only.strip("/").split("/")
@@ -209,7 +210,7 @@
             return
         request = json.loads(self.body)
         self.recorder.write(id=request["stream_id"], prompt=request["prompt"][:RECORDED_CHARS])
-        crash_on = self.faults.get("crash_on", "")
+        crash_on = self.faults.get("crash_on", self.crash_on)
         if crash_on and crash_on in request["prompt"]:
             os._exit(9)
         stream = self.engine.add(request["stream_id"], request["prompt"], request["max_tokens"])
@@ -268,6 +269,7 @@
     parser.add_argument("--fencing", action="store_true")
     parser.add_argument("--batch", type=int, default=0, help="streams at the knee")
     parser.add_argument("--prefill", type=int, default=PREFILL_TOKENS, help="tokens for each step")
+    parser.add_argument("--crash-on", default="", help="text in a prompt that ends it")
     options = parser.parse_args()
     engine = Engine(
         options.name,
@@ -278,7 +280,9 @@
         options.prefill,
     )
     threading.Thread(target=engine.run, daemon=True).start()
-    run_server(options.port, _Handler, engine=engine, recorder=Recorder(options.record))
+    recorder = Recorder(options.record)
+    crash_on = options.crash_on
+    run_server(options.port, _Handler, engine=engine, recorder=recorder, crash_on=crash_on)
 
 
 if __name__ == "__main__":
