Give the baselines the keeper's third argument

Cause: a keeper gives its pool a grace now; the baselines took two arguments, their keeper failed, and nodes ran on their shares without one, which is not what is to be measured.

--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -53,8 +53,8 @@
     queue_type: type[FairQueue] = _Fifo
     limited = True
 
-    def __init__(self, name: str, lease: float) -> None:
-        super().__init__(name, lease)
+    def __init__(self, name: str, lease: float, grace: float = 0.0) -> None:
+        super().__init__(name, lease, grace)
         self.queue = self.queue_type()
         self._turn = itertools.count()
 
