Check "not run" anew for a caller that joined the wait later

Cause: by reading: a refusal was judged by a read of the log that began when the first caller arrived. One that attached later to the same exchange at that node was told the same "not run", though another node may have run the key in between.

--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -191,20 +191,30 @@
             self._start(start, head, request.request_id, len(body))
             yield body
             return
-        self._start_exchange(start, request, exchange)
+        self._start_exchange(start, request, exchange, self._still_stands(request, exchange))
         yield from exchange.read(request.expires)
         self._cut_if_short(environ, exchange)
 
+    def _still_stands(self, request: Request, exchange: Exchange) -> bool:
+        """Tell whether an outcome told to the first caller holds for one that came later."""
+        assert exchange.head is not None
+        told_not_run = exchange.head.outcome == "not-run"
+        return not told_not_run or is_known_unrun(self._kernel, request)
+
     def _cut_if_short(self, environ: dict[str, Any], exchange: Exchange) -> None:
         # Without its last chunk the caller sees that the body is short.
         connection = environ.get(SOCKET_KEY)
         if connection is not None and not exchange.whole:
             connection.shutdown(socket.SHUT_RDWR)
 
-    def _start_exchange(self, start: StartResponse, request: Request, exchange: Exchange) -> None:
-        assert exchange.head is not None
+    def _start_exchange(
+        self, start: StartResponse, request: Request, exchange: Exchange, stands: bool = True
+    ) -> None:
+        head = exchange.head
+        assert head is not None
         length = exchange.size if exchange.finished and exchange.whole else None
-        self._start(start, exchange.head, request.request_id, length)
+        told = head if stands else Head(head.status, "unknown", head.headers)
+        self._start(start, told, request.request_id, length)
 
     def _start(self, start: StartResponse, head: Head, request_id: str, length: int | None) -> None:
         reason = http.client.responses.get(head.status, "Refused")
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -96,14 +96,14 @@
 def is_known_unrun(kernel: Kernel, request: Request) -> bool:
     """Tell whether no earlier attempt under a request's key can have run.
 
-    The log must be read to its end by a read that began after the request arrived: only then would
-    the claim of an attempt that its caller has given up on be seen.
+    The log must be read to its end by a read that begins now, after every caller of this request
+    has arrived: only then would the claim of an attempt that its caller has given up on be seen.
     """
     if not request.key:
         return True
     claims = kernel.find("claims")
-    until = time.monotonic() + SYNC_TIMEOUT
-    if not claims.is_ready() or not claims.sync(request.arrived, until):
+    now = time.monotonic()
+    if not claims.is_ready() or not claims.sync(now, now + SYNC_TIMEOUT):
         return False
     return claims.holder(claim_key(request)) is None
 
