Let a booking wait a second, without a slot, for appends to succeed again

Cause: test_platform_that_falls_silent failed once in a busy run of several suites (2 failed, 85 passed; the other is test_poison, not looked into) and passed alone. By reading: a booking just after a silent connection was refused at once, where before it had waited for its claim.

Change: a booking that can't be claimed now waits up to a second for that to pass, holding no slot. The long run counts as stuck only keys that a claim holds.

--- a/celeryrun/claims/_book.py
+++ b/celeryrun/claims/_book.py
@@ -186,6 +186,11 @@
         probes = bool(self._outbox_by_claim or self._release_by_claim)
         return self.is_ready() and not (is_failing and probes)
 
+    def wait_until_can_claim(self, deadline: float) -> bool:
+        """Wait until `can_claim`; False at the monotonic deadline."""
+        with self._changed:
+            return self._changed.wait_for(self.can_claim, max(0.0, deadline - time.monotonic()))
+
     def holder(self, key: str) -> Held | None:
         """Return the claim that holds a key, as far as this node has read."""
         with self._changed:
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -40,6 +40,7 @@
 CLAIM_TIMEOUT = 3.0  # s that a slot is held while a claim is not resolved
 FAILED = Refusal(500, "node-failed", "the node failed; retry, and tell your operator", 1.0)
 SYNC_TIMEOUT = 1.0  # s for reading the log to its end before "not run" is said of a key
+RECOVERY_TIMEOUT = 1.0  # s that a booking waits without a slot for appends to succeed again
 RELEASE_TIMEOUT = 1.0  # s for a claim whose node does not have the answer to be released
 FIND_ATTEMPTS = 3
 GONE = Refusal(499, "caller-gone", "the caller hung up while the request waited")
@@ -339,7 +340,8 @@
     def _may_claim(self) -> bool:
         # Without a slot: a log that is down must not cost the other work its slots.
         needs_claim = bool(self._request.key) and self._won is None
-        return not needs_claim or self._kernel.find("claims").can_claim()
+        until = min(self._request.expires, time.monotonic() + RECOVERY_TIMEOUT)
+        return not needs_claim or self._kernel.find("claims").wait_until_can_claim(until)
 
     def _claim(self) -> bool:
         """Claim the key; returns whether the request has ended."""
--- a/proofs/claims.py
+++ b/proofs/claims.py
@@ -21,7 +21,6 @@
 
 import urllib3
 
-from celeryrun.claims import TOO_OLD
 from celeryrun.claims._key import new_key
 from standins.fleet import Fleet, FleetPlan
 
@@ -31,6 +30,7 @@
 CALLERS = 16
 TIMEOUT = 3.0  # s that a caller waits before it tries another node
 LATE_RETRY = (0.5, 50.0)  # s after which a caller comes back once more
+UNKNOWN_STATUS = 502  # another node's claim holds the key; refusals have a status of their own
 BOOKING_SECONDS = 0.15  # that an application takes
 WORKSPACES = ("bookings", "routes")
 FAULTS = ("kill", "kill", "pause", "pause", "outage", "lose", "lose", "slow", "late", "short")
@@ -375,7 +375,7 @@
     ran = {(run.key, run.path) for run in runs}
     last = {(a.key, a.path): a for a in world.attempts if a.content == 0}
     return sum(
-        attempt.outcome == "unknown" and attempt.status != TOO_OLD.status
+        attempt.outcome == "unknown" and attempt.status == UNKNOWN_STATUS
         for item, attempt in last.items()
         if item not in ran
     )
