Give up the claims that hold slots once appends fail

Change: a claim that waits is given up, and released, once appends have failed for 0.3 s. Its caller is told "unknown" and retries.

--- a/celeryrun/claims/_book.py
+++ b/celeryrun/claims/_book.py
@@ -6,7 +6,7 @@
 import random
 import threading
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import logbook
 import msgspec
@@ -90,7 +90,6 @@
     in_flight: bool = False
     may_stand: bool = False
     verdict: Verdict | None = None
-    resolved: threading.Event = field(default_factory=threading.Event)
 
 
 class ClaimBook:
@@ -181,10 +180,8 @@
         While appends fail, what still is to be appended probes the log; with nothing left to
         append the next claim does.
         """
-        since = self._failing_since
-        is_failing = since is not None and time.monotonic() - since > FAILING_LIMIT
         probes = bool(self._outbox_by_claim or self._release_by_claim)
-        return self.is_ready() and not (is_failing and probes)
+        return self.is_ready() and not (self._is_failing() and probes)
 
     def wait_until_can_claim(self, deadline: float) -> bool:
         """Wait until `can_claim`; False at the monotonic deadline."""
@@ -226,8 +223,11 @@
             self._pending_by_claim[claim.claim] = pending
             self._outbox_by_claim[claim.claim] = pending
             self._changed.notify_all()
-        pending.resolved.wait(max(0.0, deadline - time.monotonic()))
         with self._changed:
+            self._changed.wait_for(
+                lambda: pending.verdict is not None or self._is_failing(),
+                max(0.0, deadline - time.monotonic()),
+            )
             if pending.verdict is None:
                 self._give_up(pending, "the log did not say in time whose claim was first")
             assert pending.verdict is not None
@@ -271,6 +271,10 @@
                 lambda: self._fresh_to >= since, max(0.0, deadline - time.monotonic())
             )
 
+    def _is_failing(self) -> bool:
+        since = self._failing_since
+        return since is not None and time.monotonic() - since > FAILING_LIMIT
+
     def _give_up(self, pending: _Pending, reason: str) -> None:
         claim = pending.claim
         self._pending_by_claim.pop(claim.claim, None)
@@ -283,7 +287,6 @@
 
     def _settle(self, pending: _Pending, verdict: Verdict) -> None:
         pending.verdict = verdict
-        pending.resolved.set()
         self._changed.notify_all()
 
     def _write(self) -> None:
@@ -334,7 +337,7 @@
             if appended:
                 for release in releases:
                     self._release_by_claim.pop(release.claim, None)
-                self._changed.notify_all()
+            self._changed.notify_all()
         return appended
 
     def _read(self) -> None:
