Run suspects apart, and let the suspicion's hash ride in the ask

Cause: node/tests/test_poison.py refused bystanders. Deaths are shared by all that were in flight; their retries were placed beside the cause again, up to three times, since a target has few slots and drafts were long. The hash came in a message of its own, 90 bytes. Change: the ask carries the hash; the keeper gives a suspect the target that runs the fewest other suspects.

--- a/bench/keeper.py
+++ b/bench/keeper.py
@@ -16,6 +16,7 @@
 from celeryrun.kernel import Kernel
 from celeryrun.platform import Vm
 from celeryrun.pool import Keepers, Targets
+from celeryrun.suspicion import Suspicion
 from celeryrun.wire import Ask, Done, Envelope, Grant, Hold, PoolBeat, Sealer
 
 __all__ = ["main"]
@@ -27,6 +28,7 @@
 TICKS = 20
 TIERS = 3
 WORKSPACES = 5
+FINGERPRINT = 1 << 55
 PREFIX = (1 << 30, 1 << 31, 1 << 29, 12345)
 
 
@@ -85,6 +87,7 @@
             "configuration": SimpleNamespace(current=current),
             "members": members,
             "targets": targets,
+            "suspicion": Suspicion(self.kernel),
         }.items():
             self.kernel.register(name, service)
         self.keepers = Keepers(self.kernel, 3600.0, 10**6)
@@ -96,7 +99,9 @@
         self.asks += 1
         node = f"node-{self.asks % NODES}"
         tier, workspace = 1 + self.asks % TIERS, f"workspace-{self.asks % WORKSPACES}"
-        ask = Ask("drafts", self.asks, tier, workspace, 300.0, PREFIX, 3600.0)
+        ask = Ask(
+            "drafts", self.asks, tier, workspace, 300.0, PREFIX, 3600.0, FINGERPRINT + self.asks
+        )
         self.keepers._on_ask(node, self.link.carry(node, "node-0", ask))
 
     def done(self, grant: Grant) -> None:
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -273,7 +273,6 @@
             return GONE
         client = self._kernel.find("pools")
         suspicion = self._kernel.find("suspicion")
-        suspicion.query(request.pool.name, self._fingerprint)
         prefix = hash_prefix(request.prompt.prompt) if request.prompt is not None else ()
         waiter = client.ask(
             request.pool.name,
@@ -282,6 +281,7 @@
             request.cost,
             prefix,
             request.expires,
+            self._fingerprint,
         )
         watch = self._kernel.find("hangups").watching(
             None if request.named else self._connection, lambda: client.withdraw(waiter, GONE)
--- a/celeryrun/pool/_client.py
+++ b/celeryrun/pool/_client.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import logbook
+import msgspec
 
 from celeryrun.exception import Refusal
 from celeryrun.kernel import Kernel, check
@@ -42,11 +43,8 @@
 
     def refreshed(self) -> Ask:
         """Return the ask with the time that now remains."""
-        ask = self.ask
-        remaining = self.expires - time.monotonic()
-        return Ask(
-            ask.pool, ask.ask, ask.tier, ask.workspace, ask.cost, ask.prefix, max(0.0, remaining)
-        )
+        remaining = max(0.0, self.expires - time.monotonic())
+        return msgspec.structs.replace(self.ask, remaining=remaining)
 
     def hold(self, grant: Grant) -> Hold:
         """Return the grant as one that is held."""
@@ -109,6 +107,7 @@
         cost: float,
         prefix: tuple[int, ...],
         expires: float,
+        fingerprint: int = 0,
     ) -> Waiter:
         """Ask a pool's keeper for a slot.
 
@@ -118,6 +117,8 @@
             Estimated work, in tokens or their equal.
         expires : float
             Monotonic deadline in seconds.
+        fingerprint : int
+            Hash by which the request is known when it is sent again.
 
         Returns
         -------
@@ -125,7 +126,8 @@
             To be given to `wait` or `withdraw`.
         """
         remaining = expires - time.monotonic()
-        ask = Ask(pool, next(self._asks), tier, workspace, cost, prefix, remaining)
+        number = next(self._asks)
+        ask = Ask(pool, number, tier, workspace, cost, prefix, remaining, fingerprint)
         waiter = Waiter(ask, expires)
         with self._lock:
             if not self._is_busy(pool):
--- a/celeryrun/pool/_keeper.py
+++ b/celeryrun/pool/_keeper.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from functools import partial
 
 import logbook
 
@@ -152,6 +153,7 @@
             for share in message.shares:
                 state.renew(share.node, share.holds)
                 for ask in share.asks:
+                    self._hear_ask(share.node, ask)
                     state.push(share.node, ask)
             state.listens_until = 0.0
             self._pump(state)
@@ -179,6 +181,7 @@
         state = self.state_by_pool.get(pool)
         if state is None:
             state = self.state_by_pool[pool] = PoolState(pool, self._lease, GRACE)
+            state.is_suspect = partial(self._kernel.find("suspicion").is_suspect, pool)
             log.info("keeps pool {}", pool)
         return state
 
@@ -203,10 +206,15 @@
             if self._over_plan(state, ask):
                 self._send(node, Shed(ask.pool, ask.ask, "plan-limit", RETRY_AFTER))
                 return
+            self._hear_ask(node, ask)
             state.push(node, ask)
             self._pump(state)
             self._shed_surplus(state)
 
+    def _hear_ask(self, node: str, ask: Ask) -> None:
+        if ask.fingerprint:
+            self._kernel.find("suspicion").hear_ask(node, ask.pool, ask.fingerprint)
+
     def _shed_surplus(self, state: PoolState) -> None:
         while len(state.queue) > self._max_waiting and self._may_shed(state):
             waiting = state.queue.shed()
--- a/celeryrun/pool/_queue.py
+++ b/celeryrun/pool/_queue.py
@@ -26,6 +26,8 @@
         Estimated work, in tokens or their equal.
     expires : float
         Monotonic deadline in seconds.
+    fingerprint : int
+        Hash by which the request is known when it is sent again.
     """
 
     node: str
@@ -35,6 +37,7 @@
     cost: float
     prefix: tuple[int, ...]
     expires: float
+    fingerprint: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
--- a/celeryrun/pool/_state.py
+++ b/celeryrun/pool/_state.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from celeryrun.pool._choice import choose_target
@@ -35,6 +36,8 @@
         Monotonic end of the lease in seconds.
     since, usage : float
         Monotonic start in seconds, and the target's slot-seconds used until then.
+    fingerprint : int
+        Hash by which the request is known, 0 if this keeper did not grant the slot.
     """
 
     node: str
@@ -45,6 +48,7 @@
     expires: float
     since: float = 0.0
     usage: float = 0.0
+    fingerprint: int = 0
 
 
 class PoolState:
@@ -72,6 +76,7 @@
         "granted_by_id",
         "heard_by_node",
         "hopeless",
+        "is_suspect",
         "limit_by_target",
         "listens_until",
         "name",
@@ -92,6 +97,7 @@
         self.belief = PrefixBelief()
         self.steps = LengthEstimates()
         self.hopeless: list[Waiting] = []
+        self.is_suspect: Callable[[int], bool] = lambda fingerprint: False
         self._lease = lease
         self._ids = itertools.count(1)
         self._in_flight_by_target: dict[str, int] = {}
@@ -123,7 +129,7 @@
             waiting, free = self._next_served(kind, targets)
         if waiting is None:
             return None
-        target = choose_target(self, waiting, free)
+        target = choose_target(self, waiting, self._apart(waiting, free))
         self.belief.note(target.name, waiting.prefix)
         grant = self.epoch << 32 | next(self._ids)
         self._add(
@@ -136,6 +142,7 @@
                 waiting.cost,
                 time.monotonic() + self._lease,
                 since=time.monotonic(),
+                fingerprint=waiting.fingerprint,
             ),
         )
         return grant, waiting, target
@@ -158,7 +165,16 @@
         expires = now + ask.remaining
         self.heard_by_node[node] = now
         self.queue.push(
-            Waiting(node, ask.ask, ask.tier, ask.workspace, ask.cost, ask.prefix, expires)
+            Waiting(
+                node,
+                ask.ask,
+                ask.tier,
+                ask.workspace,
+                ask.cost,
+                ask.prefix,
+                expires,
+                ask.fingerprint,
+            )
         )
 
     def drop_silent(self, seconds: float) -> list[str]:
@@ -190,6 +206,7 @@
                     waiting.cost,
                     waiting.prefix,
                     max(0.0, waiting.expires - now),
+                    waiting.fingerprint,
                 )
             )
         return tuple(
@@ -218,6 +235,18 @@
         taken, self.hopeless = self.hopeless, []
         return taken
 
+    def _apart(self, waiting: Waiting, free: list[Target]) -> list[Target]:
+        """Return the targets that run the fewest suspects, if the ask is one itself."""
+        if not self.is_suspect(waiting.fingerprint):
+            return free
+        running = Counter(
+            granted.target
+            for granted in self.granted_by_id.values()
+            if self.is_suspect(granted.fingerprint)
+        )
+        fewest = min(running[target.name] for target in free)
+        return [target for target in free if running[target.name] == fewest]
+
     def _is_hopeless(self, waiting: Waiting, targets: list[Target]) -> bool:
         """Tell whether no target can meet an ask's deadline.
 
--- a/celeryrun/pool/tests/test_state.py
+++ b/celeryrun/pool/tests/test_state.py
@@ -11,6 +11,7 @@
 
 ENGINE = Target("engine", "drafts", "zone-0", "127.0.0.1:700")
 SLOTS = 4
+SUSPECT, OTHER_SUSPECT = 7, 8
 
 
 @pytest.fixture
@@ -64,3 +65,18 @@
     state.queue.push(again)
     assert state.next_grant("engine", [ENGINE]) is None
     assert state.take_hopeless() == [again]
+
+
+def test_suspects_run_apart_from_each_other():
+    state = PoolState("drafts", 3.0)
+    state.is_suspect = {SUSPECT, OTHER_SUSPECT}.__contains__
+    busy = Target("busy", "drafts", "zone-0", "127.0.0.1:701")
+    state.queue.push(build_waiting(0, fingerprint=SUSPECT))
+    assert state.next_grant("engine", [ENGINE])[2] is ENGINE
+    for ask in (1, 2, 3):
+        state.queue.push(build_waiting(ask))
+        assert state.next_grant("engine", [busy])[2] is busy
+    state.queue.push(build_waiting(4, fingerprint=OTHER_SUSPECT))
+    state.queue.push(build_waiting(5))
+    assert state.next_grant("engine", [ENGINE, busy])[2] is busy
+    assert state.next_grant("engine", [ENGINE, busy])[2] is ENGINE
--- a/celeryrun/suspicion/_ledger.py
+++ b/celeryrun/suspicion/_ledger.py
@@ -80,6 +80,9 @@
     def __len__(self) -> int:
         return len(self._deaths_by_fingerprint)
 
+    def __contains__(self, fingerprint: int) -> bool:
+        return fingerprint in self._deaths_by_fingerprint
+
     def report(self, fingerprint: int, target: str, now: float) -> None:
         """Note that a target died with a request in flight.
 
--- a/celeryrun/suspicion/_service.py
+++ b/celeryrun/suspicion/_service.py
@@ -15,7 +15,6 @@
 from celeryrun.suspicion._ledger import MAX_REQUESTS, Ledger
 from celeryrun.wire import (
     SuspicionCleared,
-    SuspicionQuery,
     SuspicionVerdict,
     TargetDeath,
 )
@@ -25,7 +24,7 @@
 SUSPICION_AGE = 120.0  # s
 HOLDERS = 2  # the pool's keeper, and the node that keeps it next
 HOLDER_PERIOD = 0.3  # s between two looks for new holders
-MAX_QUERIES = 2048
+MAX_ASKS = 2048
 FINGERPRINT_BYTES = 7
 
 REMEDY = "targets died while they ran this request; change it, or send it again later"
@@ -52,8 +51,9 @@
 class Suspicion:
     """Service that refuses a request which takes one target after the other down.
 
-    A query goes to the pool's keeper, on the same link and before the ask for a slot; only a
-    suspect gets an answer, which so arrives before the grant.
+    An ask for a slot carries the request's hash to the pool's keeper; a suspect's node is told
+    what is held against it, on the same link and before the grant. Suspects run apart from each
+    other, so that the one that kills its next target as well is found.
 
     Parameters
     ----------
@@ -86,7 +86,6 @@
     def start(self) -> None:
         """Begin to judge."""
         peers = self._kernel.find("peers")
-        peers.handle(SuspicionQuery, self._on_query)
         peers.handle(SuspicionVerdict, self._on_verdict)
         peers.handle(TargetDeath, self._on_death)
         peers.handle(SuspicionCleared, self._on_cleared)
@@ -96,9 +95,28 @@
         """End."""
         self._stopped.set()
 
-    def query(self, pool: str, fingerprint: int) -> None:
-        """Ask the pool's keeper for what it holds against a request."""
-        self._tell(pool, SuspicionQuery(pool, fingerprint), 1)
+    def hear_ask(self, node: str, pool: str, fingerprint: int) -> None:
+        """Tell a node that asks for a slot what is held against its request, before the grant.
+
+        Parameters
+        ----------
+        node : str
+            The node that asks this keeper.
+        """
+        with self._lock:
+            nodes = self._nodes_by_fingerprint.pop(fingerprint, ())
+            if node not in nodes:
+                nodes = (*nodes, node)
+            self._nodes_by_fingerprint[fingerprint] = nodes
+            while len(self._nodes_by_fingerprint) > MAX_ASKS:
+                self._nodes_by_fingerprint.popitem(last=False)
+        self._answer(pool, fingerprint, (node,))
+
+    def is_suspect(self, pool: str, fingerprint: int) -> bool:
+        """Tell whether a target died with a request in flight, as far as this node knows."""
+        with self._lock:
+            ledger = self._ledger_by_pool.get(pool)
+            return ledger is not None and fingerprint in ledger
 
     def refusal(self, fingerprint: int) -> Refusal | None:
         """Return the refusal of a request that must not take another target."""
@@ -120,9 +138,7 @@
         if suspect:
             self._tell(pool, SuspicionCleared(pool, fingerprint), HOLDERS)
 
-    def _tell(
-        self, pool: str, message: SuspicionQuery | TargetDeath | SuspicionCleared, count: int
-    ) -> None:
+    def _tell(self, pool: str, message: TargetDeath | SuspicionCleared, count: int) -> None:
         for name in self._holders(pool)[:count]:
             self._kernel.find("peers").send(name, message)
 
@@ -162,16 +178,6 @@
             while len(self._verdicts) > MAX_REQUESTS:
                 self._verdicts.popitem(last=False)
 
-    def _on_query(self, sender: str, query: SuspicionQuery) -> None:
-        with self._lock:
-            nodes = self._nodes_by_fingerprint.pop(query.fingerprint, ())
-            if sender not in nodes:
-                nodes = (*nodes, sender)
-            self._nodes_by_fingerprint[query.fingerprint] = nodes
-            while len(self._nodes_by_fingerprint) > MAX_QUERIES:
-                self._nodes_by_fingerprint.popitem(last=False)
-        self._answer(query.pool, query.fingerprint, (sender,))
-
     def _on_death(self, sender: str, death: TargetDeath) -> None:
         with self._lock:
             ledger = self._ledger_by_pool.setdefault(death.pool, Ledger(self._age))
--- a/celeryrun/suspicion/tests/test_service.py
+++ b/celeryrun/suspicion/tests/test_service.py
@@ -46,9 +46,11 @@
         self.service_by_name[reporter].report("drafts", target, POISON)
 
     def is_refused(self, name):
-        service = self.service_by_name[name]
-        service.query("drafts", POISON)
-        return service.refusal(POISON) is not None
+        self.ask(name)
+        return self.service_by_name[name].refusal(POISON) is not None
+
+    def ask(self, name):
+        self.service_by_name[HOLDERS[0]].hear_ask(name, "drafts", POISON)
 
 
 @pytest.fixture
@@ -71,7 +73,7 @@
 
 
 def test_copy_that_waits_for_a_slot_hears_of_a_later_death(net):
-    net.service_by_name["d"].query("drafts", POISON)
+    net.ask("d")
     net.die(OTHERS[0], "engine-0")
     net.die(OTHERS[0], "engine-1")
     assert net.service_by_name["d"].refusal(POISON) is not None
--- a/celeryrun/tests/builders.py
+++ b/celeryrun/tests/builders.py
@@ -64,10 +64,15 @@
 
 
 def build_waiting(
-    ask: int, tier: int = 1, workspace: str = "cajas", cost: float = 10.0, node: str = "node"
+    ask: int,
+    tier: int = 1,
+    workspace: str = "cajas",
+    cost: float = 10.0,
+    node: str = "node",
+    fingerprint: int = 0,
 ) -> Waiting:
     """Build an ask that waits."""
-    return Waiting(node, ask, tier, workspace, cost, (), FAR_FUTURE)
+    return Waiting(node, ask, tier, workspace, cost, (), FAR_FUTURE, fingerprint)
 
 
 def build_settings(**changes: str) -> str:
--- a/celeryrun/tests/network.py
+++ b/celeryrun/tests/network.py
@@ -16,6 +16,7 @@
 from celeryrun.pool import Keepers, PoolClient, Targets
 from celeryrun.settings import Address, Settings
 from celeryrun.settings._schema import LimitSettings, NodeSettings, PeerSettings, PlatformSettings
+from celeryrun.suspicion import Suspicion
 
 __all__ = ["FakeNode", "FakePeers", "Network", "build_peer_settings"]
 
@@ -91,6 +92,7 @@
             "targets": self.targets,
             "members": self.members,
             "keepers": self.keepers,
+            "suspicion": Suspicion(self.kernel),
             "pools": self.pools,
         }.items():
             self.kernel.register(service, item)
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -31,7 +31,6 @@
     "Relayed",
     "Shed",
     "SuspicionCleared",
-    "SuspicionQuery",
     "SuspicionVerdict",
     "TargetDeath",
     "TargetGossip",
@@ -95,6 +94,8 @@
         Hashes of the prompt's leading blocks, longest last.
     remaining : float
         Seconds to the request's deadline.
+    fingerprint : int
+        Hash of workspace, path and body, by which a request that crashes targets is known.
     """
 
     pool: str
@@ -104,6 +105,7 @@
     cost: float
     prefix: tuple[int, ...]
     remaining: float
+    fingerprint: int = 0
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -382,19 +384,6 @@
     message: Ask | Withdraw | Done | PoolBeat
 
 
-class SuspicionQuery(msgspec.Struct, frozen=True, array_like=True, tag=61):
-    """Question what is held against a request; only a suspect gets an answer.
-
-    Parameters
-    ----------
-    fingerprint : int
-        Hash of workspace, path and body.
-    """
-
-    pool: str
-    fingerprint: int
-
-
 class SuspicionVerdict(msgspec.Struct, frozen=True, array_like=True, tag=62):
     """A request is suspect.
 
@@ -453,7 +442,6 @@
     | TargetGossip
     | HandOver
     | Relayed
-    | SuspicionQuery
     | SuspicionVerdict
     | TargetDeath
     | SuspicionCleared
