--- a/celeryrun/pool/_state.py
+++ b/celeryrun/pool/_state.py
@@ -70,6 +70,7 @@
         "_lease",
         "_running",
         "_running_by_workspace",
+        "_tiers_without_headroom",
         "_usage_by_target",
         "belief",
         "epoch",
@@ -103,6 +104,7 @@
         self._in_flight_by_target: dict[str, int] = {}
         self._running: Counter[tuple[str, int]] = Counter()
         self._running_by_workspace: Counter[str] = Counter()
+        self._tiers_without_headroom: set[int] = set()
         self._usage_by_target: dict[str, tuple[float, float]] = {}
 
     def in_flight(self, target: str) -> int:
@@ -227,6 +229,7 @@
     def lapse(self) -> list[Granted]:
         """Free the slots whose lease has lapsed."""
         now = time.monotonic()
+        self._tiers_without_headroom.clear()
         lapsed = [grant for grant, item in self.granted_by_id.items() if item.expires <= now]
         return [self._remove(grant) for grant in lapsed]
 
@@ -271,16 +274,25 @@
             return self.queue.pop(), free
         for tier in range(1, LOWEST_TIER):
             if self.queue.has_waiting(tier):
-                spare = [target for target in targets if self._has_headroom(target, tier)]
+                spare = self._targets_with_headroom(targets, tier)
                 if spare:
                     return self.queue.pop(tier), spare
         first = self.queue.peek()
         if first is not None and self._is_small(first.workspace):
-            spare = [target for target in targets if self._has_headroom(target, 0)]
+            spare = self._targets_with_headroom(targets, 0)
             if spare:
                 return self.queue.pop(), spare
         return None, []
 
+    def _targets_with_headroom(self, targets: list[Target], tier: int) -> list[Target]:
+        # Where there was none, there is none until a slot is freed or the next tick.
+        if tier in self._tiers_without_headroom:
+            return []
+        spare = [target for target in targets if self._has_headroom(target, tier)]
+        if not spare:
+            self._tiers_without_headroom.add(tier)
+        return spare
+
     def _has_headroom(self, target: Target, tier: int) -> bool:
         """Tell whether a tier may go beyond the limit where tiers below it hold slots."""
         limit = self.limit_by_target[target.name].slots
@@ -321,6 +333,7 @@
         limit = self.limit_by_target.get(target.name)
         if limit is None:
             limit = self.limit_by_target[target.name] = SlotLimit(SLOTS_BY_KIND[kind])
+            self._tiers_without_headroom.clear()
         return target.is_usable() and self.in_flight(target.name) < int(limit.slots)
 
     def _add(self, grant: int, granted: Granted) -> None:
@@ -332,6 +345,7 @@
 
     def _remove(self, grant: int) -> Granted:
         granted = self.granted_by_id.pop(grant)
+        self._tiers_without_headroom.clear()
         self._usage(granted.target)
         self._in_flight_by_target[granted.target] -= 1
         self._running[granted.target, granted.tier] -= 1
