--- a/celeryrun/front/_door.py
+++ b/celeryrun/front/_door.py
@@ -15,8 +15,9 @@
 from celeryrun.exception import Refusal
 from celeryrun.front._answers import AnswerBook, Exchange, Head
 from celeryrun.front._request import Request, admit
-from celeryrun.front._runner import Runner, is_known_unrun, refusal_head
+from celeryrun.front._runner import Runner, is_known_unrun
 from celeryrun.front._server import Server
+from celeryrun.front._writer import refusal_head
 from celeryrun.kernel import Kernel
 from celeryrun.observe import request_context
 from celeryrun.settings import Settings
--- a/celeryrun/front/_runner.py
+++ b/celeryrun/front/_runner.py
@@ -10,7 +10,6 @@
 from contextlib import AbstractContextManager
 
 import logbook
-import msgspec
 
 from celeryrun.answers import Fetched
 from celeryrun.claims import TOO_OLD, UNAVAILABLE, Held, Lost, Unresolved, Won, digest_of
@@ -27,12 +26,13 @@
 from celeryrun.exception import Refusal
 from celeryrun.front._answers import Exchange, Head
 from celeryrun.front._request import Request
+from celeryrun.front._writer import AnswerWriter
 from celeryrun.kernel import Kernel, check
 from celeryrun.pool._prefix import hash_prefix
 from celeryrun.suspicion import hash_request
 from celeryrun.wire import Grant
 
-__all__ = ["Runner", "claim_key", "is_known_unrun", "refusal_head"]
+__all__ = ["Runner", "claim_key", "is_known_unrun"]
 
 AVOID_SECONDS = 1.0
 FIRST_PAUSE = 0.02  # s before a slot is asked for anew, when one could not be used
@@ -54,41 +54,12 @@
 log = logbook.Logger("runner")
 
 
-class _Text(msgspec.Struct):
-    text: str
-    prompt_tokens: int
-    cached_tokens: int
-    completion_tokens: int
-
-
 def _cancel_later(address: str, stream_id: str) -> None:
     # The caller must not wait for an engine that may be silent.
     arguments = (address, stream_id)
     threading.Thread(target=cancel_stream, args=arguments, name="cancel", daemon=True).start()
 
 
-class _StreamEnd(msgspec.Struct):
-    outcome: str
-    reason: str = ""
-
-
-def refusal_head(refusal: Refusal, known: bool = True) -> tuple[Head, bytes]:
-    """Return head and body that tell a caller that the request was not run.
-
-    Parameters
-    ----------
-    known : bool
-        Whether it is known that no earlier attempt under the key ran; if not, the outcome told
-        is unknown.
-    """
-    headers = [("Content-Type", "application/json")]
-    if refusal.retry_after is not None:
-        headers.append(("Retry-After", f"{max(1, round(refusal.retry_after))}"))
-    body = msgspec.json.encode({"error": refusal.kind, "remedy": refusal.remedy})
-    outcome = "not-run" if known and refusal is not TOO_OLD else "unknown"
-    return Head(refusal.status, outcome, tuple(headers)), body
-
-
 def claim_key(request: Request) -> str:
     """Return the name under which a request's idempotency key is claimed."""
     return f"{request.plan.workspace}/{request.key}"
@@ -130,6 +101,7 @@
         "_request",
         "_target",
         "_won",
+        "_writer",
     )
 
     def __init__(
@@ -148,6 +120,7 @@
         self._fetched = False
         self._held: Held | None = None
         self._won: Won | None = None
+        self._writer = AnswerWriter(kernel, request, exchange)
         self._fingerprint = hash_request(request.plan.workspace, request.path, request.body)
         self._target = ""
 
@@ -206,10 +179,10 @@
         return (yield from self._use(grant))
 
     def _fail(self) -> None:
-        if self._exchange.finished is not None:
+        if self._writer.is_finished:
             return
         if self._dispatched or not self._refuse(FAILED):
-            self._unknown("the node failed while it ran the request")
+            self._writer.unknown("the node failed while it ran the request")
 
     def _find_answer(self) -> Generator[None, None, bool]:
         """Fetch the answer from the node that has it; returns whether the request has ended."""
@@ -243,7 +216,7 @@
         if claims.wait_released(claim_key(self._request), held, until):
             self._held = claims.holder(claim_key(self._request))
             return False
-        self._unknown(f"node {held.node} has run or may have run this idempotency key")
+        self._writer.unknown(f"node {held.node} has run or may have run this idempotency key")
         return True
 
     def _fetch(self, node: str) -> Generator[None, None, Fetched]:
@@ -262,9 +235,9 @@
             case Fetched.FINISHED:
                 assert self._exchange.head is not None
                 self._fetched = self._exchange.head.outcome in ("complete", "stream")
-                self._count("fetched")
+                self._writer.count("fetched")
             case _:
-                self._unknown("the node that has this request does not answer")
+                self._writer.unknown("the node that has this request does not answer")
         return True
 
     def _wait_for_slot(self) -> Grant | Refusal:
@@ -288,10 +261,7 @@
         )
         with watch:
             result = client.wait(waiter)
-        metrics = self._kernel.find("metrics")
-        label = metrics.label(request.plan.workspace)
-        waited = time.monotonic() - request.arrived
-        metrics.queue_wait.labels(label, str(request.plan.tier)).observe(waited)
+        self._writer.observe_wait()
         suspect: Refusal | None = suspicion.refusal(self._fingerprint)
         if suspect is not None and isinstance(result, Grant):
             client.release(result, 0.0, -1.0, 0.0, True)
@@ -355,7 +325,7 @@
             case Refusal() as refusal:
                 return self._refuse(refusal)
             case Unresolved(reason):
-                self._unknown(reason)
+                self._writer.unknown(reason)
                 return True
         return False
 
@@ -377,9 +347,10 @@
                 return False
             case Unknown(reason, target_died):
                 self._note_death(target_died)
-                self._unknown(reason)
+                self._writer.unknown(reason)
             case Answer(status, headers, body):
-                self._complete(Head(status, "complete", headers), body)
+                self._writer.complete(Head(status, "complete", headers), body)
+                self._clear_suspicion()
         return True
 
     def _note_death(self, target_died: bool) -> None:
@@ -412,7 +383,7 @@
                         check(index == len(texts), "tokens-once-and-in-order", index=index)
                         texts.append(text)
                         if prompt.stream and not self._gone.is_set():
-                            self._stream_token(index, text)
+                            self._writer.token(index, text)
                             yield
                         if self._gone.is_set():
                             stream.abort()
@@ -427,7 +398,9 @@
                         return False, 0.0, False
                     case Unknown(reason, target_died):
                         self._note_death(target_died)
-                        self._unknown("the caller hung up" if self._gone.is_set() else reason)
+                        self._writer.unknown(
+                            "the caller hung up" if self._gone.is_set() else reason
+                        )
                         _cancel_later(address, stream.stream_id)
         return True, self._request.cost, False
 
@@ -442,36 +415,16 @@
         )
         return watch
 
-    def _stream_token(self, index: int, text: str) -> None:
-        if self._exchange.head is None:
-            self._exchange.begin(Head(200, "stream", (("Content-Type", "text/event-stream"),)))
-            self._observe_first()
-        event = msgspec.json.encode({"index": index, "text": text})
-        self._exchange.add(b"data: " + event + b"\n\n")
-
     def _finish_stream(self, texts: list[str], usage: Usage) -> None:
         assert self._request.prompt is not None
-        text = "".join(texts)
-        if not self._request.prompt.stream:
-            body = _Text(text, usage.prompt, usage.cached, usage.completion)
-            head = Head(200, "complete", (("Content-Type", "application/json"),))
-            self._complete(head, msgspec.json.encode(body))
-            return
-        if self._exchange.head is None:
-            self._exchange.begin(Head(200, "stream", (("Content-Type", "text/event-stream"),)))
-        self._end_event(_StreamEnd("complete"))
-        self._exchange.finish(whole=True)
-        self._kernel.find("suspicion").clear(self._request.pool.name, self._fingerprint)
-        self._count("complete")
-
-    def _end_event(self, end: _StreamEnd) -> None:
-        self._exchange.add(b"event: outcome\ndata: " + msgspec.json.encode(end) + b"\n\n")
+        if self._request.prompt.stream:
+            self._writer.end_stream()
+        else:
+            self._writer.text(texts, usage)
+        self._clear_suspicion()
 
-    def _complete(self, head: Head, body: bytes) -> None:
-        self._observe_first()
-        self._answer(head, body)
+    def _clear_suspicion(self) -> None:
         self._kernel.find("suspicion").clear(self._request.pool.name, self._fingerprint)
-        self._count("complete")
 
     def _refuse(self, refusal: Refusal) -> bool:
         """End with a refusal, unless the key turns out to be held; returns whether it has ended."""
@@ -482,8 +435,7 @@
             if self._held is not None:
                 return False
             if not known:
-                self._answer(*refusal_head(refusal, known=False))
-                self._count("unknown")
+                self._writer.refused_but_unknown(refusal)
                 return True
         self._tell_not_run(refusal)
         return True
@@ -492,38 +444,4 @@
         unused = self._won is None or not self._won.dispatched
         is_true = unused and not self._dispatched
         check(is_true, "not-run-is-true", request=self._request.request_id)
-        self._answer(*refusal_head(refusal))
-        self._count(refusal.kind)
-        self._kernel.find("metrics").count_refusal(refusal.kind)
-
-    def _answer(self, head: Head, body: bytes) -> None:
-        self._exchange.begin(head)
-        self._exchange.add(body)
-        self._exchange.finish(whole=True)
-
-    def _unknown(self, reason: str) -> None:
-        log.warning("outcome unknown: {}", reason)
-        self._count("unknown")
-        if self._exchange.head is not None:
-            if self._exchange.head.outcome == "stream":
-                self._end_event(_StreamEnd("unknown", reason))
-            self._exchange.finish(whole=False)
-            return
-        remedy = "the request may have run; ask the application before sending it anew"
-        body = msgspec.json.encode({"error": "unknown", "reason": reason, "remedy": remedy})
-        self._answer(Head(502, "unknown", (("Content-Type", "application/json"),)), body)
-
-    def _observe_first(self) -> None:
-        metrics = self._kernel.find("metrics")
-        label = metrics.label(self._request.plan.workspace)
-        passed = time.monotonic() - self._request.arrived
-        metrics.first_byte.labels(label, str(self._request.plan.tier)).observe(passed)
-
-    def _count(self, outcome: str) -> None:
-        metrics = self._kernel.find("metrics")
-        label = metrics.label(self._request.plan.workspace)
-        tier = str(self._request.plan.tier)
-        metrics.answers.labels(label, tier, outcome).inc()
-        passed = time.monotonic() - self._request.arrived
-        metrics.whole.labels(label, tier).observe(passed)
-        log.info("answered {} after {:.3f} s", outcome, passed)
+        self._writer.not_run(refusal)
