--- a/celeryrun/front/_server.py
+++ b/celeryrun/front/_server.py
@@ -6,24 +6,14 @@
 from collections.abc import Callable
 from typing import Any
 
-import cheroot.server
-
 from celeryrun.observe import LoggedServer
 
 __all__ = ["Server"]
 
-BUFFER_BYTES = 2048
 POLL_PERIOD = 0.05  # s
 READ_PATIENCE = 2  # s for a connection on which no whole request has come
 
 
-class Connection(cheroot.server.HTTPConnection):
-    """Connection with small buffers, since hundreds of callers wait at once."""
-
-    rbufsize = BUFFER_BYTES
-    wbufsize = BUFFER_BYTES
-
-
 class Server(LoggedServer):
     """Server with a fixed number of threads that drains before it stops.
 
@@ -33,7 +23,6 @@
         Whether callers are told to close their connection with each answer.
     """
 
-    ConnectionClass = Connection
     draining = False
 
     @property
