Share the callers' threads and the engine's expected text among the long runs

Cause: three modules of callers had the same start and stop, two the same expected text. Change: proofs/_threads.py. No run behaves otherwise.

--- a/proofs/_callers.py
+++ b/proofs/_callers.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from celeryrun.claims._key import new_key
+from proofs._threads import CallerThreads
 from standins.fleet import Fleet
 
 __all__ = ["Attempt", "Callers", "Sent"]
@@ -62,7 +63,7 @@
     attempts: list[Attempt] = field(default_factory=list)
 
 
-class Callers:
+class Callers(CallerThreads):
     """Threads that send requests of all kinds and tiers, and send again what broke.
 
     Parameters
@@ -78,9 +79,8 @@
     """
 
     def __init__(self, fleet: Fleet, seed: int, count: int, pause: float) -> None:
-        self.fleet = fleet
+        super().__init__(fleet)
         self.pause = pause
-        self.stopped = threading.Event()
         self.sent: list[Sent] = []
         self.retired: set[str] = set()
         self.http = urllib3.PoolManager(retries=False, maxsize=count, num_pools=50)
@@ -89,17 +89,6 @@
             for number in range(count)
         ]
 
-    def start(self) -> None:
-        """Begin."""
-        for thread in self.threads:
-            thread.start()
-
-    def stop(self) -> None:
-        """Send nothing new, and wait for what runs."""
-        self.stopped.set()
-        for thread in self.threads:
-            thread.join()
-
     def run(self, choices: random.Random, number: int) -> None:
         """Send until stopped."""
         serial = 0
--- a/proofs/_dispatch_callers.py
+++ b/proofs/_dispatch_callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import random
 import socket
@@ -13,9 +12,10 @@
 
 import urllib3
 
+from proofs._threads import CallerThreads
 from standins.fleet import Fleet
 
-__all__ = ["DEADLINE", "POISON", "DispatchCallers", "Marked", "Try", "expected_text"]
+__all__ = ["DEADLINE", "POISON", "DispatchCallers", "Marked", "Try"]
 
 DEADLINE = 8.0  # s
 PATIENCE = 14.0  # s
@@ -55,13 +55,7 @@
     tries: list[Try] = field(default_factory=list)
 
 
-def expected_text(prompt: str, tokens: int) -> str:
-    """Return what the stand-in engine gives."""
-    seed = hashlib.blake2b(prompt.encode(), digest_size=4).hexdigest()
-    return "".join(f"{seed}.{index} " for index in range(tokens))
-
-
-class DispatchCallers:
+class DispatchCallers(CallerThreads):
     """Threads that send marked requests.
 
     Parameters
@@ -75,8 +69,7 @@
     """
 
     def __init__(self, fleet: Fleet, seed: int, count: int) -> None:
-        self.fleet = fleet
-        self.stopped = threading.Event()
+        super().__init__(fleet)
         self.marked: list[Marked] = []
         self.life_by_node: dict[str, int] = dict.fromkeys(fleet.nodes, 0)
         self.http = urllib3.PoolManager(retries=False, maxsize=count, num_pools=20)
@@ -86,17 +79,6 @@
             for number, task in enumerate(tasks)
         ]
 
-    def start(self) -> None:
-        """Begin."""
-        for thread in self.threads:
-            thread.start()
-
-    def stop(self) -> None:
-        """Send nothing new, and wait for what runs."""
-        self.stopped.set()
-        for thread in self.threads:
-            thread.join()
-
     def send_many(self, choices: random.Random, number: int) -> None:
         """Send requests of all kinds."""
         serial = 0
--- a/proofs/_judge.py
+++ b/proofs/_judge.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 from collections import Counter
 
 from proofs._callers import DEADLINE, Sent
+from proofs._threads import expected_text
 from standins.fleet import Fleet
 
 __all__ = ["count_outcomes", "judge"]
@@ -86,19 +86,17 @@
             content = json.loads(body)
             return content["path"].endswith(item.marker) and content["for"] != "another"
         case "draft":
-            return bool(json.loads(body)["text"] == expected_text(item))
+            return bool(json.loads(body)["text"] == expected(item))
     events = body.decode().strip().split("\n\n")
     end = json.loads(events[-1].partition("data: ")[2])
     texts = [json.loads(event.removeprefix("data: "))["text"] for event in events[:-1]]
-    whole = "".join(texts) == expected_text(item)
-    return whole if end["outcome"] == "complete" else expected_text(item).startswith("".join(texts))
+    whole = "".join(texts) == expected(item)
+    return whole if end["outcome"] == "complete" else expected(item).startswith("".join(texts))
 
 
-def expected_text(item: Sent) -> str:
-    """Return what the stand-in engine gives."""
-    prompt = f"{item.marker} A season contract"
-    seed = hashlib.blake2b(prompt.encode(), digest_size=4).hexdigest()
-    return "".join(f"{seed}.{index} " for index in range(item.tokens))
+def expected(item: Sent) -> str:
+    """Return the whole text of a draft."""
+    return expected_text(f"{item.marker} A season contract", item.tokens)
 
 
 def count_outcomes(sent: list[Sent]) -> Counter[str]:
--- a/proofs/_tiers.py
+++ b/proofs/_tiers.py
@@ -10,6 +10,7 @@
 
 import urllib3
 
+from proofs._threads import CallerThreads
 from standins.fleet import Fleet
 
 __all__ = ["DEADLINE", "TierCall", "TierCallers"]
@@ -47,7 +48,7 @@
         return self.error == "overload"
 
 
-class TierCallers:
+class TierCallers(CallerThreads):
     """Threads that send stock checks to all nodes, also to those that leave.
 
     Parameters
@@ -61,9 +62,8 @@
     """
 
     def __init__(self, fleet: Fleet, seed: int, count_by_tier: dict[int, int]) -> None:
-        self.fleet = fleet
+        super().__init__(fleet)
         self.calls: list[TierCall] = []
-        self.stopped = threading.Event()
         self.unready: set[str] = set()
         tiers = [tier for tier, count in count_by_tier.items() for _ in range(count)]
         self.workspace_by_tier = {tier: name for name, tier in fleet.plan.plans.items()}
@@ -72,17 +72,6 @@
             for number, tier in enumerate(tiers)
         ]
 
-    def start(self) -> None:
-        """Begin."""
-        for thread in self.threads:
-            thread.start()
-
-    def stop(self) -> None:
-        """Send nothing new, and wait for what runs."""
-        self.stopped.set()
-        for thread in self.threads:
-            thread.join()
-
     def run(self, tier: int, choices: random.Random) -> None:
         """Send until stopped."""
         http = urllib3.PoolManager(retries=False, num_pools=50)
--- a/proofs/dispatch.py
+++ b/proofs/dispatch.py
@@ -20,8 +20,8 @@
     DispatchCallers,
     Marked,
     Try,
-    expected_text,
 )
+from proofs._threads import expected_text
 from standins.fleet import Fleet, FleetPlan
 
 __all__ = ["main"]
