Drop the count of waiting asks from the heartbeat to a keeper

Cause: a node counted its waiting asks for each pool twice a second and sent the number; no keeper ever read it (it counts its own queue and answers with that).

--- a/bench/keeper.py
+++ b/bench/keeper.py
@@ -112,7 +112,7 @@
     def beat(self, holds: int) -> None:
         """Take a heartbeat."""
         held = tuple(Hold(1 << 40 | n, "engine-0", 1, "workspace-1", 300.0) for n in range(holds))
-        beat = PoolBeat("drafts", 10, held)
+        beat = PoolBeat("drafts", held)
         self.keepers._on_beat("node-1", self.link.carry("node-1", "node-0", beat))
 
 
--- a/celeryrun/pool/_client.py
+++ b/celeryrun/pool/_client.py
@@ -319,9 +319,8 @@
             waiters = [item for item in self._waiter_by_ask.values() if item.result is None]
             holds = list(self._hold_by_grant.values())
         for pool in {waiter.ask.pool for waiter in waiters} | {pool for pool, _ in holds}:
-            count = sum(1 for waiter in waiters if waiter.ask.pool == pool)
             held = tuple(hold for holder, hold in holds if holder == pool)
-            self._tell_keeper(pool, PoolBeat(pool, count, held))
+            self._tell_keeper(pool, PoolBeat(pool, held))
         self._follow_duties(waiters)
 
     def _follow_duties(self, waiters: list[Waiter]) -> None:
--- a/celeryrun/wire/_messages.py
+++ b/celeryrun/wire/_messages.py
@@ -180,7 +180,6 @@
     """Heartbeat of a node to a pool's keeper; renews the leases of the grants held."""
 
     pool: str
-    waiting: int
     holds: tuple[Hold, ...]
 
 
