Lease a slot in one place

Cause: the baselines of the policy's bench built grant and lease by a copy of PoolState.next_grant's end. PoolState._give serves both; a baseline has no limits to learn from, so the start it notes now changes nothing.

--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import itertools
-import time
 from collections.abc import Callable
 
 import celeryrun.pool._keeper as keeper
 from celeryrun.pool._queue import FairQueue, Waiting
-from celeryrun.pool._state import Granted, PoolState
+from celeryrun.pool._state import PoolState
 from celeryrun.pool._targets import Target
 
 __all__ = ["BASELINES", "install"]
@@ -70,20 +69,7 @@
         if waiting is None:
             return None
         target = self.choose(free)
-        grant = self.epoch << 32 | next(self._ids)
-        expires = time.monotonic() + self._lease
-        self._add(
-            grant,
-            Granted(
-                waiting.node,
-                target.name,
-                waiting.tier,
-                waiting.workspace,
-                waiting.cost,
-                expires,
-            ),
-        )
-        return grant, waiting, target
+        return self._give(waiting, target), waiting, target
 
 
 class RoundRobin(_Baseline):
--- a/celeryrun/pool/_state.py
+++ b/celeryrun/pool/_state.py
@@ -133,7 +133,12 @@
             return None
         target = choose_target(self, waiting, self._apart(waiting, free))
         self.belief.note(target.name, waiting.prefix)
+        return self._give(waiting, target), waiting, target
+
+    def _give(self, waiting: Waiting, target: Target) -> int:
+        """Lease a slot of a target to an ask; returns the grant's id."""
         grant = self.epoch << 32 | next(self._ids)
+        now = time.monotonic()
         self._add(
             grant,
             Granted(
@@ -142,12 +147,12 @@
                 waiting.tier,
                 waiting.workspace,
                 waiting.cost,
-                time.monotonic() + self._lease,
-                since=time.monotonic(),
+                now + self._lease,
+                since=now,
                 fingerprint=waiting.fingerprint,
             ),
         )
-        return grant, waiting, target
+        return grant
 
     def renew(self, node: str, holds: tuple[Hold, ...]) -> None:
         """Renew the leases of grants that a node holds; unknown ones are adopted."""
