--- a/proofs/configuration.py
+++ b/proofs/configuration.py
@@ -31,7 +31,6 @@
 RETENTION = 20.0  # s
 PUBLISHERS = 2
 WATCH_PERIOD = 0.15  # s
-START_GRACE = 8.0  # s in which a started node may not answer yet
 MAX_PAUSE = 4.0  # s
 LOG_TIMEOUT = 1.0  # s
 PATIENCE = 3.0  # s
