--- a/celeryrun/claims/_book.py
+++ b/celeryrun/claims/_book.py
@@ -6,6 +6,7 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import logbook
@@ -186,7 +187,7 @@
     def wait_until_can_claim(self, deadline: float) -> bool:
         """Wait until `can_claim`; False at the monotonic deadline."""
         with self._changed:
-            return self._changed.wait_for(self.can_claim, max(0.0, deadline - time.monotonic()))
+            return self._wait_for(self.can_claim, deadline)
 
     def holder(self, key: str) -> Held | None:
         """Return the claim that holds a key, as far as this node has read."""
@@ -224,10 +225,7 @@
             self._outbox_by_claim[claim.claim] = pending
             self._changed.notify_all()
         with self._changed:
-            self._changed.wait_for(
-                lambda: pending.verdict is not None or self._is_failing(),
-                max(0.0, deadline - time.monotonic()),
-            )
+            self._wait_for(lambda: pending.verdict is not None or self._is_failing(), deadline)
             if pending.verdict is None:
                 self._give_up(pending, "the log did not say in time whose claim was first")
             assert pending.verdict is not None
@@ -252,9 +250,7 @@
     def wait_released(self, key: str, held: Held, deadline: float) -> bool:
         """Wait until a claim no longer holds its key; False at the monotonic deadline."""
         with self._changed:
-            return self._changed.wait_for(
-                lambda: self.table.holder(key) != held, max(0.0, deadline - time.monotonic())
-            )
+            return self._wait_for(lambda: self.table.holder(key) != held, deadline)
 
     def sync(self, since: float, deadline: float) -> bool:
         """Wait until the log was read to its end by a read that began after a time.
@@ -267,9 +263,10 @@
         with self._changed:
             self._sync_from = max(self._sync_from, since)
             self._changed.notify_all()
-            return self._changed.wait_for(
-                lambda: self._fresh_to >= since, max(0.0, deadline - time.monotonic())
-            )
+            return self._wait_for(lambda: self._fresh_to >= since, deadline)
+
+    def _wait_for(self, condition: Callable[[], bool], deadline: float) -> bool:
+        return self._changed.wait_for(condition, max(0.0, deadline - time.monotonic()))
 
     def _is_failing(self) -> bool:
         since = self._failing_since
