--- a/bench/claims.py
+++ b/bench/claims.py
@@ -16,7 +16,7 @@
 from celeryrun.claims import ClaimBook, ClaimTable, Won
 from celeryrun.claims._key import new_key
 from celeryrun.claims._records import Batch, Claim, new_claim_id
-from celeryrun.platform import LogClient
+from celeryrun.streams import LogClient
 from standins.fleet import Fleet, FleetPlan
 
 __all__ = ["main"]
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -18,7 +18,7 @@
 from celeryrun.configuration._model import encode_record
 from celeryrun.configuration._service import _pack, _unpack
 from celeryrun.observe import Metrics
-from celeryrun.platform import LogClient, Record
+from celeryrun.streams import LogClient, Record
 from celeryrun.wire import ConfigurationNotice, ConfigurationState, Envelope, Sealer
 from standins.fleet import PEER_KEY, Fleet, FleetPlan
 
--- a/bench/keeper.py
+++ b/bench/keeper.py
@@ -14,8 +14,8 @@
 
 from celeryrun.configuration import Pool
 from celeryrun.kernel import Kernel
-from celeryrun.platform import Vm
 from celeryrun.pool import Keepers, Targets
+from celeryrun.streams import Vm
 from celeryrun.suspicion import Suspicion
 from celeryrun.wire import Ask, Done, Envelope, Grant, Hold, PoolBeat, Sealer
 
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -22,9 +22,9 @@
 
 from celeryrun.kernel import Kernel
 from celeryrun.membership import Members
-from celeryrun.platform import Vm
 from celeryrun.settings import Address, Settings
 from celeryrun.settings._schema import LimitSettings, NodeSettings, PeerSettings, PlatformSettings
+from celeryrun.streams import Vm
 from celeryrun.wire import Peers
 from standins.fleet import free_ports
 
--- /dev/null
+++ b/celeryrun/catalog/__init__.py
@@ -0,0 +1,23 @@
+"""What a deployment consists of, as plain data."""
+
+from celeryrun.catalog._model import (
+    CallerLimits,
+    Catalog,
+    Kind,
+    Pool,
+    Route,
+    Split,
+    Target,
+    Workspace,
+)
+
+__all__ = [
+    "CallerLimits",
+    "Catalog",
+    "Kind",
+    "Pool",
+    "Route",
+    "Split",
+    "Target",
+    "Workspace",
+]
--- a/celeryrun/claims/_book.py
+++ b/celeryrun/claims/_book.py
@@ -16,8 +16,8 @@
 from celeryrun.claims._table import ClaimTable, Held
 from celeryrun.exception import LogUnavailableError, Refusal
 from celeryrun.kernel import Kernel, check
-from celeryrun.platform import LogClient, Page, Record, TooManyAppendsError
 from celeryrun.settings import Settings
+from celeryrun.streams import LogClient, Page, Record, TooManyAppendsError
 
 __all__ = ["TOO_OLD", "UNAVAILABLE", "ClaimBook", "Lost", "Unresolved", "Won"]
 
--- a/celeryrun/claims/tests/test_book.py
+++ b/celeryrun/claims/tests/test_book.py
@@ -10,7 +10,7 @@
 from celeryrun.claims._records import Batch, digest_of
 from celeryrun.exception import InvariantViolatedError, LogUnavailableError, Refusal
 from celeryrun.kernel import set_strict
-from celeryrun.platform import TooManyAppendsError
+from celeryrun.streams import TooManyAppendsError
 from celeryrun.tests.builders import build_claim, build_claim_key, build_claim_page
 
 DIGEST = b"8 bytes."
--- a/celeryrun/cli/__init__.py
+++ b/celeryrun/cli/__init__.py
@@ -1,5 +1,5 @@
 """The ``celeryrun`` command."""
 
-from celeryrun.cli._commands import main
+from celeryrun.cli._main import main
 
 __all__ = ["main"]
--- a/celeryrun/cli/_commands.py
+++ b/celeryrun/cli/_commands.py
@@ -12,8 +12,6 @@
 import pynng
 from click.shell_completion import ShellComplete, get_completion_class
 
-from celeryrun import __version__
-from celeryrun.cli._exit import ErrorGroup
 from celeryrun.cli._nodes import drain_node, fetch_statuses, find_operator
 from celeryrun.cli._publish import publish_lists, read_lists, wait_in_force
 from celeryrun.cli._status import format_statuses
@@ -24,20 +22,14 @@
 from celeryrun.observe import json_handler, redirect_output
 from celeryrun.settings import Address, load_settings
 
-__all__ = ["main"]
+__all__ = ["check", "completion", "drain", "keys", "node", "publish", "status"]
 
 IN_FORCE_PATIENCE = 30.0  # s
 KEY_BYTES = 32
 FILE = click.Path(dir_okay=False)
 
 
-@click.group(cls=ErrorGroup)
-@click.version_option(__version__, prog_name="celeryrun")
-def main() -> None:
-    """Schedule requests for unlike engines behind one front door."""
-
-
-@main.command()
+@click.command()
 @click.argument("settings_file", type=FILE)
 @click.option("--strict", is_flag=True, help="End the process when an invariant is violated.")
 def node(settings_file: str, strict: bool) -> None:
@@ -57,7 +49,7 @@
             raise CeleryrunError(reason) from error
 
 
-@main.command()
+@click.command()
 @click.option("--settings", "settings_file", type=FILE, help="Settings of a node.")
 @click.option("--plans", type=FILE, help="List of customers' plans.")
 @click.option("--uses", type=FILE, help="List of what each plan may use.")
@@ -75,7 +67,7 @@
         click.echo(f"{len(wanted.plans)} workspaces and {len(wanted.pools)} pools: good")
 
 
-@main.command()
+@click.command()
 @click.argument("settings_file", type=FILE)
 @click.option("--plans", type=FILE, required=True, help="List of customers' plans.")
 @click.option("--uses", type=FILE, required=True, help="List of what each plan may use.")
@@ -105,7 +97,7 @@
         wait_in_force(settings, version, patience)
 
 
-@main.command()
+@click.command()
 @click.argument("settings_file", type=FILE)
 @click.option("--json", "as_json", is_flag=True, help="For programs.")
 def status(settings_file: str, as_json: bool) -> None:
@@ -118,7 +110,7 @@
         click.echo(line)
 
 
-@main.command()
+@click.command()
 @click.argument("node_or_address")
 @click.option("--settings", "settings_file", type=FILE, help="Settings, to find a node by name.")
 def drain(node_or_address: str, settings_file: str | None) -> None:
@@ -132,7 +124,7 @@
     click.echo(drain_node(address))
 
 
-@main.command()
+@click.command()
 @click.argument("workspace")
 @click.option("--stdin", "from_stdin", is_flag=True, help="Hash the key on standard input.")
 def keys(workspace: str, from_stdin: bool) -> None:
@@ -147,10 +139,12 @@
     click.echo(f"[{workspace}]\nkey_hash = {hash_key(key)}")
 
 
-@main.command()
+@click.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
     """Print the script that completes commands in a shell."""
+    from celeryrun.cli import main
+
     found = get_completion_class(shell)
     assert found is not None
     # The subclass for bash would start a process to learn its version.
--- a/celeryrun/cli/_nodes.py
+++ b/celeryrun/cli/_nodes.py
@@ -9,8 +9,8 @@
 
 from celeryrun.exception import CeleryrunError, NoAnswerError
 from celeryrun.front import Status
-from celeryrun.platform import fetch_vms
 from celeryrun.settings import Address, Settings
+from celeryrun.streams import fetch_vms
 
 __all__ = ["drain_node", "fetch_statuses", "find_operator"]
 
--- a/celeryrun/cli/_publish.py
+++ b/celeryrun/cli/_publish.py
@@ -11,8 +11,8 @@
 from celeryrun.cli._nodes import fetch_statuses
 from celeryrun.configuration import Configuration, Publisher, new_change_id, parse_lists
 from celeryrun.front import Status
-from celeryrun.platform import LogClient
 from celeryrun.settings import Settings, read_text
+from celeryrun.streams import LogClient
 
 __all__ = ["publish_lists", "read_lists", "wait_in_force"]
 
--- a/celeryrun/configuration/_carry.py
+++ b/celeryrun/configuration/_carry.py
@@ -13,9 +13,9 @@
 from celeryrun.configuration._model import encode_record
 from celeryrun.exception import LogUnavailableError
 from celeryrun.kernel import Kernel
-from celeryrun.membership._rendezvous import rank
-from celeryrun.platform import LogClient, TooManyAppendsError
+from celeryrun.kernel._rendezvous import rank
 from celeryrun.settings import PlatformSettings
+from celeryrun.streams import LogClient, TooManyAppendsError
 
 __all__ = ["CarryDuty", "due_share"]
 
--- a/celeryrun/configuration/_fold.py
+++ b/celeryrun/configuration/_fold.py
@@ -17,7 +17,7 @@
     decode_record,
 )
 from celeryrun.kernel import check
-from celeryrun.platform import Page, Record
+from celeryrun.streams import Page, Record
 
 __all__ = ["Delta", "Fold"]
 
--- a/celeryrun/configuration/_follow.py
+++ b/celeryrun/configuration/_follow.py
@@ -8,7 +8,7 @@
 import logbook
 
 from celeryrun.configuration._fold import Fold
-from celeryrun.platform import LogClient
+from celeryrun.streams import LogClient
 
 __all__ = ["Follower", "Step"]
 
--- a/celeryrun/configuration/_publish.py
+++ b/celeryrun/configuration/_publish.py
@@ -24,7 +24,7 @@
     ConfigurationRejectedError,
     LogUnavailableError,
 )
-from celeryrun.platform import LogClient, TooManyAppendsError
+from celeryrun.streams import LogClient, TooManyAppendsError
 
 __all__ = ["Publisher", "new_change_id"]
 
--- a/celeryrun/configuration/_service.py
+++ b/celeryrun/configuration/_service.py
@@ -20,9 +20,9 @@
 )
 from celeryrun.exception import LogUnavailableError
 from celeryrun.kernel import Kernel
-from celeryrun.membership._rendezvous import rank
-from celeryrun.platform import LogClient, Record
+from celeryrun.kernel._rendezvous import rank
 from celeryrun.settings import Settings
+from celeryrun.streams import LogClient, Record
 from celeryrun.wire import (
     ConfigurationDelta,
     ConfigurationNotice,
--- a/celeryrun/configuration/tests/memory_log.py
+++ b/celeryrun/configuration/tests/memory_log.py
@@ -6,7 +6,7 @@
 
 from celeryrun.configuration._model import encode_record
 from celeryrun.exception import LogUnavailableError
-from celeryrun.platform import Page, Record
+from celeryrun.streams import Page, Record
 
 PAGE_RECORDS = 4
 
--- a/celeryrun/configuration/tests/test_carry.py
+++ b/celeryrun/configuration/tests/test_carry.py
@@ -10,7 +10,7 @@
 from celeryrun.configuration._carry import CarryDuty
 from celeryrun.configuration.tests.memory_log import MemoryLog
 from celeryrun.kernel import Kernel
-from celeryrun.membership._rendezvous import rank
+from celeryrun.kernel._rendezvous import rank
 from celeryrun.settings import parse_settings
 from celeryrun.tests.builders import build_change, build_plan, build_settings
 
--- /dev/null
+++ b/celeryrun/gateway/_desk.py
@@ -0,0 +1,280 @@
+"""Asks for slots at the scheduler of the fleet, or at this node's own while no other answers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from dataclasses import dataclass
+
+from celeryrun.gateway._events import EventLog
+from celeryrun.gateway._hub import Hub, Reply
+from celeryrun.gateway._links import Beat, Hello, Leaving, Link, Message
+from celeryrun.gateway._roster import Roster
+from celeryrun.kernel import Kernel, now, rank
+from celeryrun.scheduling import UNUSED, Ask, Cancel, Denial, Done, First, Grant, Hold
+from celeryrun.settings import Address, GatewaySettings
+
+__all__ = ["Desk"]
+
+DUTY = "scheduler"
+BEAT_PERIOD = 0.2  # s
+SILENCE = 0.6  # s without an answer to heartbeats after which a scheduler counts as gone
+DIAL_PERIOD = 1.0  # s between two tries to reach a node
+DIAL_TIMEOUT = 0.5  # s
+
+
+@dataclass(slots=True)
+class Pending:
+    """An ask without an answer."""
+
+    ask: Ask
+    asked: float
+    future: asyncio.Future[Reply]
+    hub: str
+
+
+@dataclass(slots=True)
+class Held:
+    """A slot that this node uses."""
+
+    hub: str
+    grant: Grant
+    ask: Ask
+    granted: float
+
+
+class Desk:
+    """Service by which this node's requests get their slots."""
+
+    __slots__ = (
+        "_dialing",
+        "_events",
+        "_held_by_grant",
+        "_hub",
+        "_ids",
+        "_leaving",
+        "_links_by_node",
+        "_local",
+        "_name",
+        "_number",
+        "_pending_by_ask",
+        "_roster",
+        "_task",
+        "_tried",
+    )
+
+    def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
+        self._local: Hub = kernel.find("hub")
+        self._roster: Roster = kernel.find("roster")
+        self._events: EventLog = kernel.find("events")
+        self._name = settings.node.name
+        self._hub = self._name
+        self._ids = itertools.count(1)
+        self._number = 0
+        self._links_by_node: dict[str, Link] = {}
+        self._leaving: set[str] = set()
+        self._dialing: set[str] = set()
+        self._tried: dict[str, float] = {}
+        self._pending_by_ask: dict[int, Pending] = {}
+        self._held_by_grant: dict[int, Held] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._local.has_own_asks = True
+        self._local.serve_locally(self._on_reply)
+
+    def start(self) -> None:
+        """Begin to look for the fleet's scheduler."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+        for link in list(self._links_by_node.values()):
+            link.close()
+
+    def leave(self) -> None:
+        """Give the duty of scheduling to another node."""
+        self._leaving.add(self._name)
+        self._local.leave()
+
+    async def place(self, ask: Ask) -> Reply:
+        """Wait for a slot.
+
+        Returns
+        -------
+        Grant or Denial
+            Every grant must be given back by ``done``.
+        """
+        ask.id = next(self._ids)
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self._pending_by_ask[ask.id] = Pending(ask, now(), future, self._hub)
+        self._send(self._hub, ask)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.cancelled():
+                self._send(self._pending_by_ask[ask.id].hub, Cancel(ask.id))
+            elif isinstance(reply := future.result(), Grant):
+                # The grant came in the same turn in which the caller left.
+                self.done(reply, UNUSED)
+            raise
+        finally:
+            del self._pending_by_ask[ask.id]
+
+    def first(self, grant: Grant, seconds: float) -> None:
+        """Tell that the first byte of an answer came."""
+        held = self._held_by_grant.get(grant.grant)
+        if held is not None:
+            self._send(held.hub, First(grant.grant, seconds))
+
+    def done(self, grant: Grant, outcome: str, seconds: float = 0.0, events: int = 0) -> None:
+        """Give a slot back."""
+        held = self._held_by_grant.pop(grant.grant, None)
+        if held is None:
+            return
+        message = Done(grant.grant, outcome, seconds, events)
+        self._send(held.hub, message)
+        if self._hub != held.hub:
+            self._send(self._hub, message)
+
+    def _send(self, hub: str, message: Message) -> None:
+        if hub == self._name:
+            self._local.take(self._name, message)
+        elif hub in self._links_by_node:
+            self._links_by_node[hub].send(message)
+
+    def _on_reply(self, reply: Reply) -> None:
+        self._take_reply(self._name, reply)
+
+    def _take_reply(self, hub: str, reply: Reply) -> None:
+        pending = self._pending_by_ask.get(reply.ask)
+        wanted = pending is not None and pending.hub == hub and not pending.future.done()
+        match reply:
+            case Grant():
+                if not wanted or pending is None:
+                    self._send(hub, Done(reply.grant, UNUSED))
+                    return
+                self._held_by_grant[reply.grant] = Held(hub, reply, pending.ask, now())
+                pending.future.set_result(reply)
+            case Denial():
+                if wanted and pending is not None:
+                    pending.future.set_result(reply)
+
+    async def _run(self) -> None:
+        while True:
+            self._look_around()
+            await asyncio.sleep(BEAT_PERIOD)
+
+    def _look_around(self) -> None:
+        """Send heartbeats, give up silent schedulers, and turn to the one of highest rank."""
+        time = now()
+        self._number += 1
+        for node, link in list(self._links_by_node.items()):
+            if time - link.heard > SILENCE:
+                self._events.emit("scheduler-silent", peer=node, silent=time - link.heard)
+                link.close()
+            else:
+                link.send(Beat(self._number))
+        chosen = self._name
+        for node in rank(DUTY, {*self._roster.address_by_node, self._name}):
+            if node == self._name and self._name not in self._leaving:
+                break
+            if node in self._links_by_node:
+                if node not in self._leaving:
+                    chosen = node
+                    break
+            elif node != self._name:
+                self._dial(node, time)
+        self._turn_to(chosen)
+
+    def _turn_to(self, hub: str) -> None:
+        if hub == self._hub:
+            return
+        self._events.emit("scheduler-chosen", peer=hub, former=self._hub)
+        self._hub = hub
+        self._local.has_own_asks = hub == self._name
+        if hub == self._name:
+            self._local.adopt(self._name, self._holds())
+        for pending in list(self._pending_by_ask.values()):
+            if pending.hub != hub and not self._is_reachable(pending.hub):
+                self._ask_again(pending)
+
+    def _is_reachable(self, hub: str) -> bool:
+        return hub == self._name or (hub in self._links_by_node and hub not in self._leaving)
+
+    def _ask_again(self, pending: Pending) -> None:
+        if pending.future.done():
+            return
+        waited = now() - pending.asked
+        pending.asked += waited
+        pending.hub = self._hub
+        ask = pending.ask
+        ask.objective -= waited
+        ask.deadline -= waited
+        self._events.emit("asked-again", ask=ask.id, pool=ask.pool, peer=self._hub, waited=waited)
+        self._send(self._hub, ask)
+
+    def _holds(self) -> tuple[Hold, ...]:
+        time = now()
+        return tuple(
+            Hold(
+                held.grant.grant,
+                held.ask.pool,
+                held.grant.target,
+                held.ask.prompt,
+                held.ask.events,
+                time - held.granted,
+            )
+            for held in self._held_by_grant.values()
+        )
+
+    def _dial(self, node: str, time: float) -> None:
+        if node in self._dialing or time - self._tried.get(node, 0.0) < DIAL_PERIOD:
+            return
+        self._tried[node] = time
+        self._dialing.add(node)
+        address = self._roster.address_by_node[node]
+        task = asyncio.get_running_loop().create_task(self._connect(node, address))
+        task.add_done_callback(lambda _: self._dialing.discard(node))
+
+    async def _connect(self, node: str, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT):
+                _, link = await loop.create_connection(
+                    lambda: Link(self._on_message, self._on_closed), address.host, address.port
+                )
+        except (OSError, TimeoutError) as error:
+            self._events.emit("peer-unreachable", peer=node, why=str(error) or "timeout")
+            return
+        link.node = node
+        link.heard = now()
+        self._leaving.discard(node)
+        link.send(Hello(self._name, self._holds()))
+        link.send(Beat(self._number))
+        self._links_by_node[node] = link
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        link.heard = now()
+        match message:
+            case Grant() | Denial():
+                self._take_reply(link.node, message)
+            case Leaving():
+                self._leaving.add(link.node)
+                self._look_around()
+                self._move_from(link.node)
+            case _:
+                pass
+
+    def _on_closed(self, link: Link) -> None:
+        if self._links_by_node.get(link.node) is not link:
+            return
+        del self._links_by_node[link.node]
+        self._events.emit("scheduler-lost", peer=link.node)
+        self._look_around()
+        self._move_from(link.node)
+
+    def _move_from(self, node: str) -> None:
+        for pending in list(self._pending_by_ask.values()):
+            if pending.hub == node:
+                self._ask_again(pending)
--- /dev/null
+++ b/celeryrun/gateway/_doors.py
@@ -0,0 +1,145 @@
+"""Listeners: callers, the balancer's readiness check, and metrics."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from celeryrun.catalog import CallerLimits
+from celeryrun.exception import Refusal
+from celeryrun.gateway._events import EventLog
+from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._news import News
+from celeryrun.gateway._relay import Relay
+from celeryrun.kernel import Kernel
+from celeryrun.platform import READY_PATH
+from celeryrun.settings import Address, GatewaySettings
+from celeryrun.transport import CallerConnection, ReceivedRequest, format_head
+
+__all__ = ["CallerDoor", "PageDoor"]
+
+BACKLOG = 512  # connections that may wait to be accepted; clients come in bursts
+READY_SHARE = 0.8  # of the revocation lag; an older configuration soon refuses every key
+NOT_FOUND = Refusal(404, "no-page", "ask for a page that is served here")
+
+
+class CallerDoor:
+    """Service that accepts callers.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether the node is leaving.
+    """
+
+    __slots__ = ("_events", "_news", "_relay", "_server", "_settings", "connections", "draining")
+
+    def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
+        self._relay: Relay = kernel.find("relay")
+        self._news: News = kernel.find("news")
+        self._events: EventLog = kernel.find("events")
+        self._settings = settings
+        self._server: asyncio.Server | None = None
+        self.connections: set[CallerConnection] = set()
+        self.draining = False
+
+    def start(self) -> None:
+        """Nothing runs until ``listen``."""
+
+    async def listen(self) -> None:
+        """Accept callers from here on."""
+        self._server = await _listen(self._settings.node.caller_address, self._connect)
+
+    def stop(self) -> None:
+        """Break off what is left."""
+        self.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def close(self) -> None:
+        """Accept no further caller."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is asked."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    @property
+    def active(self) -> int:
+        """Count the requests that are being answered."""
+        return sum(1 for connection in self.connections if connection.answering)
+
+    def _connect(self) -> CallerConnection:
+        connection = CallerConnection(
+            self._relay.serve, self._limits, lambda: self.draining, self.connections.discard
+        )
+        self.connections.add(connection)
+        return connection
+
+    def _limits(self) -> CallerLimits:
+        catalog = self._news.catalog
+        return catalog.limits if catalog is not None else CallerLimits()
+
+
+class PageDoor:
+    """Service that serves readiness and metrics, each on its own address."""
+
+    __slots__ = ("_door", "_metrics", "_news", "_servers", "_settings", "_task")
+
+    def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
+        self._door: CallerDoor = kernel.find("callers")
+        self._metrics: GatewayMetrics = kernel.find("metrics")
+        self._news: News = kernel.find("news")
+        self._settings = settings
+        self._servers: list[asyncio.Server] = []
+
+    def start(self) -> None:
+        """Nothing runs until ``listen``."""
+
+    async def listen(self) -> None:
+        """Serve the pages from here on."""
+        node = self._settings.node
+        for address in (node.readiness_address, node.metrics_address):
+            self._servers.append(await _listen(address, self._connect))
+
+    def stop(self) -> None:
+        """End."""
+        for server in self._servers:
+            server.close()
+
+    def is_ready(self) -> bool:
+        """Tell whether this node can serve what callers send now."""
+        limit = READY_SHARE * self._settings.bounds.revocation_lag
+        known = self._news.is_known() and self._news.configuration.age() < limit
+        return known and not self._door.draining
+
+    def _connect(self) -> CallerConnection:
+        return CallerConnection(self._serve, CallerLimits, lambda: False, lambda _: None)
+
+    async def _serve(self, connection: CallerConnection, request: ReceivedRequest) -> None:
+        path = request.head.target.decode("latin-1").partition("?")[0]
+        match path:
+            case _ if path == READY_PATH:
+                ready = self.is_ready()
+                _answer(connection, 200 if ready else 503, b"ready\n" if ready else b"not ready\n")
+            case "/metrics":
+                _answer(connection, 200, self._metrics.page())
+            case _:
+                connection.refuse(NOT_FOUND)
+
+
+def _answer(connection: CallerConnection, status: int, body: bytes) -> None:
+    headers = [
+        (b"Content-Type", b"text/plain; version=0.0.4"),
+        (b"Content-Length", b"%d" % len(body)),
+        (b"Connection", connection.connection_header()),
+    ]
+    reason = b"OK" if status == 200 else b"Service Unavailable"
+    connection.write(format_head(b"HTTP/1.1 %d %b" % (status, reason), headers) + body)
+
+
+async def _listen(address: Address, connect: Callable[[], asyncio.Protocol]) -> asyncio.Server:
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(connect, address.host, address.port, backlog=BACKLOG)
--- /dev/null
+++ b/celeryrun/gateway/_gateway.py
@@ -0,0 +1,117 @@
+"""Assembly of a gateway's services, and its life from start to drained."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from celeryrun.gateway._desk import Desk
+from celeryrun.gateway._doors import CallerDoor, PageDoor
+from celeryrun.gateway._events import EventHandler, EventLog
+from celeryrun.gateway._hub import Hub
+from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._news import News
+from celeryrun.gateway._relay import Relay
+from celeryrun.gateway._roster import Roster
+from celeryrun.kernel import Kernel, now
+from celeryrun.observe import LEVEL_BY_NAME
+from celeryrun.platform import Store
+from celeryrun.settings import GatewaySettings, load_gateway
+
+__all__ = ["Gateway", "run_gateway"]
+
+BALANCER_LAG = 2.5  # s until a balancer that asks once a second has missed two answers
+STOP_MARGIN = 0.4  # s before the end of the grace at which the process ends by itself
+POLL = 0.05  # s between two looks at what is still answered
+SETTINGS_PERIOD = 1.0  # s between two looks at the settings file
+
+
+class Gateway:
+    """One gateway: a kernel with all its services.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        With every service registered.
+    settings : GatewaySettings
+        Checked settings.
+    path : str
+        Their file, read again when it changes.
+    """
+
+    __slots__ = ("_path", "_settings", "_stopping", "kernel")
+
+    def __init__(self, kernel: Kernel, settings: GatewaySettings, path: str) -> None:
+        self.kernel = kernel
+        self._settings = settings
+        self._path = path
+        self._stopping = asyncio.Event()
+
+    @classmethod
+    def from_config(cls, settings: GatewaySettings, path: str) -> Gateway:
+        """Assemble a gateway from settings."""
+        kernel = Kernel()
+        kernel.register("events", EventLog(settings.node.name))
+        kernel.register("metrics", GatewayMetrics())
+        kernel.register("store", Store(settings.store.address))
+        kernel.register("news", News(kernel, settings))
+        kernel.register("roster", Roster(kernel, settings))
+        kernel.register("hub", Hub(kernel, settings))
+        kernel.register("desk", Desk(kernel, settings))
+        kernel.register("relay", Relay(kernel, settings))
+        kernel.register("callers", CallerDoor(kernel, settings))
+        kernel.register("pages", PageDoor(kernel, settings))
+        return cls(kernel, settings, path)
+
+    async def run(self) -> None:
+        """Serve until the stop signal, finish what is held, and end."""
+        events: EventLog = self.kernel.find("events")
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        handler = EventHandler(events, LEVEL_BY_NAME[self._settings.node.log_level])
+        with handler.applicationbound():
+            self.kernel.start()
+            await self.kernel.find("pages").listen()
+            await self.kernel.find("callers").listen()
+            events.emit("started", zone=self._settings.node.zone)
+            await self._stopping.wait()
+            await self._drain(events)
+            self.kernel.stop()
+
+    def _reload(self) -> None:
+        events: EventLog = self.kernel.find("events")
+        events.emit("reloaded", file=self._path)
+
+    async def _drain(self, events: EventLog) -> None:
+        """Serve what still comes until the balancer has noticed, then what is in progress."""
+        door: CallerDoor = self.kernel.find("callers")
+        until = now() + self._settings.bounds.stop_grace - STOP_MARGIN
+        events.emit("draining", active=door.active, connections=len(door.connections))
+        door.draining = True
+        self.kernel.find("desk").leave()
+        await asyncio.sleep(min(BALANCER_LAG, self._settings.bounds.stop_grace / 2))
+        door.close()
+        while now() < until:
+            door.close_idle()
+            if not door.connections:
+                break
+            await asyncio.sleep(POLL)
+        events.emit("stopped", active=door.active, connections=len(door.connections))
+
+
+def run_gateway(path: str) -> None:
+    """Run one gateway until it is drained.
+
+    Parameters
+    ----------
+    path : str
+        Its settings file.
+    """
+    settings = load_gateway(path)
+
+    async def run() -> None:
+        await Gateway.from_config(settings, path).run()
+
+    asyncio.run(run())
--- /dev/null
+++ b/celeryrun/gateway/_hub.py
@@ -0,0 +1,213 @@
+"""The scheduler of this node, for itself and for the nodes that ask it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from celeryrun.gateway._events import EventLog
+from celeryrun.gateway._links import Beat, Hello, Leaving, Link, Message
+from celeryrun.gateway._news import News
+from celeryrun.gateway._roster import Roster
+from celeryrun.kernel import Kernel, now
+from celeryrun.scheduling import (
+    NEW_LEVEL,
+    Ask,
+    Bounds,
+    Cancel,
+    Denial,
+    Done,
+    First,
+    Grant,
+    Hold,
+    Scheduler,
+)
+from celeryrun.settings import GatewaySettings
+
+__all__ = ["Hub", "Reply"]
+
+TICK = 0.05  # s between two looks at what waits
+SWEEP = 1.0  # s between two looks for what nobody freed
+SILENCE = 0.8  # s without a heartbeat after which a node counts as gone, some heartbeats
+ABSENCE = 30.0  # s after which a silent node's part of the limits is given to the others
+
+Reply = Grant | Denial
+
+
+class Hub:
+    """Service that schedules for all nodes that ask this one."""
+
+    __slots__ = (
+        "_events",
+        "_last_heard",
+        "_leaving",
+        "_links_by_node",
+        "_local",
+        "_name",
+        "_news",
+        "_roster",
+        "_server",
+        "_settings",
+        "_tasks",
+        "has_own_asks",
+        "scheduler",
+    )
+
+    def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
+        self._news: News = kernel.find("news")
+        self._events: EventLog = kernel.find("events")
+        self._roster: Roster = kernel.find("roster")
+        self._settings = settings
+        self._name = settings.node.name
+        self._links_by_node: dict[str, Link] = {}
+        self._last_heard: dict[str, float] = {}
+        self._leaving = False
+        self._server: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._local: Callable[[Reply], None] = lambda reply: None
+        self.has_own_asks = False
+        bounds = settings.bounds
+        self.scheduler = Scheduler(
+            Bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window),
+            self._news.of_pool,
+            self._news.is_engine,
+            self.share,
+            new_level=1.0 if settings.node.first_start == "yes" else NEW_LEVEL,
+        )
+
+    def start(self) -> None:
+        """Listen for nodes and begin to plan."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._listen()),
+            loop.create_task(self._run()),
+        ]
+
+    def stop(self) -> None:
+        """End."""
+        for task in self._tasks:
+            task.cancel()
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._links_by_node.values()):
+            link.close()
+
+    def serve_locally(self, reply: Callable[[Reply], None]) -> None:
+        """Set what takes the replies to this node's own asks."""
+        self._local = reply
+
+    def leave(self) -> None:
+        """Tell all nodes to ask another."""
+        self._leaving = True
+        for link in self._links_by_node.values():
+            link.send(Leaving())
+
+    def share(self) -> float:
+        """Return the part of the fleet's limits that belongs to the nodes that ask this one.
+
+        The parts of silent nodes are kept back, since they may be cut off and use them.
+        """
+        time = now()
+        asking = len(self._links_by_node) + (1 if self.has_own_asks else 0)
+        silent = sum(
+            1
+            for node in self._roster.address_by_node
+            if node != self._name
+            and node not in self._links_by_node
+            and time - self._last_heard.setdefault(node, time) < ABSENCE
+        )
+        if not self.has_own_asks:
+            silent += 1
+        return max(1, asking) / max(1, asking + silent)
+
+    def take(self, node: str, message: Message) -> None:
+        """Take a message of a node, or of this one."""
+        time = now()
+        match message:
+            case Ask():
+                denial = self.scheduler.ask(node, message, time)
+                if denial is not None:
+                    self._reply(node, denial)
+                else:
+                    self._plan(message.pool)
+            case Cancel():
+                self.scheduler.cancel(node, message.ask)
+            case First():
+                self.scheduler.first(message.grant, message.seconds, time)
+            case Done():
+                pool = self.scheduler.done(message, time)
+                if pool is not None:
+                    self._plan(pool)
+
+    def adopt(self, node: str, holds: tuple[Hold, ...]) -> None:
+        """Count what a node holds by grants of another scheduler."""
+        for hold in holds:
+            self.scheduler.adopt(node, hold, now())
+
+    def _plan(self, pool: str) -> None:
+        grants, denials = self.scheduler.plan(pool, now())
+        for node, grant in grants:
+            self._reply(node, grant)
+        for node, denial in denials:
+            self._reply(node, denial)
+
+    def _reply(self, node: str, reply: Reply) -> None:
+        if node == self._name:
+            self._local(reply)
+        elif node in self._links_by_node:
+            self._links_by_node[node].send(reply)
+
+    async def _listen(self) -> None:
+        loop = asyncio.get_running_loop()
+        address = self._settings.node.peer_address
+        self._server = await loop.create_server(
+            lambda: Link(self._on_message, self._on_closed), address.host, address.port
+        )
+
+    async def _run(self) -> None:
+        swept = now()
+        while True:
+            await asyncio.sleep(TICK)
+            time = now()
+            for pool, queue in list(self.scheduler.waiting_by_pool.items()):
+                if queue:
+                    self._plan(pool)
+            for node, link in list(self._links_by_node.items()):
+                if time - link.heard > SILENCE:
+                    self._events.emit("node-silent", peer=node, silent=time - link.heard)
+                    link.close()
+            if time - swept > SWEEP:
+                swept = time
+                self.scheduler.expire(time)
+                self.scheduler.forget_targets(set(self._news.targets_by_id))
+
+    def _on_message(self, link: Link, message: Message) -> None:
+        link.heard = now()
+        match message:
+            case Hello():
+                link.node = message.node
+                former = self._links_by_node.get(message.node)
+                self._links_by_node[message.node] = link
+                if former is not None and former is not link:
+                    former.close()
+                self._last_heard[message.node] = link.heard
+                self.adopt(message.node, message.holds)
+                self._events.emit("node-joined", peer=message.node, holds=len(message.holds))
+                if self._leaving:
+                    link.send(Leaving())
+            case Beat():
+                self._last_heard[link.node] = link.heard
+                link.send(message)
+            case _ if link.node:
+                self.take(link.node, message)
+            case _:
+                link.close()
+
+    def _on_closed(self, link: Link) -> None:
+        if not link.node or self._links_by_node.get(link.node) is not link:
+            return
+        del self._links_by_node[link.node]
+        pools = self.scheduler.drop_node(link.node)
+        self._events.emit("node-left", peer=link.node)
+        for pool in pools:
+            self._plan(pool)
--- /dev/null
+++ b/celeryrun/gateway/_links.py
@@ -0,0 +1,117 @@
+"""Connections between nodes: length-prefixed messages with a heartbeat of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from celeryrun.scheduling import Ask, Cancel, Denial, Done, First, Grant, Hold
+
+__all__ = ["Beat", "Hello", "Leaving", "Link", "Message"]
+
+LENGTH = struct.Struct(">I")
+MAX_FRAME = 1024 * 1024  # bytes; the largest message tells all that a node holds
+MAX_BACKLOG = 4 * 1024 * 1024  # bytes that a silent peer may leave unread
+
+
+class Hello(msgspec.Struct, array_like=True, tag=True):
+    """First message of a node: who it is and what it holds."""
+
+    node: str
+    holds: tuple[Hold, ...] = ()
+
+
+class Beat(msgspec.Struct, array_like=True, tag=True):
+    """Heartbeat, sent by the node and returned by the scheduler."""
+
+    number: int
+
+
+class Leaving(msgspec.Struct, array_like=True, tag=True):
+    """The scheduler's node is leaving; ask another."""
+
+
+Message = Hello | Beat | Leaving | Ask | Cancel | First | Done | Grant | Denial
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+class Link(asyncio.Protocol):
+    """One end of a connection between nodes.
+
+    Parameters
+    ----------
+    on_message : callable
+        Takes this link and each message.
+    on_closed : callable
+        Takes this link when it is gone.
+    """
+
+    __slots__ = ("_buffer", "_on_closed", "_on_message", "_transport", "closed", "heard", "node")
+
+    def __init__(
+        self,
+        on_message: Callable[[Link, Any], None],
+        on_closed: Callable[[Link], None],
+    ) -> None:
+        self._on_message = on_message
+        self._on_closed = on_closed
+        self._buffer = bytearray()
+        self._transport: Any = None
+        self.closed = False
+        self.heard = 0.0
+        self.node = ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Take whole messages; what is none ends the link."""
+        self._buffer += data
+        while len(self._buffer) >= LENGTH.size and not self.closed:
+            (length,) = LENGTH.unpack_from(self._buffer)
+            if length > MAX_FRAME:
+                self.close()
+                return
+            end = LENGTH.size + length
+            if len(self._buffer) < end:
+                return
+            frame = bytes(self._buffer[LENGTH.size : end])
+            del self._buffer[:end]
+            try:
+                message = _decoder.decode(frame)
+            except msgspec.MsgspecError:
+                self.close()
+                return
+            self._on_message(self, message)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the owner."""
+        self._end()
+
+    def send(self, message: Message) -> None:
+        """Send a message, or end the link if the peer does not read."""
+        if self.closed:
+            return
+        if self._transport.get_write_buffer_size() > MAX_BACKLOG:
+            self.close()
+            return
+        frame = _encoder.encode(message)
+        self._transport.write(LENGTH.pack(len(frame)) + frame)
+
+    def close(self) -> None:
+        """End the link at once."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._end()
+
+    def _end(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._on_closed(self)
--- /dev/null
+++ b/celeryrun/gateway/_metrics.py
@@ -0,0 +1,80 @@
+"""Counters and latency histograms of a gateway, for each workspace and tier."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from celeryrun.gateway._admission import Admitted
+from celeryrun.gateway._answering import Answering
+from celeryrun.kernel import now
+from celeryrun.observe import MAX_WORKSPACE_LABELS, OTHER, SECONDS_BUCKETS
+
+__all__ = ["GatewayMetrics"]
+
+
+class GatewayMetrics:
+    """Service that holds the metrics.
+
+    The first workspaces have labels of their own and all later ones share one, so that memory
+    stays bounded.
+    """
+
+    __slots__ = ("_labels", "_registry", "_state", "answers", "first_byte", "refusals", "whole")
+
+    def __init__(self) -> None:
+        self._labels: set[str] = set()
+        self._registry = CollectorRegistry()
+        labels = ("workspace", "tier")
+        self.first_byte = self._histogram("first_byte", "arrival to first byte", labels)
+        self.whole = self._histogram("whole_answer", "arrival to end of answer", labels)
+        self.answers = Counter(
+            "celeryrun_answers",
+            "Answers by status; 0 where the connection ended without one",
+            (*labels, "status"),
+            registry=self._registry,
+        )
+        self.refusals = Counter(
+            "celeryrun_refusals", "Requests not served", ("kind",), registry=self._registry
+        )
+        self._state = Gauge(
+            "celeryrun_state", "State of the node", ("what",), registry=self._registry
+        )
+
+    def start(self) -> None:
+        """Nothing runs."""
+
+    def stop(self) -> None:
+        """Nothing is held."""
+
+    def observe(self, admitted: Admitted, arrived: float, answering: Answering) -> None:
+        """Count a request that has ended."""
+        labels = (self._label(admitted.workspace.name), str(admitted.tier))
+        self.answers.labels(*labels, str(answering.status)).inc()
+        if answering.first_byte is not None:
+            self.first_byte.labels(*labels).observe(answering.first_byte - arrived)
+            self.whole.labels(*labels).observe(now() - arrived)
+
+    def watch(self, what: str, read: Callable[[], float]) -> None:
+        """Serve a value that is read when the metrics are fetched."""
+        self._state.labels(what).set_function(read)
+
+    def page(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
+
+    def _label(self, workspace: str) -> str:
+        if workspace in self._labels or len(self._labels) < MAX_WORKSPACE_LABELS:
+            self._labels.add(workspace)
+            return workspace
+        return OTHER
+
+    def _histogram(self, name: str, text: str, labels: tuple[str, ...]) -> Histogram:
+        return Histogram(
+            f"celeryrun_{name}_seconds",
+            f"Seconds: {text}",
+            labels,
+            registry=self._registry,
+            buckets=SECONDS_BUCKETS,
+        )
--- /dev/null
+++ b/celeryrun/gateway/_relay.py
@@ -0,0 +1,460 @@
+"""Course of one request: admitted, placed, sent, answered."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from dataclasses import dataclass, field
+
+from celeryrun.catalog import Pool, Target
+from celeryrun.exception import Refusal
+from celeryrun.gateway._admission import (
+    Admitted,
+    Freshness,
+    admit,
+    choose_pool,
+    still_allowed,
+)
+from celeryrun.gateway._answering import Answering, Broken, Finished, Rejected
+from celeryrun.gateway._desk import Desk
+from celeryrun.gateway._events import EventLog
+from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._news import News
+from celeryrun.kernel import Kernel, now
+from celeryrun.platform import CallerRequest, format_request, read_request
+from celeryrun.scheduling import (
+    CANCELLED,
+    COMPLETE,
+    CRASHED,
+    FAILED,
+    REJECTED,
+    UNREACHABLE,
+    UNUSED,
+    Ask,
+    Denial,
+    Grant,
+)
+from celeryrun.settings import GatewaySettings
+from celeryrun.transport import (
+    CallerConnection,
+    Exchange,
+    ReceivedRequest,
+    TargetFailedError,
+    open_exchange,
+)
+
+__all__ = ["Relay"]
+
+CONNECT_TIMEOUT = 0.4  # s; targets are some milliseconds away, a lost packet costs a second
+PROBE_TIMEOUT = 0.25  # s in which a target that is up accepts a connection
+KEY_MARGIN = 0.4  # s of the revocation lag that the way to a target and a late timer may take
+FRESH_PATIENCE = 0.3  # s for which a request waits for news before it is refused
+LEAST_PATIENCE = 0.25  # s for a first byte before a repeatable request is sent elsewhere
+PATIENCE_FACTOR = 5.0  # times the predicted time to the first byte
+STREAM_PATIENCE = 1.2  # s without an event after which a resumable stream goes on elsewhere
+MAX_UNSENT = 4  # targets in a row that could not be reached
+ANSWER_MARGIN = 0.004  # s before its time is up at which a request is answered
+STATUS_BY_DENIAL = {"quota": 429}
+REMEDY_BY_DENIAL = {
+    "quota": "send less; the workspace's quota is used up",
+    "overload": "send it again later; no target would have answered in time",
+    "suspect": "do not send it again; it took its targets down",
+    "no-target": "send it again later; the pool has no target",
+    "retry-budget": "send it again later; its target rejected it",
+}
+
+
+@dataclass(slots=True)
+class Course:
+    """One request on its way.
+
+    Parameters
+    ----------
+    until : float
+        When it must have its final answer.
+    sent : int
+        Targets that it was sent to.
+    avoid : list of str
+        Targets that it must not get again.
+    """
+
+    request: CallerRequest
+    admitted: Admitted
+    pool: Pool
+    arrived: float
+    until: float
+    fingerprint: int
+    sent: int = 0
+    unsent: int = 0
+    charged: bool = False
+    avoid: list[str] = field(default_factory=list)
+    last_event: bytes | None = None
+
+
+class Relay:
+    """Service that serves one request after the other of each connection."""
+
+    __slots__ = ("_desk", "_events", "_metrics", "_news", "_settings")
+
+    def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
+        self._news: News = kernel.find("news")
+        self._desk: Desk = kernel.find("desk")
+        self._events: EventLog = kernel.find("events")
+        self._metrics: GatewayMetrics = kernel.find("metrics")
+        self._settings = settings
+
+    def start(self) -> None:
+        """Nothing runs."""
+
+    def stop(self) -> None:
+        """Nothing is held."""
+
+    async def serve(self, connection: CallerConnection, received: ReceivedRequest) -> None:
+        """Answer one request; cancelled when its caller leaves."""
+        request = read_request(received.head, received.body)
+        if isinstance(request, str):
+            connection.refuse(Refusal(400, "malformed", request))
+            return
+        admitted = await self._admit(request)
+        if isinstance(admitted, Refusal):
+            self._refuse(connection, request, admitted, "admission")
+            return
+        pool_name = choose_pool(admitted.route)
+        assert self._news.catalog is not None
+        pool = self._news.catalog.pools_by_name.get(pool_name, Pool(pool_name))
+        route = admitted.route
+        course = Course(
+            request,
+            admitted,
+            pool,
+            received.arrived,
+            received.arrived + min(request.deadline, route.timeout) - ANSWER_MARGIN,
+            _fingerprint(request, admitted),
+        )
+        await self._serve_in_time(connection, course)
+
+    async def _serve_in_time(self, connection: CallerConnection, course: Course) -> None:
+        answering = Answering(connection, course.request, course.admitted.route)
+        try:
+            async with asyncio.timeout(course.until - now()):
+                await self._run(connection, course, answering)
+        except TimeoutError:
+            self._end_late(connection, course)
+        except asyncio.CancelledError:
+            self._emit(course, "caller-left", sent=course.sent)
+            raise
+        finally:
+            self._metrics.observe(course.admitted, course.arrived, answering)
+
+    async def _admit(self, request: CallerRequest) -> Admitted | Refusal:
+        freshness = self._freshness()
+        found = admit(self._news.catalog, request.host, request.path, request.key, freshness)
+        if isinstance(found, Refusal) and found.status == 503:
+            patience = min(FRESH_PATIENCE, request.deadline / 4)
+            if await self._news.configuration.wait_fresh(freshness.denial_limit, patience):
+                freshness = self._freshness()
+                catalog = self._news.catalog
+                found = admit(catalog, request.host, request.path, request.key, freshness)
+        return found
+
+    def _freshness(self) -> Freshness:
+        bounds = self._settings.bounds
+        return Freshness(
+            self._news.configuration.age(),
+            bounds.revocation_lag - KEY_MARGIN,
+            bounds.configuration_lag,
+        )
+
+    async def _run(
+        self, connection: CallerConnection, course: Course, answering: Answering
+    ) -> None:
+        """Send a request to one target after the other until it has its answer."""
+        while True:
+            reply = await self._place(course)
+            if isinstance(reply, Denial):
+                self._deny(connection, course, answering, reply)
+                return
+            target = self._news.targets_by_id.get(reply.target)
+            refusal = self._check(course)
+            if refusal is not None or target is None or not target.ready:
+                self._desk.done(reply, UNUSED)
+                course.avoid.append(reply.target)
+                if refusal is not None:
+                    self._refuse(connection, course.request, refusal, "dispatch")
+                    return
+                continue
+            if await self._try(connection, course, answering, reply, target):
+                return
+
+    async def _place(self, course: Course) -> Grant | Denial:
+        request, admitted = course.request, course.admitted
+        workspace = admitted.workspace
+        elapsed = now() - course.arrived
+        sized = request.prompt_tokens + request.output_tokens
+        charge = 0.0
+        if workspace.tokens_per_second > 0 and not course.charged:
+            charge = float(sized if request.sized else workspace.plain_tokens)
+            charge = charge if workspace.counts_tokens else 1.0
+        events = 0.0
+        if course.pool.engine:
+            events = max(1.0, request.expected_output / course.pool.tokens_per_event)
+        reply = await self._desk.place(
+            Ask(
+                0,
+                course.pool.name,
+                admitted.tier,
+                workspace.name,
+                max(1, request.prompt_tokens),
+                events,
+                admitted.route.objective - elapsed,
+                course.until - now(),
+                course.fingerprint,
+                charge,
+                workspace.tokens_per_second,
+                workspace.burst,
+                admitted.version,
+                course.sent > 0,
+                tuple(course.avoid),
+            )
+        )
+        if isinstance(reply, Grant):
+            course.charged = True
+            self._emit(
+                course,
+                "placed",
+                target=reply.target,
+                waited=now() - course.arrived,
+                expected=reply.expected,
+                sent=course.sent,
+            )
+        return reply
+
+    def _check(self, course: Course) -> Refusal | None:
+        catalog = self._news.catalog
+        assert catalog is not None
+        return still_allowed(catalog, course.admitted, course.request.key, self._freshness())
+
+    async def _try(
+        self,
+        connection: CallerConnection,
+        course: Course,
+        answering: Answering,
+        grant: Grant,
+        target: Target,
+    ) -> bool:
+        """Send a request to one target; tell whether it has its final answer."""
+        began = now()
+        outcome = CANCELLED
+        exchange: Exchange | None = None
+        try:
+            try:
+                exchange = await open_exchange(target.host, target.port, CONNECT_TIMEOUT)
+            except TargetFailedError:
+                outcome = UNREACHABLE
+                return self._note_unsent(connection, course, answering, target)
+            course.sent += 1
+            await exchange.send(
+                format_request(
+                    course.request,
+                    target.id,
+                    course.admitted.workspace.name or None,
+                    course.until - now(),
+                    course.last_event,
+                )
+            )
+            result = await answering.take(
+                exchange,
+                on_first=lambda: self._desk.first(grant, now() - began),
+                patience=self._patience(course, grant),
+            )
+            outcome = await self._judge(course, result, target)
+            return self._conclude(connection, course, answering, result, target)
+        finally:
+            if exchange is not None:
+                exchange.close()
+            self._desk.done(grant, outcome, now() - began, answering.events)
+
+    def _patience(self, course: Course, grant: Grant) -> float | None:
+        """Return how long a target may be silent, or None where only the deadline counts."""
+        route = course.admitted.route
+        if not route.kind.repeatable or course.sent >= route.max_attempts:
+            return None
+        if route.kind.stream:
+            return max(STREAM_PATIENCE, PATIENCE_FACTOR * grant.expected)
+        return max(LEAST_PATIENCE, PATIENCE_FACTOR * grant.expected)
+
+    async def _judge(
+        self, course: Course, result: Finished | Broken | Rejected, target: Target
+    ) -> str:
+        """Return what the scheduler is told of a try."""
+        match result:
+            case Finished(failed=failed):
+                return FAILED if failed else COMPLETE
+            case Rejected():
+                return REJECTED
+            case Broken(kind="reset" | "closed") if await _is_down(target):
+                self._emit(course, "target-down", target=target.id)
+                return CRASHED
+        return FAILED
+
+    def _conclude(
+        self,
+        connection: CallerConnection,
+        course: Course,
+        answering: Answering,
+        result: Finished | Broken | Rejected,
+        target: Target,
+    ) -> bool:
+        route = course.admitted.route
+        may_repeat = course.sent < route.max_attempts
+        course.avoid.append(target.id)
+        match result:
+            case Finished(status=status, held=held):
+                if held and may_repeat and route.kind.repeatable:
+                    self._emit(course, "sent-again", status=status, target=target.id)
+                    return False
+                answering.release()
+                self._emit(
+                    course,
+                    "answered",
+                    status=status,
+                    target=target.id,
+                    seconds=now() - course.arrived,
+                    events=answering.events,
+                )
+                return True
+            case Rejected(status=status):
+                if may_repeat and not connection.started:
+                    self._emit(course, "rejected", status=status, target=target.id)
+                    return False
+                refusal = Refusal(503, "rejected", "send it again later", 0.2)
+                if connection.started:
+                    connection.abort()
+                else:
+                    self._refuse(connection, course.request, refusal, "target")
+                return True
+        self._emit(
+            course,
+            "broken-off",
+            why=result.kind,
+            target=target.id,
+            events=answering.events,
+            seconds=now() - course.arrived,
+        )
+        if may_repeat and route.kind.repeatable and answering.can_go_on():
+            if answering.events:
+                course.last_event = answering.last_id
+            return False
+        self._fail(connection, course, answering)
+        return True
+
+    def _fail(self, connection: CallerConnection, course: Course, answering: Answering) -> None:
+        """Pass on a failure that was held back, or tell that the outcome is not known."""
+        if answering.release():
+            return
+        if connection.started:
+            connection.abort()
+            return
+        remedy = "find out whether it ran before you send it again"
+        self._refuse(connection, course.request, Refusal(502, "unknown", remedy), "target")
+
+    def _deny(
+        self,
+        connection: CallerConnection,
+        course: Course,
+        answering: Answering,
+        denial: Denial,
+    ) -> None:
+        if answering.release():
+            return
+        if connection.started:
+            connection.abort()
+            return
+        if course.sent and not answering.rejected_only:
+            self._fail(connection, course, answering)
+            return
+        refusal = Refusal(
+            STATUS_BY_DENIAL.get(denial.kind, 503),
+            denial.kind,
+            REMEDY_BY_DENIAL.get(denial.kind, "send it again later"),
+            denial.retry_after or None,
+        )
+        self._refuse(connection, course.request, refusal, "scheduler")
+
+    def _note_unsent(
+        self,
+        connection: CallerConnection,
+        course: Course,
+        answering: Answering,
+        target: Target,
+    ) -> bool:
+        self._emit(course, "unreachable", target=target.id)
+        course.avoid.append(target.id)
+        course.unsent += 1
+        if course.unsent < MAX_UNSENT:
+            return False
+        if course.sent or connection.started:
+            self._fail(connection, course, answering)
+        else:
+            refusal = Refusal(503, "unreachable", "send it again later", 0.5)
+            self._refuse(connection, course.request, refusal, "target")
+        return True
+
+    def _end_late(self, connection: CallerConnection, course: Course) -> None:
+        self._emit(course, "timed-out", sent=course.sent, seconds=now() - course.arrived)
+        if connection.started:
+            connection.abort()
+        elif course.sent:
+            remedy = "find out whether it ran before you send it again"
+            self._refuse(connection, course.request, Refusal(504, "timeout", remedy), "timeout")
+        else:
+            refusal = Refusal(503, "overload", REMEDY_BY_DENIAL["overload"], 0.2)
+            self._refuse(connection, course.request, refusal, "timeout")
+
+    def _refuse(
+        self, connection: CallerConnection, request: CallerRequest, refusal: Refusal, by: str
+    ) -> None:
+        self._events.emit(
+            "refused",
+            request=request.id.decode("latin-1"),
+            status=refusal.status,
+            kind=refusal.kind,
+            by=by,
+            retry_after=refusal.retry_after,
+            configuration_age=round(self._news.configuration.age(), 3),
+        )
+        self._metrics.refusals.labels(refusal.kind).inc()
+        connection.refuse(refusal)
+
+    def _emit(self, course: Course, event: str, **fields: object) -> None:
+        self._events.emit(
+            event,
+            request=course.request.id.decode("latin-1"),
+            pool=course.pool.name,
+            workspace=course.admitted.workspace.name,
+            **fields,
+        )
+
+
+def _fingerprint(request: CallerRequest, admitted: Admitted) -> int:
+    """Return a hash that a request shares with itself when it is sent again."""
+    digest = hashlib.blake2b(digest_size=8)
+    for part in (
+        request.head.method,
+        request.head.target,
+        admitted.workspace.name.encode(),
+        request.body,
+    ):
+        digest.update(part)
+        digest.update(b"\0")
+    return int.from_bytes(digest.digest(), "big") >> 1
+
+
+async def _is_down(target: Target) -> bool:
+    """Tell whether a target that broke a request off accepts no connection."""
+    try:
+        exchange = await open_exchange(target.host, target.port, PROBE_TIMEOUT)
+    except TargetFailedError:
+        return True
+    exchange.close()
+    return False
--- /dev/null
+++ b/celeryrun/gateway/_roster.py
@@ -0,0 +1,87 @@
+"""Nodes of the fleet, as they register in the store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from celeryrun.gateway._events import EventLog
+from celeryrun.gateway._follow import Follower
+from celeryrun.kernel import Kernel
+from celeryrun.platform import NODES_TOPIC, KeyedPage, Store, StoreUnavailableError
+from celeryrun.settings import Address, GatewaySettings
+
+__all__ = ["Roster"]
+
+ROSTER_WAIT = 10.0  # s; nodes come and go seldom
+ROSTER_PAUSE = 0.3  # s, so that nodes which start together are read together
+REGISTER_PAUSE = 0.5  # s between two tries
+KEY_PREFIX = "node."
+
+
+class _Entry(msgspec.Struct):
+    address: str
+    zone: str
+
+
+class Roster:
+    """Service that registers this node and knows the others.
+
+    Attributes
+    ----------
+    address_by_node : dict
+        Where each node takes messages, this one included once it is registered.
+    """
+
+    __slots__ = ("_events", "_follower", "_settings", "_store", "_task", "address_by_node")
+
+    def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
+        self._store: Store = kernel.find("store")
+        self._events: EventLog = kernel.find("events")
+        self._settings = settings
+        self._task: asyncio.Task[None] | None = None
+        self._follower = Follower(
+            self._store, self._events, NODES_TOPIC, ROSTER_WAIT, ROSTER_PAUSE, self._take
+        )
+        self.address_by_node: dict[str, Address] = {}
+
+    def start(self) -> None:
+        """Register and begin to follow."""
+        self._follower.start()
+        self._task = asyncio.get_running_loop().create_task(self._register())
+
+    def stop(self) -> None:
+        """End; the entry stays, since a node that stops is mostly started again."""
+        self._follower.stop()
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _register(self) -> None:
+        node = self._settings.node
+        entry = _Entry(str(node.peer_address), node.zone)
+        while True:
+            try:
+                await self._store.put(
+                    NODES_TOPIC, KEY_PREFIX + node.name, msgspec.json.encode(entry)
+                )
+            except StoreUnavailableError as error:
+                self._events.emit("register-failed", why=str(error))
+                await asyncio.sleep(REGISTER_PAUSE)
+                continue
+            self._events.emit("registered", address=entry.address)
+            return
+
+    def _take(self, page: KeyedPage) -> None:
+        for record in page.records:
+            if not record.key.startswith(KEY_PREFIX):
+                continue
+            name = record.key.removeprefix(KEY_PREFIX)
+            if record.value is None:
+                self.address_by_node.pop(name, None)
+                continue
+            try:
+                entry = msgspec.json.decode(record.value, type=_Entry)
+                self.address_by_node[name] = Address.from_text(entry.address)
+            except (msgspec.MsgspecError, ValueError) as error:
+                self._events.emit("node-unreadable", peer=name, why=str(error))
--- a/celeryrun/kernel/__init__.py
+++ b/celeryrun/kernel/__init__.py
@@ -1,6 +1,8 @@
-"""Micro-kernel: services that find each other by name."""
+"""Micro-kernel: services that find each other by name, and what all of them share."""
 
+from celeryrun.kernel._clock import now
 from celeryrun.kernel._invariant import check, set_strict, violations
 from celeryrun.kernel._kernel import Kernel, Service
+from celeryrun.kernel._rendezvous import choose, rank
 
-__all__ = ["Kernel", "Service", "check", "set_strict", "violations"]
+__all__ = ["Kernel", "Service", "check", "choose", "now", "rank", "set_strict", "violations"]
--- a/celeryrun/membership/_swim.py
+++ b/celeryrun/membership/_swim.py
@@ -10,10 +10,10 @@
 import logbook
 
 from celeryrun.kernel import Kernel
+from celeryrun.kernel._rendezvous import choose
 from celeryrun.membership._member import NEWS_REPEATS, PRECEDENCE_BY_STATE, Member
-from celeryrun.membership._rendezvous import choose
-from celeryrun.platform import Vm
 from celeryrun.settings import Settings
+from celeryrun.streams import Vm
 from celeryrun.wire import News, Ping, PingAck, PingRequest
 
 __all__ = ["Members"]
--- a/celeryrun/membership/tests/test_swim.py
+++ b/celeryrun/membership/tests/test_swim.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from celeryrun.platform import Vm
+from celeryrun.streams import Vm
 from celeryrun.tests.network import Network, wait_until
 from celeryrun.wire import News
 
--- a/celeryrun/node/_node.py
+++ b/celeryrun/node/_node.py
@@ -16,9 +16,9 @@
 from celeryrun.kernel import Kernel, check
 from celeryrun.membership import Members
 from celeryrun.observe import Metrics
-from celeryrun.platform import VmList
 from celeryrun.pool import Keepers, PoolClient, Targets
 from celeryrun.settings import Settings
+from celeryrun.streams import VmList
 from celeryrun.suspicion import Suspicion
 from celeryrun.wire import Peers
 
--- a/celeryrun/orders/_lease.py
+++ b/celeryrun/orders/_lease.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from celeryrun.kernel import check
-from celeryrun.platform import Record
+from celeryrun.streams import Record
 
 __all__ = ["ORDER_DEADLINE", "Lease", "LeaseRecord", "LeaseTable"]
 
--- a/celeryrun/orders/_leaseholder.py
+++ b/celeryrun/orders/_leaseholder.py
@@ -11,7 +11,7 @@
 
 from celeryrun.exception import CeleryrunError
 from celeryrun.orders._lease import LeaseRecord, LeaseTable
-from celeryrun.platform import Page
+from celeryrun.streams import Page
 
 __all__ = ["LEASE_STREAM", "Leaseholder"]
 
--- a/celeryrun/orders/tests/test_orders.py
+++ b/celeryrun/orders/tests/test_orders.py
@@ -7,7 +7,7 @@
 from celeryrun.exception import LogUnavailableError
 from celeryrun.orders import Leaseholder, LeaseTable, Obeyed, Order, OrderRefused, send_order
 from celeryrun.orders._lease import ORDER_DEADLINE
-from celeryrun.platform import Page, Record
+from celeryrun.streams import Page, Record
 from standins.fleet import Fleet, FleetPlan
 
 
--- a/celeryrun/platform/__init__.py
+++ b/celeryrun/platform/__init__.py
@@ -1,6 +1,43 @@
-"""Clients of the services that the platform gives."""
+"""Adapter to the users' platform: its names, messages and store, and nothing that decides."""
 
-from celeryrun.platform._log import LogClient, Page, Record, TooManyAppendsError
-from celeryrun.platform._vms import Vm, VmList, fetch_vms
+from celeryrun.platform._decode import UnreadableRecordError, decode_catalog, decode_target
+from celeryrun.platform._messages import (
+    CallerRequest,
+    TargetAnswer,
+    answer_headers,
+    format_request,
+    read_answer,
+    read_request,
+)
+from celeryrun.platform._names import READY_PATH
+from celeryrun.platform._store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    NODES_TOPIC,
+    TARGETS_TOPIC,
+    KeyedPage,
+    KeyedRecord,
+    Store,
+    StoreUnavailableError,
+)
 
-__all__ = ["LogClient", "Page", "Record", "TooManyAppendsError", "Vm", "VmList", "fetch_vms"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TOPIC",
+    "NODES_TOPIC",
+    "READY_PATH",
+    "TARGETS_TOPIC",
+    "CallerRequest",
+    "KeyedPage",
+    "KeyedRecord",
+    "Store",
+    "StoreUnavailableError",
+    "TargetAnswer",
+    "UnreadableRecordError",
+    "answer_headers",
+    "decode_catalog",
+    "decode_target",
+    "format_request",
+    "read_answer",
+    "read_request",
+]
--- /dev/null
+++ b/celeryrun/platform/_decode.py
@@ -0,0 +1,186 @@
+"""The operator's configuration and the targets' own entries, decoded into the product's types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from celeryrun.catalog import (
+    CallerLimits,
+    Catalog,
+    Kind,
+    Pool,
+    Route,
+    Split,
+    Target,
+    Workspace,
+)
+from celeryrun.exception import CeleryrunError
+
+__all__ = ["UnreadableRecordError", "decode_catalog", "decode_target"]
+
+SECONDS = 1000.0  # ms
+TOKEN_UNIT = "token_count"
+
+
+class UnreadableRecordError(CeleryrunError):
+    """A record of the store is not of the published form; whoever wrote it must mend it."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    max_attempts: int = 1
+    priority: int = 0
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+    service: str = ""
+    split: list[_Split] = []
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 0
+    stride: int = 1
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: int = 1
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Config(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    born: int = 0
+
+
+def decode_catalog(body: bytes) -> Catalog:
+    """Decode a version of the operator's configuration.
+
+    Raises
+    ------
+    UnreadableRecordError
+        If it is not of the published form.
+    """
+    try:
+        config = msgspec.json.decode(body, type=_Config)
+    except msgspec.MsgspecError as error:
+        raise UnreadableRecordError(f"configuration is not readable ({error})") from error
+    workspaces_by_key = {}
+    for tenant in config.tenants or ():
+        workspace = Workspace(
+            tenant.name,
+            tenant.priority,
+            tenant.rate_per_s,
+            tenant.burst,
+            tenant.plain_tokens,
+            tenant.unit == TOKEN_UNIT,
+        )
+        workspaces_by_key.update(dict.fromkeys(tenant.api_keys, workspace))
+    pools = [_decode_pool(service) for service in config.services]
+    return Catalog(
+        config.version,
+        tuple(_decode_route(route) for route in config.routes),
+        {pool.name: pool for pool in pools},
+        workspaces_by_key,
+        CallerLimits(
+            config.limits.max_header_bytes,
+            config.limits.max_body_bytes,
+            config.limits.header_timeout_ms / SECONDS,
+            config.limits.idle_timeout_ms / SECONDS,
+        ),
+        config.tenants is not None,
+    )
+
+
+def _decode_pool(service: _Service) -> Pool:
+    engine = service.engine
+    return Pool(
+        service.name,
+        service.max_connections,
+        engine.slots if engine is not None else 0,
+        engine is not None,
+        max(1, engine.stride) if engine is not None else 1,
+    )
+
+
+def _decode_route(route: _Route) -> Route:
+    splits = tuple(Split(split.service, split.weight) for split in route.split)
+    stream = route.kind == "streaming"
+    kind = Kind(
+        repeatable=route.kind == "idempotent" or (stream and route.resumable),
+        stream=stream,
+        resumable=stream and route.resumable,
+    )
+    return Route(
+        route.name,
+        route.host.lower(),
+        route.path_prefix,
+        kind,
+        route.timeout_ms / SECONDS,
+        (route.target_latency_ms or route.timeout_ms) / SECONDS,
+        max(1, route.max_attempts),
+        route.priority,
+        route.public,
+        splits or (Split(route.service, 1.0),),
+        route.gap_aim_ms / SECONDS,
+    )
+
+
+def decode_target(id: str, body: bytes) -> Target:
+    """Decode a target's own entry.
+
+    Raises
+    ------
+    UnreadableRecordError
+        If it is not of the published form, so that it names no target to use.
+    """
+    try:
+        server = msgspec.json.decode(body, type=_Server)
+    except msgspec.MsgspecError as error:
+        raise UnreadableRecordError(f"entry of target {id!r} is not readable ({error})") from error
+    host, _, port = server.address.rpartition(":")
+    if not host or not port.isdigit() or server.state not in ("ready", "draining"):
+        raise UnreadableRecordError(f"entry of target {id!r} has no usable address or state")
+    ready = server.state == "ready"
+    return Target(
+        id, server.service, host, int(port), server.zone, server.slots, ready, server.born
+    )
--- a/celeryrun/pool/_targets.py
+++ b/celeryrun/pool/_targets.py
@@ -9,7 +9,7 @@
 import logbook
 
 from celeryrun.kernel import Kernel
-from celeryrun.platform import Vm
+from celeryrun.streams import Vm
 from celeryrun.wire import TargetGossip, TargetNews
 
 __all__ = ["Target", "Targets"]
--- a/celeryrun/pool/tests/test_keeper.py
+++ b/celeryrun/pool/tests/test_keeper.py
@@ -6,9 +6,9 @@
 
 from celeryrun.exception import Refusal
 from celeryrun.membership import Members
-from celeryrun.platform import Vm
 from celeryrun.pool._share import SHARED_SLOTS_BY_KIND, LocalShare
 from celeryrun.pool._state import SLOTS_BY_KIND
+from celeryrun.streams import Vm
 from celeryrun.tests.builders import build_pool
 from celeryrun.tests.network import Network, wait_until
 from celeryrun.wire import Grant, HandOver, Shed
--- /dev/null
+++ b/celeryrun/scheduling/__init__.py
@@ -0,0 +1,47 @@
+"""Decisions of admission, order and placement, and the messages that ask for them."""
+
+from celeryrun.scheduling._ledger import Death, Ledger, Verdict
+from celeryrun.scheduling._load import Running, TargetLoad
+from celeryrun.scheduling._messages import Ask, Cancel, Denial, Done, First, Grant, Hold, Outcome
+from celeryrun.scheduling._quota import Bucket, RetryBudget, SlidingSum
+from celeryrun.scheduling._scheduler import (
+    CANCELLED,
+    COMPLETE,
+    CRASHED,
+    FAILED,
+    NEW_LEVEL,
+    REJECTED,
+    UNREACHABLE,
+    UNUSED,
+    Bounds,
+    Scheduler,
+)
+
+__all__ = [
+    "CANCELLED",
+    "COMPLETE",
+    "CRASHED",
+    "FAILED",
+    "NEW_LEVEL",
+    "REJECTED",
+    "UNREACHABLE",
+    "UNUSED",
+    "Ask",
+    "Bounds",
+    "Bucket",
+    "Cancel",
+    "Death",
+    "Denial",
+    "Done",
+    "First",
+    "Grant",
+    "Hold",
+    "Ledger",
+    "Outcome",
+    "RetryBudget",
+    "Running",
+    "Scheduler",
+    "SlidingSum",
+    "TargetLoad",
+    "Verdict",
+]
--- /dev/null
+++ b/celeryrun/scheduling/_messages.py
@@ -0,0 +1,134 @@
+"""What a node asks of the scheduler and what it is told, also as messages between nodes."""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = ["Ask", "Cancel", "Denial", "Done", "First", "Grant", "Hold", "Outcome"]
+
+
+class Ask(msgspec.Struct, array_like=True, tag=True):
+    """A request that wants a target.
+
+    Parameters
+    ----------
+    id : int
+        Of this ask at its node.
+    tier : int
+        Rank, 0 is the most urgent.
+    prompt : int
+        Tokens to read; 1 for a plain call.
+    events : float
+        Expected events of the answer, 0 for a plain call.
+    objective, deadline : float
+        Seconds left to the first byte for full credit, and to the end.
+    fingerprint : int
+        Hash of what is asked, the same when it is asked again.
+    charge : float
+        What the request counts against the workspace's quota; 0 once it was counted.
+    rate, burst : float
+        The workspace's quota by the asking node's configuration, 0 for none.
+    version : int
+        Of that configuration.
+    retry : bool
+        Whether the request was already sent to a target.
+    avoid : tuple of str
+        Targets that it must not get.
+    """
+
+    id: int
+    pool: str
+    tier: int
+    workspace: str
+    prompt: int
+    events: float
+    objective: float
+    deadline: float
+    fingerprint: int
+    charge: float = 0.0
+    rate: float = 0.0
+    burst: float = 0.0
+    version: int = 0
+    retry: bool = False
+    avoid: tuple[str, ...] = ()
+
+
+class Grant(msgspec.Struct, array_like=True, tag=True):
+    """A slot of a target.
+
+    Parameters
+    ----------
+    expected : float
+        Seconds that the first byte should take.
+    """
+
+    ask: int
+    grant: int
+    target: str
+    expected: float
+
+
+class Denial(msgspec.Struct, array_like=True, tag=True):
+    """An ask that gets no target.
+
+    Parameters
+    ----------
+    kind : str
+        ``quota``, ``overload``, ``suspect``, ``retry-budget`` or ``no-target``.
+    retry_after : float
+        Seconds after which a new request may succeed.
+    """
+
+    ask: int
+    kind: str
+    retry_after: float
+
+
+class Cancel(msgspec.Struct, array_like=True, tag=True):
+    """An ask whose caller left."""
+
+    ask: int
+
+
+class First(msgspec.Struct, array_like=True, tag=True):
+    """The first byte of an answer came, some seconds after the request was sent."""
+
+    grant: int
+    seconds: float
+
+
+Outcome = str  # one of the constants of celeryrun.scheduling
+
+
+class Done(msgspec.Struct, array_like=True, tag=True):
+    """A slot is free again.
+
+    Parameters
+    ----------
+    seconds : float
+        From sending to the end.
+    events : int
+        Of the answer.
+    """
+
+    grant: int
+    outcome: Outcome
+    seconds: float = 0.0
+    events: int = 0
+
+
+class Hold(msgspec.Struct, array_like=True):
+    """A slot in use, as told to another scheduler.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since it was granted.
+    """
+
+    grant: int
+    pool: str
+    target: str
+    prompt: int
+    events: float
+    age: float
--- a/celeryrun/suspicion/tests/test_ledger.py
+++ b/celeryrun/scheduling/tests/test_ledger.py
@@ -2,8 +2,8 @@
 
 import random
 
+from celeryrun.scheduling._ledger import MAX_REQUESTS
 from celeryrun.suspicion import Ledger
-from celeryrun.suspicion._ledger import MAX_REQUESTS
 
 POISON = 0
 AGE = 60.0
--- a/celeryrun/settings/_kinds.py
+++ b/celeryrun/settings/_kinds.py
@@ -14,6 +14,7 @@
     "Duration",
     "KeyHash",
     "Kind",
+    "Number",
     "Secret",
     "Size",
     "Text",
@@ -85,6 +86,14 @@
     high: int
 
 
+@dataclass(frozen=True, slots=True)
+class Number:
+    """A number without a unit within bounds."""
+
+    low: float
+    high: float
+
+
 @dataclass(frozen=True, slots=True)
 class Duration:
     """A number of seconds within bounds, written with its unit."""
@@ -118,7 +127,7 @@
     words: tuple[str, ...]
 
 
-Kind = Text | Secret | KeyHash | Whole | Duration | Size | AddressKind | Url | Choice
+Kind = Text | Secret | KeyHash | Whole | Number | Duration | Size | AddressKind | Url | Choice
 
 
 def parse_seconds(text: str) -> float:
@@ -169,6 +178,9 @@
         case Whole(low, high):
             allowed = f"a whole number from {low} to {high}"
             return _bounded(_try(_parse_whole, text, allowed), low, high, allowed, text)
+        case Number(low, high):
+            allowed = f"a number from {low:g} to {high:g}"
+            return _bounded(_try(float, text, allowed), low, high, allowed, text)
         case Duration(low, high):
             allowed = f"a duration with its unit from {low:g}s to {high:g}s, such as 250ms or 5s"
             return _bounded(_try(parse_seconds, text, allowed), low, high, allowed, text)
--- a/celeryrun/settings/_load.py
+++ b/celeryrun/settings/_load.py
@@ -6,14 +6,24 @@
 import dataclasses
 import typing
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from celeryrun.exception import SettingsError
 from celeryrun.settings._cross import find_conflicts
+from celeryrun.settings._gateway import GatewaySettings
 from celeryrun.settings._kinds import parse_value
 from celeryrun.settings._schema import Settings
 
-__all__ = ["load_settings", "parse_settings", "read_ini", "read_text"]
+__all__ = [
+    "load_gateway",
+    "load_settings",
+    "parse_gateway",
+    "parse_settings",
+    "read_ini",
+    "read_text",
+]
+
+Schema = TypeVar("Schema", Settings, GatewaySettings)
 
 NO_SECTION = ""  # no section's keys count for the others
 
@@ -68,8 +78,37 @@
     SettingsError
         At the first wrong section, key or value.
     """
+    settings = _parse(Settings, text, file)
+    for section, key, allowed in find_conflicts(settings):
+        raise SettingsError(file, section, key, allowed)
+    return settings
+
+
+def load_gateway(path: str | Path) -> GatewaySettings:
+    """Read a gateway's settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or any value is wrong; names the place and what is allowed.
+    """
+    return parse_gateway(read_text(path), str(path))
+
+
+def parse_gateway(text: str, file: str = "<text>") -> GatewaySettings:
+    """Check the text of a gateway's settings file.
+
+    Raises
+    ------
+    SettingsError
+        At the first wrong section, key or value.
+    """
+    return _parse(GatewaySettings, text, file)
+
+
+def _parse(schema: type[Schema], text: str, file: str) -> Schema:
     parser = read_ini(text, file)
-    types_by_section = typing.get_type_hints(Settings)
+    types_by_section = typing.get_type_hints(schema)
     for section in parser.sections():
         if section not in types_by_section:
             allowed = "unknown section; allowed are " + ", ".join(sorted(types_by_section))
@@ -78,10 +117,7 @@
         section: _read_section(parser, section, section_type, file)
         for section, section_type in types_by_section.items()
     }
-    settings = Settings(**sections)
-    for section, key, allowed in find_conflicts(settings):
-        raise SettingsError(file, section, key, allowed)
-    return settings
+    return schema(**sections)
 
 
 def read_ini(text: str, file: str) -> configparser.ConfigParser:
--- a/celeryrun/platform/tests/test_log.py
+++ b/celeryrun/streams/tests/test_log.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from celeryrun.exception import LogUnavailableError
-from celeryrun.platform import LogClient
-from celeryrun.platform._log import Response
+from celeryrun.streams import LogClient
+from celeryrun.streams._log import Response
 
 WHOLE = msgspec.json.encode(
     {
--- a/celeryrun/suspicion/_service.py
+++ b/celeryrun/suspicion/_service.py
@@ -11,8 +11,8 @@
 
 from celeryrun.exception import Refusal
 from celeryrun.kernel import Kernel, check
-from celeryrun.membership._rendezvous import rank
-from celeryrun.suspicion._ledger import MAX_REQUESTS, Ledger
+from celeryrun.kernel._rendezvous import rank
+from celeryrun.scheduling._ledger import MAX_REQUESTS, Ledger
 from celeryrun.wire import (
     SuspicionCleared,
     SuspicionVerdict,
--- a/celeryrun/suspicion/tests/test_service.py
+++ b/celeryrun/suspicion/tests/test_service.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from celeryrun.membership._rendezvous import rank
+from celeryrun.kernel._rendezvous import rank
 from celeryrun.suspicion import Suspicion
 
 NAMES = ["a", "b", "c", "d"]
--- a/celeryrun/tests/builders.py
+++ b/celeryrun/tests/builders.py
@@ -13,8 +13,8 @@
 from celeryrun.claims._records import Batch, Claim, new_claim_id
 from celeryrun.configuration import Call, Change, Plan, Pool, hash_key
 from celeryrun.configuration._model import encode_record
-from celeryrun.platform import Page, Record
 from celeryrun.pool import Waiting
+from celeryrun.streams import Page, Record
 
 __all__ = [
     "build_answer",
--- a/celeryrun/tests/network.py
+++ b/celeryrun/tests/network.py
@@ -12,10 +12,10 @@
 from celeryrun.configuration import Pool
 from celeryrun.kernel import Kernel
 from celeryrun.membership import Members
-from celeryrun.platform import Vm
 from celeryrun.pool import Keepers, PoolClient, Targets
 from celeryrun.settings import Address, Settings
 from celeryrun.settings._schema import LimitSettings, NodeSettings, PeerSettings, PlatformSettings
+from celeryrun.streams import Vm
 from celeryrun.suspicion import Suspicion
 
 __all__ = ["FakeNode", "FakePeers", "Network", "build_peer_settings"]
--- /dev/null
+++ b/celeryrun/transport/_message.py
@@ -0,0 +1,276 @@
+"""HTTP messages: incremental parsers for requests and answers, and framing of what is written."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import httptools
+
+__all__ = [
+    "LAST_CHUNK",
+    "AnswerHead",
+    "AnswerParser",
+    "MalformedMessageError",
+    "RequestHead",
+    "RequestParser",
+    "end_to_end",
+    "format_chunk",
+    "format_head",
+]
+
+Headers = list[tuple[bytes, bytes]]
+
+LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = 100
+FIRST_FINAL_STATUS = 200
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+class MalformedMessageError(Exception):
+    """Bytes are no HTTP message, or one that could be read in two ways; close the connection."""
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """Start line and headers of a request.
+
+    Parameters
+    ----------
+    target : bytes
+        Path and query as sent.
+    headers : list of (bytes, bytes)
+        In order; names in lower case.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    keep_alive: bool = True
+
+    def values(self, name: bytes) -> list[bytes]:
+        """Return all values of a header."""
+        return [value for known, value in self.headers if known == name]
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """Start line and headers of an answer.
+
+    Parameters
+    ----------
+    length : int or None
+        Announced bytes of the body, None where it is chunked or ends with the connection.
+    chunked : bool
+        Whether the body has its own end.
+    """
+
+    status: int
+    reason: bytes
+    headers: Headers
+    length: int | None = None
+    chunked: bool = False
+
+    def value(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, or None."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return None
+
+
+def _find(headers: Headers, name: bytes) -> bytes:
+    return b",".join(value for known, value in headers if known == name)
+
+
+def end_to_end(headers: Headers, keep: Callable[[bytes], bool]) -> Headers:
+    """Return the headers that are passed on.
+
+    Parameters
+    ----------
+    keep : callable
+        Tells of a name that ``Connection`` lists whether it is passed on all the same.
+
+    Examples
+    --------
+    >>> end_to_end([(b"a", b"1"), (b"b", b"2"), (b"connection", b"B")], lambda name: False)
+    [(b'a', b'1')]
+    """
+    listed = {name.strip().lower() for name in _find(headers, b"connection").split(b",")}
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP and (name not in listed or keep(name))
+    ]
+
+
+def format_head(start: bytes, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return the bytes of a start line and headers.
+
+    Examples
+    --------
+    >>> format_head(b"HTTP/1.1 200 OK", [(b"a", b"1")])
+    b'HTTP/1.1 200 OK\\r\\na: 1\\r\\n\\r\\n'
+    """
+    lines = [start, *(name + b": " + value for name, value in headers), b"", b""]
+    return b"\r\n".join(lines)
+
+
+def format_chunk(data: bytes) -> bytes:
+    """Return one chunk of a chunked body.
+
+    Examples
+    --------
+    >>> format_chunk(b"abc")
+    b'3\\r\\nabc\\r\\n'
+    """
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class _Parser:
+    """What both directions share: headers in order, and body parts as they come.
+
+    Attributes
+    ----------
+    take_head, take_body, take_end : callable
+        Called for each message.
+    """
+
+    __slots__ = ("_headers", "take_body", "take_end", "take_head")
+
+    def __init__(self) -> None:
+        self._headers: Headers = []
+        self.take_head: Callable[[], None] = lambda: None
+        self.take_body: Callable[[bytes], None] = lambda data: None
+        self.take_end: Callable[[], None] = lambda: None
+
+    def on_message_begin(self) -> None:
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.lower(), value))
+
+    def on_body(self, data: bytes) -> None:
+        self.take_body(data)
+
+    def on_message_complete(self) -> None:
+        self.take_end()
+
+
+class RequestParser(_Parser):
+    """Parses the requests of one connection."""
+
+    __slots__ = ("_parser", "_target", "head")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._target = b""
+        self.head: RequestHead | None = None
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes.
+
+        Raises
+        ------
+        MalformedMessageError
+            If they are no request.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise MalformedMessageError("upgrade is not supported") from error
+        except httptools.HttpParserError as error:
+            raise MalformedMessageError(str(error)) from error
+
+    def on_message_begin(self) -> None:
+        """Forget the request before."""
+        super().on_message_begin()
+        self._target = b""
+        self.head = None
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._target += url
+
+    def on_headers_complete(self) -> None:
+        """Build the head."""
+        keep_alive = self._parser.should_keep_alive()
+        method = self._parser.get_method()
+        self.head = RequestHead(method, self._target, self._headers, keep_alive)
+        self.take_head()
+
+
+class AnswerParser(_Parser):
+    """Parses the one answer of a connection to a target."""
+
+    __slots__ = ("_interim", "_parser", "_reason", "head", "keep_alive")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._interim = False
+        self._reason = b""
+        self.head: AnswerHead | None = None
+        self.keep_alive = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes.
+
+        Raises
+        ------
+        MalformedMessageError
+            If they are no answer.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise MalformedMessageError("upgrade is not supported") from error
+        except httptools.HttpParserError as error:
+            raise MalformedMessageError(str(error)) from error
+
+    def on_message_begin(self) -> None:
+        """Forget an interim answer."""
+        super().on_message_begin()
+        self._reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        """Take the reason phrase."""
+        self._reason += reason
+
+    def on_headers_complete(self) -> None:
+        """Build the head of a final answer."""
+        status = self._parser.get_status_code()
+        self._interim = CONTINUE <= status < FIRST_FINAL_STATUS
+        if self._interim or self.head is not None:
+            return
+        chunked = b"chunked" in _find(self._headers, b"transfer-encoding").lower()
+        length = _find(self._headers, b"content-length")
+        self.keep_alive = self._parser.should_keep_alive()
+        self.head = AnswerHead(
+            status,
+            self._reason,
+            self._headers,
+            int(length) if length.isdigit() and not chunked else None,
+            chunked,
+        )
+        self.take_head()
+
+    def on_message_complete(self) -> None:
+        """Tell of the end of a final answer."""
+        if not self._interim:
+            self.take_end()
--- a/proofs/configuration.py
+++ b/proofs/configuration.py
@@ -21,7 +21,7 @@
 
 from celeryrun.configuration import Configuration, Plan, Pool, Publisher, hash_key, new_change_id
 from celeryrun.exception import CeleryrunError, ConfigurationRejectedError, LogUnavailableError
-from celeryrun.platform import LogClient
+from celeryrun.streams import LogClient
 from standins.fleet import PEER_KEY, Fleet, FleetPlan
 
 __all__ = ["main"]
