Order by rank and time to spare; deny early what would wait past its caller's patience

Cause: most workspaces share a tier, so the nearest objective went first and the most urgent kind, whose objective is longest, last; asks waited until their callers gave up. Ruled out: free slots (all targets were full), wrong predictions (first byte 0.095 s seen, 0.095 s expected).

--- a/celeryrun/catalog/_model.py
+++ b/celeryrun/catalog/_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 __all__ = ["CallerLimits", "Catalog", "Kind", "Pool", "Route", "Split", "Target", "Workspace"]
@@ -50,6 +51,8 @@
         Seconds to the answer, or to a stream's first event, for full credit.
     max_attempts : int
         Targets that one request may be sent to.
+    patience : float
+        Seconds to the first event, or between two, after which callers give up.
     tier : int
         Rank, 0 is the most urgent.
     public : bool
@@ -67,6 +70,7 @@
     public: bool
     splits: tuple[Split, ...]
     max_pause: float = 0.0
+    patience: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/celeryrun/gateway/_answering.py
+++ b/celeryrun/gateway/_answering.py
@@ -8,6 +8,7 @@
 
 from celeryrun.catalog import Route
 from celeryrun.gateway._stream import EventSplitter
+from celeryrun.kernel import now
 from celeryrun.platform import CallerRequest, TargetAnswer, answer_headers, read_answer
 from celeryrun.transport import (
     LAST_CHUNK,
@@ -99,6 +100,10 @@
         """Return the id of the last event passed on."""
         return self._splitter.last_id
 
+    def first_after(self, arrived: float) -> float | None:
+        """Return the seconds from the request's arrival to the answer's first byte."""
+        return None if self.first_byte is None else round(self.first_byte - arrived, 4)
+
     def can_go_on(self) -> bool:
         """Tell whether another target may take over what was passed on so far."""
         return not self._connection.started or self._route.kind.resumable
@@ -156,6 +161,7 @@
         while part := await self._read(exchange, patience):
             if not body:
                 on_first()
+                self._note_first()
             body += part
             if len(body) > HELD_BYTES:
                 return await self._relay_large(exchange, head, body)
@@ -199,6 +205,7 @@
                 continue
             if first:
                 on_first()
+                self._note_first()
                 first = False
             if not self._connection.started:
                 self._begin_chunked(head)
@@ -217,6 +224,10 @@
         self._connection.write(LAST_CHUNK)
         return Finished(head.status, False, held=False)
 
+    def _note_first(self) -> None:
+        if self.first_byte is None:
+            self.first_byte = now()
+
     async def _read(self, exchange: Exchange, patience: float | None) -> bytes:
         async with asyncio.timeout(patience):
             return await exchange.read_body()
--- a/celeryrun/gateway/_desk.py
+++ b/celeryrun/gateway/_desk.py
@@ -210,6 +210,7 @@
         pending.hub = self._hub
         ask = pending.ask
         ask.objective -= waited
+        ask.patience -= waited
         ask.deadline -= waited
         self._events.emit("asked-again", ask=ask.id, pool=ask.pool, peer=self._hub, waited=waited)
         self._send(self._hub, ask)
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -53,6 +53,7 @@
 PATIENCE_FACTOR = 5.0  # times the predicted time to the first byte
 STREAM_PATIENCE = 1.2  # s without an event after which a resumable stream goes on elsewhere
 MAX_UNSENT = 4  # targets in a row that could not be reached
+PATIENCE_MARGIN = 0.1  # s of a caller's patience that ways and late timers may take
 ANSWER_MARGIN = 0.004  # s before its time is up at which a request is answered
 STATUS_BY_DENIAL = {"quota": 429}
 REMEDY_BY_DENIAL = {
@@ -200,21 +201,25 @@
             events = max(1.0, request.expected_output / course.pool.tokens_per_event)
         reply = await self._desk.place(
             Ask(
-                0,
-                course.pool.name,
-                admitted.tier,
-                workspace.name,
-                max(1, request.prompt_tokens),
-                events,
-                admitted.route.objective - elapsed,
-                course.until - now(),
-                course.fingerprint,
-                charge,
-                workspace.tokens_per_second,
-                workspace.burst,
-                admitted.version,
-                course.sent > 0,
-                tuple(course.avoid),
+                id=0,
+                pool=course.pool.name,
+                tier=admitted.tier,
+                rank=admitted.route.tier,
+                workspace=workspace.name,
+                prompt=max(1, request.prompt_tokens),
+                events=events,
+                objective=admitted.route.objective - elapsed,
+                patience=min(
+                    admitted.route.patience - elapsed - PATIENCE_MARGIN, course.until - now()
+                ),
+                deadline=course.until - now(),
+                fingerprint=course.fingerprint,
+                charge=charge,
+                rate=workspace.tokens_per_second,
+                burst=workspace.burst,
+                version=admitted.version,
+                retry=course.sent > 0,
+                avoid=tuple(course.avoid),
             )
         )
         if isinstance(reply, Grant):
@@ -223,8 +228,10 @@
                 course,
                 "placed",
                 target=reply.target,
-                waited=now() - course.arrived,
-                expected=reply.expected,
+                tier=admitted.tier,
+                prompt=request.prompt_tokens,
+                waited=round(now() - course.arrived, 4),
+                expected=round(reply.expected, 4),
                 sent=course.sent,
             )
         return reply
@@ -319,7 +326,8 @@
                     "answered",
                     status=status,
                     target=target.id,
-                    seconds=now() - course.arrived,
+                    first=answering.first_after(course.arrived),
+                    seconds=round(now() - course.arrived, 4),
                     events=answering.events,
                 )
                 return True
--- a/celeryrun/platform/_decode.py
+++ b/celeryrun/platform/_decode.py
@@ -19,6 +19,10 @@
 __all__ = ["UnreadableRecordError", "decode_catalog", "decode_target"]
 
 SECONDS = 1000.0  # ms
+# Clients abandon a stream after the longest of these without an event.
+LEAST_PATIENCE = 2.0  # s
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
 TOKEN_UNIT = "token_count"
 
 
@@ -150,18 +154,22 @@
         stream=stream,
         resumable=stream and route.resumable,
     )
+    objective = (route.target_latency_ms or route.timeout_ms) / SECONDS
+    pause = route.gap_aim_ms / SECONDS
+    patience = max(LEAST_PATIENCE, PATIENCE_OBJECTIVES * objective, PATIENCE_PAUSES * pause)
     return Route(
         route.name,
         route.host.lower(),
         route.path_prefix,
         kind,
         route.timeout_ms / SECONDS,
-        (route.target_latency_ms or route.timeout_ms) / SECONDS,
+        objective,
         max(1, route.max_attempts),
         route.priority,
         route.public,
         splits or (Split(route.service, 1.0),),
-        route.gap_aim_ms / SECONDS,
+        pause,
+        patience if stream else route.timeout_ms / SECONDS,
     )
 
 
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -94,6 +94,13 @@
         first = max(0.0, self.busy_until - start) + prompt * self.prefill + BASE
         return first, first + events * self.event_gap
 
+    def estimate(self, prompt: int, events: float) -> tuple[float, float]:
+        """Return the seconds to the first byte and to the end on an idle target."""
+        if not self.engine:
+            return self.call, self.call
+        first = prompt * self.prefill + BASE
+        return first, first + events * self.event_gap
+
     def add(self, grant: int, running: Running) -> None:
         """Take a slot."""
         self.running_by_grant[grant] = running
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -14,14 +14,16 @@
     ----------
     id : int
         Of this ask at its node.
-    tier : int
-        Rank, 0 is the most urgent.
+    tier, rank : int
+        Order of urgency, 0 first: of the workspace, or of the route where the workspace has none,
+        and among these of the route.
     prompt : int
         Tokens to read; 1 for a plain call.
     events : float
         Expected events of the answer, 0 for a plain call.
-    objective, deadline : float
-        Seconds left to the first byte for full credit, and to the end.
+    objective, patience, deadline : float
+        Seconds left to the first byte for full credit, to the first byte before the caller gives
+        up, and to the end.
     fingerprint : int
         Hash of what is asked, the same when it is asked again.
     charge : float
@@ -39,10 +41,12 @@
     id: int
     pool: str
     tier: int
+    rank: int
     workspace: str
     prompt: int
     events: float
     objective: float
+    patience: float
     deadline: float
     fingerprint: int
     charge: float = 0.0
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -34,10 +36,12 @@
 UNUSED = "unused"  # the node had no use for the grant any more
 CANCELLED = "cancelled"
 
-PLANNED = 48  # asks that one pass looks at, so that a pass takes about a millisecond
+PLANNED = 48  # asks that are given their best target; those behind them get the next one
 URGENT_FACTOR = 2.0  # times its expected run before its deadline, a late ask is urgent again
 FAILURE_COST = 2.0  # objectives that a certain failure counts as, when targets are compared
 SUSPICION_AGE = 20.0  # s for which a death counts; a caller comes back within its deadline
+OVERRUN = 0.05  # s after which a request that should have ended is expected to
+NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
 NEW_LEVEL = 0.5  # of a burst, in a bucket of a scheduler that can't know what was spent
 LEAST_RETRY_AFTER = 0.05  # s, some round trips
 SPREAD = 0.5  # by which returns are spread at random, of the time told
@@ -62,15 +66,19 @@
     ask: Ask
     arrived: float
     objective: float
+    patience: float
     deadline: float
+    seen: bool = False
 
 
-@dataclass(slots=True)
-class Slot:
-    """When a target can take one more request."""
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where and when an ask would run: on a target, from a time, with seconds from then on."""
 
     target: str
-    free_at: float
+    start: float
+    first: float
+    end: float
 
 
 class Scheduler:
@@ -150,18 +158,21 @@
             wait = self._bucket(ask, now).take(ask.charge, now)
             if wait > 0:
                 return Denial(ask.id, "quota", self._spread(min(wait, ask.deadline)))
-        waiting = Waiting(node, ask, now, now + ask.objective, now + ask.deadline)
+        waiting = Waiting(
+            node, ask, now, now + ask.objective, now + ask.patience, now + ask.deadline
+        )
         self.waiting_by_pool.setdefault(ask.pool, {})[node, ask.id] = waiting
         return None
 
     def plan(
         self, pool: str, now: float
     ) -> tuple[list[tuple[str, Grant]], list[tuple[str, Denial]]]:
-        """Grant what can start now and deny what can't end in time.
+        """Grant what can start now and deny what can't be answered in time.
 
         Each ask in order is given, in thought, the slot on which it would end first; one whose
         slot is free now is granted. What is thought of a slot that frees later is not kept, but
-        it leaves a slow target free rather than give it a request that ends sooner elsewhere.
+        it leaves a slow target free rather than give it a request that ends sooner elsewhere,
+        and tells early which asks would wait in vain.
 
         Returns
         -------
@@ -172,24 +183,25 @@
         if not queue:
             return [], []
         targets = self._usable(pool, now)
-        slots = self._slots(targets, now)
+        free_by_target = self._free_times(targets, now)
         grants: list[tuple[str, Grant]] = []
         denials: list[tuple[str, Denial]] = []
-        for waiting in self._in_order(queue.values(), targets, now)[:PLANNED]:
-            found = self._best_slot(waiting, targets, slots, now)
-            if found is None:
-                if not targets and waiting.deadline <= now:
+        for number, waiting in enumerate(self._in_order(queue.values(), targets, now)):
+            if number < PLANNED:
+                place = self._best_place(waiting, targets, free_by_target, now)
+            else:
+                place = self._next_place(waiting, targets, free_by_target)
+            if place is None:
+                if waiting.patience <= now:
                     denials.append(self._deny(waiting, "no-target", now))
                 continue
-            slot, first, end = found
-            if slot.free_at + end > waiting.deadline and slot.free_at + first > waiting.deadline:
-                denials.append(self._deny(waiting, "overload", slot.free_at))
+            if self._is_vain(waiting, place):
+                denials.append(self._deny(waiting, "overload", place.start))
                 continue
-            if slot.free_at > now:
-                slot.free_at += end
-                continue
-            grants.append((waiting.node, self._grant(waiting, slot, first, end, now)))
-            slots = self._slots(targets, now)
+            waiting.seen = True
+            heapq.heapreplace(free_by_target[place.target], place.start + place.end)
+            if place.start <= now:
+                grants.append((waiting.node, self._grant(waiting, place, now)))
         return grants, denials
 
     def first(self, grant: int, seconds: float, now: float) -> None:
@@ -328,18 +340,19 @@
                 loads[target.id] = load
         return loads
 
-    def _slots(self, targets: dict[str, TargetLoad], now: float) -> dict[str, Slot]:
-        """Return the next slot of each target."""
-        slots = {}
+    def _free_times(self, targets: dict[str, TargetLoad], now: float) -> dict[str, list[float]]:
+        """Return a heap for each target of the times at which its slots are free."""
+        free_by_target = {}
         for name, load in targets.items():
-            taken = len(load.running_by_grant)
-            if taken < self._limit(load):
-                free_at = now
-            else:
-                free_at = max(now, min(run.finish for run in load.running_by_grant.values()))
-                free_at = max(free_at, now + LEAST_RETRY_AFTER)
-            slots[name] = Slot(name, free_at)
-        return slots
+            soon = now + OVERRUN
+            times = [max(soon, run.finish) for run in load.running_by_grant.values()]
+            limit = self._limit(load)
+            times += [now] * (limit - len(times))
+            heapq.heapify(times)
+            while len(times) > limit:
+                heapq.heappop(times)
+            free_by_target[name] = times
+        return free_by_target
 
     def _limit(self, load: TargetLoad) -> int:
         share = self._share()
@@ -348,61 +361,86 @@
     def _in_order(
         self, queue: Iterable[Waiting], targets: dict[str, TargetLoad], now: float
     ) -> list[Waiting]:
-        """Order asks: by tier, the nearest objective first, those that must be late last."""
+        """Order asks: by tier and rank, the least time to spare first, late ones last."""
         loads = list(targets.values())
+        fastest = min(loads, key=lambda load: load.prefill + load.call, default=None)
 
-        def order(waiting: Waiting) -> tuple[bool, int, float]:
+        def order(waiting: Waiting) -> tuple[bool, int, int, float]:
             ask = waiting.ask
-            times = [load.predict(ask.prompt, ask.events, now) for load in loads]
-            first = min((time[0] for time in times), default=0.0)
-            end = min((time[1] for time in times), default=0.0)
+            first, end = fastest.estimate(ask.prompt, ask.events) if fastest else (0.0, 0.0)
             late = now + first > waiting.objective
             urgent = now + URGENT_FACTOR * end > waiting.deadline
-            return late and not urgent, ask.tier, waiting.objective
+            return late and not urgent, ask.tier, ask.rank, waiting.objective - first
 
         return sorted(queue, key=order)
 
-    def _best_slot(
+    def _best_place(
         self,
         waiting: Waiting,
         targets: dict[str, TargetLoad],
-        slots: dict[str, Slot],
+        free_by_target: dict[str, list[float]],
         now: float,
-    ) -> tuple[Slot, float, float] | None:
+    ) -> Place | None:
+        """Return where an ask would end first; a late first byte and failures cost extra."""
         ask = waiting.ask
-        best: tuple[float, Slot, float, float] | None = None
+        best: Place | None = None
+        least = math.inf
         for name, load in targets.items():
             if name in ask.avoid:
                 continue
-            slot = slots[name]
-            first, end = load.predict(ask.prompt, ask.events, slot.free_at)
-            cost = slot.free_at - now + end
-            cost += max(0.0, slot.free_at + first - waiting.objective)
+            start = free_by_target[name][0]
+            first, end = load.predict(ask.prompt, ask.events, start)
+            cost = start - now + end
+            cost += max(0.0, start + first - waiting.objective)
             cost += load.failure_rate * FAILURE_COST * ask.objective
-            if best is None or cost < best[0]:
-                best = (cost, slot, first, end)
-        return None if best is None else best[1:]
+            if cost < least:
+                least, best = cost, Place(name, start, first, end)
+        return best
+
+    def _next_place(
+        self,
+        waiting: Waiting,
+        targets: dict[str, TargetLoad],
+        free_by_target: dict[str, list[float]],
+    ) -> Place | None:
+        """Return the next slot of any target."""
+        if not targets:
+            return None
+        name = min(free_by_target, key=lambda known: free_by_target[known][0])
+        start = free_by_target[name][0]
+        first, end = targets[name].predict(waiting.ask.prompt, waiting.ask.events, start)
+        return Place(name, start, first, end)
+
+    def _is_vain(self, waiting: Waiting, place: Place) -> bool:
+        """Tell whether an ask would not be answered before its caller gives up.
+
+        A new ask is held to a part of that time, since what is more urgent may still come.
+        """
+        limit = waiting.patience
+        if not waiting.seen:
+            limit = waiting.arrived + NEW_PATIENCE * (limit - waiting.arrived)
+        return place.start + place.first > min(limit, waiting.deadline)
 
-    def _grant(self, waiting: Waiting, slot: Slot, first: float, end: float, now: float) -> Grant:
+    def _grant(self, waiting: Waiting, place: Place, now: float) -> Grant:
         ask = waiting.ask
         del self.waiting_by_pool[ask.pool][waiting.node, ask.id]
         grant = next(self._ids)
-        load = self.loads_by_target[slot.target]
+        load = self.loads_by_target[place.target]
         running = Running(
             waiting.node,
             ask.pool,
-            slot.target,
+            place.target,
             ask.prompt,
             ask.events,
             now,
-            now + end,
-            first,
+            now + place.end,
+            place.first,
             fingerprint=ask.fingerprint,
             deadline=waiting.deadline,
         )
         load.add(grant, running)
         self._load_by_grant[grant] = load
-        return Grant(ask.id, grant, slot.target, first)
+        return Grant(ask.id, grant, place.target, place.first)
 
     def _deny(self, waiting: Waiting, kind: str, until: float) -> tuple[str, Denial]:
         ask = waiting.ask
