Free the slots of requests whose answers were lost; let asks wait for the fleet's scheduler after a start

Cause: a run whose first byte is overdue made its whole target unusable and counted as unread prompt for as long as its caller waited; after a start each node was its own scheduler with a sixth of every quota.

--- a/celeryrun/gateway/_desk.py
+++ b/celeryrun/gateway/_desk.py
@@ -20,7 +20,8 @@
 BEAT_PERIOD = 0.2  # s
 SILENCE = 0.6  # s without an answer to heartbeats after which a scheduler counts as gone
 DIAL_PERIOD = 1.0  # s between two tries to reach a node
-DIAL_TIMEOUT = 0.5  # s
+DIAL_TIMEOUT = 0.3  # s
+SETTLE = 0.4  # s after the start for which asks wait until a scheduler is found
 
 
 @dataclass(slots=True)
@@ -59,6 +60,8 @@
         "_number",
         "_pending_by_ask",
         "_roster",
+        "_settled",
+        "_started",
         "_task",
         "_tried",
     )
@@ -78,11 +81,15 @@
         self._pending_by_ask: dict[int, Pending] = {}
         self._held_by_grant: dict[int, Held] = {}
         self._task: asyncio.Task[None] | None = None
+        self._settled = asyncio.Event()
+        self._started = 0.0
         self._local.has_own_asks = True
         self._local.serve_locally(self._on_reply)
 
     def start(self) -> None:
         """Begin to look for the fleet's scheduler."""
+        self._started = now()
+        self._roster.on_change = self._look_around
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def stop(self) -> None:
@@ -105,6 +112,8 @@
         Grant or Denial
             Every grant must be given back by ``done``.
         """
+        if not self._settled.is_set():
+            await self._settled.wait()
         ask.id = next(self._ids)
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._pending_by_ask[ask.id] = Pending(ask, now(), future, self._hub)
@@ -186,6 +195,9 @@
             elif node != self._name:
                 self._dial(node, time)
         self._turn_to(chosen)
+        is_late = time - self._started > SETTLE
+        if is_late or (self._roster.is_known() and not self._dialing):
+            self._settled.set()
 
     def _turn_to(self, hub: str) -> None:
         if hub == self._hub:
@@ -236,7 +248,11 @@
         self._dialing.add(node)
         address = self._roster.address_by_node[node]
         task = asyncio.get_running_loop().create_task(self._connect(node, address))
-        task.add_done_callback(lambda _: self._dialing.discard(node))
+        task.add_done_callback(lambda _: self._end_dial(node))
+
+    def _end_dial(self, node: str) -> None:
+        self._dialing.discard(node)
+        self._look_around()
 
     async def _connect(self, node: str, address: Address) -> None:
         loop = asyncio.get_running_loop()
--- a/celeryrun/gateway/_roster.py
+++ b/celeryrun/gateway/_roster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -34,7 +35,15 @@
         Where each node takes messages, this one included once it is registered.
     """
 
-    __slots__ = ("_events", "_follower", "_settings", "_store", "_task", "address_by_node")
+    __slots__ = (
+        "_events",
+        "_follower",
+        "_settings",
+        "_store",
+        "_task",
+        "address_by_node",
+        "on_change",
+    )
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
         self._store: Store = kernel.find("store")
@@ -45,6 +54,7 @@
             self._store, self._events, NODES_TOPIC, ROSTER_WAIT, ROSTER_PAUSE, self._take
         )
         self.address_by_node: dict[str, Address] = {}
+        self.on_change: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Register and begin to follow."""
@@ -57,6 +67,10 @@
         if self._task is not None:
             self._task.cancel()
 
+    def is_known(self) -> bool:
+        """Tell whether the other nodes are known."""
+        return self._follower.proved > float("-inf")
+
     async def _register(self) -> None:
         node = self._settings.node
         entry = _Entry(str(node.peer_address), node.zone)
@@ -85,3 +99,4 @@
                 self.address_by_node[name] = Address.from_text(entry.address)
             except (msgspec.MsgspecError, ValueError) as error:
                 self._events.emit("node-unreadable", peer=name, why=str(error))
+        self.on_change()
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -49,6 +49,11 @@
     fingerprint: int = 0
     deadline: float = math.inf
 
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether the first byte should have come long ago."""
+        patience = max(SILENCE_LEAST, SILENCE_FACTOR * self.predicted)
+        return self.first is None and now - self.granted > patience
+
 
 @dataclass(slots=True)
 class TargetLoad:
@@ -66,6 +71,8 @@
         When the prompts granted so far should have been read.
     failure_rate : float
         Recent share of requests that failed.
+    heard : float
+        When the latest request was granted that has had its first byte.
     """
 
     engine: bool
@@ -77,6 +84,7 @@
     failure_rate: float = 0.0
     avoid_until: float = 0.0
     backoff: float = FIRST_BACKOFF
+    heard: float = -math.inf
     running_by_grant: dict[int, Running] = field(default_factory=dict)
 
     def predict(self, prompt: int, events: float, start: float) -> tuple[float, float]:
@@ -116,20 +124,36 @@
 
     def settle(self, now: float) -> None:
         """Shorten the expected reading to the prompts that are still unread."""
-        unread = sum(run.prompt for run in self.running_by_grant.values() if run.first is None)
+        unread = sum(
+            run.prompt
+            for run in self.running_by_grant.values()
+            if run.first is None and not run.is_overdue(now)
+        )
         self.busy_until = min(self.busy_until, now + unread * self.prefill)
 
+    def present(self, now: float) -> list[Running]:
+        """Return the requests that take a slot.
+
+        One whose first byte is long overdue, while a later one has had its own, has mostly ended
+        with its answer lost on the way.
+        """
+        return [
+            run
+            for run in self.running_by_grant.values()
+            if not (run.is_overdue(now) and run.granted < self.heard)
+        ]
+
     def is_silent(self, now: float) -> bool:
-        """Tell whether a first byte is long overdue, so that the target may be gone."""
+        """Tell whether a first byte is long overdue and nothing came since, as if it were gone."""
         return any(
-            running.first is None
-            and now - running.granted > max(SILENCE_LEAST, SILENCE_FACTOR * running.predicted)
-            for running in self.running_by_grant.values()
+            run.is_overdue(now) and run.granted >= self.heard
+            for run in self.running_by_grant.values()
         )
 
     def learn_first(self, running: Running, seconds: float) -> None:
         """Learn from the time to a first byte."""
         running.first = seconds
+        self.heard = max(self.heard, running.granted)
         self.backoff = FIRST_BACKOFF
         if not self.engine:
             return
--- a/celeryrun/scheduling/_quota.py
+++ b/celeryrun/scheduling/_quota.py
@@ -73,8 +73,10 @@
         self._filled = now
 
     def set_quota(self, rate: float, burst: float, now: float) -> None:
-        """Change rate and size from now on."""
+        """Change rate and size from now on; what is in the bucket grows or shrinks with its size."""
         self._fill(now)
+        if self._level > 0 and self._burst > 0:
+            self._level *= burst / self._burst
         self._rate, self._burst = rate, burst
         self._level = min(self._level, burst)
 
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -345,7 +345,7 @@
         free_by_target = {}
         for name, load in targets.items():
             soon = now + OVERRUN
-            times = [max(soon, run.finish) for run in load.running_by_grant.values()]
+            times = [max(soon, run.finish) for run in load.present(now)]
             limit = self._limit(load)
             times += [now] * (limit - len(times))
             heapq.heapify(times)
