--- a/celeryrun/gateway/_desk.py
+++ b/celeryrun/gateway/_desk.py
@@ -11,7 +11,7 @@
 from celeryrun.gateway._links import Beat, Hello, Leaving, Link, Message
 from celeryrun.gateway._roster import Roster
 from celeryrun.kernel import Kernel, now, rank
-from celeryrun.scheduling import UNUSED, Ask, Cancel, Denial, Done, First, Grant, Hold, SlidingSum
+from celeryrun.scheduling import UNUSED, Ask, Cancel, Denial, Done, First, Grant, Hold
 from celeryrun.settings import Address, GatewaySettings
 
 __all__ = ["Desk"]
@@ -59,10 +59,8 @@
         "_name",
         "_number",
         "_pending_by_ask",
-        "_quota_window",
         "_roster",
         "_settled",
-        "_spent_by_workspace",
         "_started",
         "_task",
         "_tried",
@@ -83,8 +81,6 @@
         self._pending_by_ask: dict[int, Pending] = {}
         self._held_by_grant: dict[int, Held] = {}
         self._task: asyncio.Task[None] | None = None
-        self._quota_window = settings.bounds.quota_window
-        self._spent_by_workspace: dict[str, SlidingSum] = {}
         self._settled = asyncio.Event()
         self._started = 0.0
         self._local.has_own_asks = True
@@ -168,20 +164,11 @@
                     self._send(hub, Done(reply.grant, UNUSED))
                     return
                 self._held_by_grant[reply.grant] = Held(hub, reply, pending.ask, now())
-                self._note_spent(pending.ask)
                 pending.future.set_result(reply)
             case Denial():
                 if wanted and pending is not None:
                     pending.future.set_result(reply)
 
-    def _note_spent(self, ask: Ask) -> None:
-        if ask.charge > 0:
-            spent = self._spent_by_workspace.get(ask.workspace)
-            if spent is None:
-                spent = self._spent_by_workspace[ask.workspace] = SlidingSum(self._quota_window)
-            spent.add(ask.charge, now())
-            spent.total(now())
-
     async def _run(self) -> None:
         while True:
             self._look_around()
@@ -219,7 +206,7 @@
         self._hub = hub
         self._local.has_own_asks = hub == self._name
         if hub == self._name:
-            self._local.adopt(self._hello())
+            self._local.adopt(self._name, self._holds())
         for pending in list(self._pending_by_ask.values()):
             if pending.hub != hub and not self._is_reachable(pending.hub):
                 self._ask_again(pending)
@@ -240,11 +227,6 @@
         self._events.emit("asked-again", ask=ask.id, pool=ask.pool, peer=self._hub, waited=waited)
         self._send(self._hub, ask)
 
-    def _hello(self) -> Hello:
-        time = now()
-        spent = {name: sum.steps(time) for name, sum in self._spent_by_workspace.items()}
-        return Hello(self._name, self._holds(), spent)
-
     def _holds(self) -> tuple[Hold, ...]:
         time = now()
         return tuple(
@@ -285,7 +267,7 @@
         link.node = node
         link.heard = now()
         self._leaving.discard(node)
-        link.send(self._hello())
+        link.send(Hello(self._name, self._holds()))
         link.send(Beat(self._number))
         self._links_by_node[node] = link
 
--- a/celeryrun/gateway/_hub.py
+++ b/celeryrun/gateway/_hub.py
@@ -19,6 +19,7 @@
     Done,
     First,
     Grant,
+    Hold,
     Scheduler,
 )
 from celeryrun.settings import GatewaySettings
@@ -67,9 +68,7 @@
         self.has_own_asks = False
         bounds = settings.bounds
         self.scheduler = Scheduler(
-            Bounds(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window, bounds.quota_window
-            ),
+            Bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window),
             self._news.of_pool,
             self._news.is_engine,
             self.share,
@@ -140,14 +139,10 @@
                 if pool is not None:
                     self._plan(pool)
 
-    def adopt(self, hello: Hello) -> None:
-        """Count what a node holds and has spent by grants of another scheduler."""
-        time = now()
-        for hold in hello.holds:
-            self.scheduler.adopt(hello.node, hold, time)
-        for workspace, steps in hello.spent.items():
-            for age, amount in steps:
-                self.scheduler.note_spent(workspace, amount, time - age)
+    def adopt(self, node: str, holds: tuple[Hold, ...]) -> None:
+        """Count what a node holds by grants of another scheduler."""
+        for hold in holds:
+            self.scheduler.adopt(node, hold, now())
 
     def _plan(self, pool: str) -> None:
         grants, denials = self.scheduler.plan(pool, now())
@@ -196,7 +191,7 @@
                 if former is not None and former is not link:
                     former.close()
                 self._last_heard[message.node] = link.heard
-                self.adopt(message)
+                self.adopt(message.node, message.holds)
                 self._events.emit("node-joined", peer=message.node, holds=len(message.holds))
                 if self._leaving:
                     link.send(Leaving())
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -19,17 +19,10 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=True):
-    """First message of a node: who it is, what it holds, and what its workspaces spent.
-
-    Parameters
-    ----------
-    spent : dict
-        For each workspace the amounts within the window of quotas, each with its age in seconds.
-    """
+    """First message of a node: who it is and what it holds."""
 
     node: str
     holds: tuple[Hold, ...] = ()
-    spent: dict[str, tuple[tuple[float, float], ...]] = {}
 
 
 class Beat(msgspec.Struct, array_like=True, tag=True):
--- a/celeryrun/scheduling/__init__.py
+++ b/celeryrun/scheduling/__init__.py
@@ -3,7 +3,7 @@
 from celeryrun.scheduling._ledger import Death, Ledger, Verdict
 from celeryrun.scheduling._load import Running, TargetLoad
 from celeryrun.scheduling._messages import Ask, Cancel, Denial, Done, First, Grant, Hold, Outcome
-from celeryrun.scheduling._quota import QuotaWindow, RetryBudget, SlidingSum
+from celeryrun.scheduling._quota import Bucket, RetryBudget, SlidingSum
 from celeryrun.scheduling._scheduler import (
     CANCELLED,
     COMPLETE,
@@ -28,6 +28,7 @@
     "UNUSED",
     "Ask",
     "Bounds",
+    "Bucket",
     "Cancel",
     "Death",
     "Denial",
@@ -37,7 +38,6 @@
     "Hold",
     "Ledger",
     "Outcome",
-    "QuotaWindow",
     "RetryBudget",
     "Running",
     "Scheduler",
--- a/celeryrun/scheduling/_quota.py
+++ b/celeryrun/scheduling/_quota.py
@@ -1,10 +1,10 @@
-"""Quotas of workspaces and the budget of retries, over sliding windows."""
+"""Quotas of workspaces and the budget of retries, as token buckets and sliding windows."""
 
 from __future__ import annotations
 
 from collections import deque
 
-__all__ = ["QuotaWindow", "RetryBudget", "SlidingSum"]
+__all__ = ["Bucket", "RetryBudget", "SlidingSum"]
 
 STEP = 0.25  # s, the resolution of a sliding window
 
@@ -46,93 +46,64 @@
             self._sum -= self._steps.popleft()[1]
         return self._sum if self._steps else 0.0
 
-    def time_until(self, sum: float, now: float) -> float:
-        """Return the seconds until no more than a sum is left, if nothing is added."""
-        left = self.total(now)
-        for when, amount in self._steps:
-            if left <= sum:
-                break
-            left -= amount
-            until = when + self._window - now
-            if left <= sum:
-                return max(0.0, until)
-        return 0.0
-
-    def scale(self, factor: float) -> None:
-        """Multiply all amounts."""
-        self._sum *= factor
-        for step in self._steps:
-            step[1] *= factor
-
-    def insert(self, amount: float, when: float) -> None:
-        """Add an amount at an earlier time."""
-        self._sum += amount
-        self._steps.append([when, amount])
-        self._steps = deque(sorted(self._steps))
-
-    def steps(self, now: float) -> tuple[tuple[float, float], ...]:
-        """Return each amount with its age in seconds."""
-        self.total(now)
-        return tuple((now - when, amount) for when, amount in self._steps)
-
 
-class QuotaWindow:
-    """What a workspace may spend within any window of some seconds.
+class Bucket:
+    """Token bucket whose rate and size may change while it is used.
 
     Parameters
     ----------
-    rate, burst : float
-        The quota: ``rate * window + burst`` within each window.
-    window : float
-        Seconds.
-    unknown : float
-        Share of the quota that counts as spent, evenly over the window before, since what was
-        spent then can't be known.
+    level : float
+        Share of the burst that is there at the start.
 
     Examples
     --------
-    >>> quota = QuotaWindow(rate=10.0, burst=20.0, window=1.0, now=0.0)
-    >>> quota.take(20.0, now=0.0), quota.take(15.0, now=0.5)
-    (0.0, 0.75)
-    >>> quota.take(15.0, now=1.3)
+    >>> bucket = Bucket(rate=10.0, burst=20.0, now=0.0)
+    >>> bucket.take(15.0, now=0.0), bucket.take(15.0, now=0.0)
+    (0.0, 1.0)
+    >>> bucket.take(15.0, now=1.0)
     0.0
     """
 
-    __slots__ = ("_limit", "_rate", "_spent", "_window")
+    __slots__ = ("_burst", "_filled", "_level", "_rate")
 
-    def __init__(
-        self, rate: float, burst: float, window: float, now: float, unknown: float = 0.0
-    ) -> None:
+    def __init__(self, rate: float, burst: float, now: float, level: float = 1.0) -> None:
         self._rate = rate
-        self._window = window
-        self._limit = rate * window + burst
-        self._spent = SlidingSum(window)
-        steps = int(window / STEP) if unknown else 0
-        for step in range(steps):
-            self._spent.add(unknown * self._limit / steps, now - window + step * STEP)
+        self._burst = burst
+        self._level = burst * level
+        self._filled = now
 
     def set_quota(self, rate: float, burst: float, now: float) -> None:
-        """Change the quota; what was spent counts as the same share of the new one."""
-        limit = rate * self._window + burst
-        if self._limit > 0:
-            self._spent.scale(limit / self._limit)
-        self._rate, self._limit = rate, limit
+        """Change rate and size from now on; what is in the bucket grows or shrinks with its size."""
+        self._fill(now)
+        if self._level > 0 and self._burst > 0:
+            self._level *= burst / self._burst
+        self._rate, self._burst = rate, burst
+        self._level = min(self._level, burst)
 
     def take(self, amount: float, now: float) -> float:
-        """Spend an amount and return 0, or return the seconds until it may be spent."""
-        amount = min(amount, self._limit)
-        if self._spent.total(now) + amount <= self._limit:
-            self._spent.add(amount, now)
+        """Take an amount and return 0, or return the seconds until it is there.
+
+        An amount above the size is served once the bucket is full, and leaves a debt.
+        """
+        self._fill(now)
+        needed = min(amount, self._burst)
+        if self._level >= needed:
+            self._level -= amount
             return 0.0
-        return self._spent.time_until(self._limit - amount, now)
+        return (needed - self._level) / self._rate if self._rate > 0 else float("inf")
+
+    def give_back(self, amount: float) -> None:
+        """Return what was taken for a request that did not run."""
+        self._level = min(self._burst, self._level + amount)
 
-    def give_back(self, amount: float, now: float) -> None:
-        """Return what was spent for a request that did not run."""
-        self._spent.add(-min(amount, self._limit), now)
+    def charge(self, amount: float, now: float) -> None:
+        """Take an amount that was already spent elsewhere."""
+        self._fill(now)
+        self._level -= amount
 
-    def charge(self, amount: float, when: float) -> None:
-        """Count an amount that was spent elsewhere, at an earlier time."""
-        self._spent.insert(amount, when)
+    def _fill(self, now: float) -> None:
+        self._level = min(self._burst, self._level + (now - self._filled) * self._rate)
+        self._filled = now
 
 
 class RetryBudget:
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -13,7 +13,7 @@
 from celeryrun.scheduling._ledger import Ledger
 from celeryrun.scheduling._load import Running, TargetLoad
 from celeryrun.scheduling._messages import Ask, Denial, Done, Grant, Hold
-from celeryrun.scheduling._quota import QuotaWindow, RetryBudget
+from celeryrun.scheduling._quota import Bucket, RetryBudget
 
 __all__ = [
     "CANCELLED",
@@ -42,7 +42,7 @@
 SUSPICION_AGE = 20.0  # s for which a death counts; a caller comes back within its deadline
 OVERRUN = 0.05  # s after which a request that should have ended is expected to
 NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
-NEW_LEVEL = 0.5  # of a quota, free in a scheduler that can't know what was spent before
+NEW_LEVEL = 0.5  # of a burst, in a bucket of a scheduler that can't know what was spent
 LEAST_RETRY_AFTER = 0.05  # s, some round trips
 SPREAD = 0.5  # by which returns are spread at random, of the time told
 ADOPTED_LIFE = 60.0  # s, the longest deadline of a request whose own is not known
@@ -51,12 +51,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Limits over all nodes: retries for each request and beyond, and windows in seconds."""
+    """Budget of retries, over all nodes."""
 
     retry_ratio: float
     retry_slack: float
     retry_window: float
-    quota_window: float
 
 
 @dataclass(slots=True)
@@ -100,7 +99,6 @@
 
     __slots__ = (
         "_bounds",
-        "_early_spent",
         "_ids",
         "_is_engine",
         "_ledger",
@@ -111,7 +109,7 @@
         "_share",
         "_targets",
         "_versions",
-        "quotas_by_workspace",
+        "buckets_by_workspace",
         "loads_by_target",
         "waiting_by_pool",
     )
@@ -135,9 +133,8 @@
         self._ledger = Ledger(SUSPICION_AGE)
         self._load_by_grant: dict[int, TargetLoad] = {}
         self._retries_by_pool: dict[str, RetryBudget] = {}
-        self._early_spent: dict[str, list[tuple[float, float]]] = {}
         self._versions: dict[str, tuple[int, float, float, float]] = {}
-        self.quotas_by_workspace: dict[str, QuotaWindow] = {}
+        self.buckets_by_workspace: dict[str, Bucket] = {}
         self.loads_by_target: dict[str, TargetLoad] = {}
         self.waiting_by_pool: dict[str, dict[tuple[str, int], Waiting]] = {}
 
@@ -158,7 +155,7 @@
         else:
             budget.note_first(now)
         if ask.rate > 0 and ask.charge > 0:
-            wait = self._quota(ask, now).take(ask.charge, now)
+            wait = self._bucket(ask, now).take(ask.charge, now)
             if wait > 0:
                 return Denial(ask.id, "quota", self._spread(min(wait, ask.deadline)))
         waiting = Waiting(
@@ -196,10 +193,10 @@
                 place = self._next_place(waiting, targets, free_by_target)
             if place is None:
                 if waiting.patience <= now:
-                    denials.append(self._deny(waiting, "no-target", now, now))
+                    denials.append(self._deny(waiting, "no-target", now))
                 continue
             if self._is_vain(waiting, place):
-                denials.append(self._deny(waiting, "overload", place.start, now))
+                denials.append(self._deny(waiting, "overload", place.start))
                 continue
             waiting.seen = True
             heapq.heapreplace(free_by_target[place.target], place.start + place.end)
@@ -267,14 +264,6 @@
         load.add(hold.grant, running)
         self._load_by_grant[hold.grant] = load
 
-    def note_spent(self, workspace: str, amount: float, when: float) -> None:
-        """Count what a node spent of a quota by grants of another scheduler."""
-        quota = self.quotas_by_workspace.get(workspace)
-        if quota is not None:
-            quota.charge(amount, when)
-        else:
-            self._early_spent.setdefault(workspace, []).append((when, amount))
-
     def drop_node(self, node: str) -> set[str]:
         """Free what a node that is gone waited for and held; returns the pools it used."""
         pools = set()
@@ -312,24 +301,19 @@
             self._retries_by_pool[pool] = budget
         return budget
 
-    def _quota(self, ask: Ask, now: float) -> QuotaWindow:
+    def _bucket(self, ask: Ask, now: float) -> Bucket:
         share = self._share()
-        window = self._bounds.quota_window
-        quota = self.quotas_by_workspace.get(ask.workspace)
+        bucket = self.buckets_by_workspace.get(ask.workspace)
         known = self._versions.get(ask.workspace)
-        if quota is None:
-            quota = QuotaWindow(
-                ask.rate * share, ask.burst * share, window, now, 1.0 - self._new_level
-            )
-            self.quotas_by_workspace[ask.workspace] = quota
-            for when, amount in self._early_spent.pop(ask.workspace, ()):
-                quota.charge(amount, when)
+        if bucket is None:
+            bucket = Bucket(ask.rate * share, ask.burst * share, now, self._new_level)
+            self.buckets_by_workspace[ask.workspace] = bucket
         if known is None or ask.version > known[0]:
             known = (ask.version, ask.rate, ask.burst, -1.0)
         if known[3] != share:
-            quota.set_quota(known[1] * share, known[2] * share, now)
+            bucket.set_quota(known[1] * share, known[2] * share, now)
         self._versions[ask.workspace] = (known[0], known[1], known[2], share)
-        return quota
+        return bucket
 
     def _load(self, target: str, pool: str, slots: int = 1) -> TargetLoad:
         load = self.loads_by_target.get(target)
@@ -458,12 +442,12 @@
         self._load_by_grant[grant] = load
         return Grant(ask.id, grant, place.target, place.first)
 
-    def _deny(self, waiting: Waiting, kind: str, until: float, now: float) -> tuple[str, Denial]:
+    def _deny(self, waiting: Waiting, kind: str, until: float) -> tuple[str, Denial]:
         ask = waiting.ask
         del self.waiting_by_pool[ask.pool][waiting.node, ask.id]
-        quota = self.quotas_by_workspace.get(ask.workspace)
-        if quota is not None:
-            quota.give_back(ask.charge, now)
+        bucket = self.buckets_by_workspace.get(ask.workspace)
+        if bucket is not None:
+            bucket.give_back(ask.charge)
         wait = max(LEAST_RETRY_AFTER, until - waiting.arrived)
         return waiting.node, Denial(ask.id, kind, self._spread(wait))
 
