--- a/celeryrun/gateway/_answering.py
+++ b/celeryrun/gateway/_answering.py
@@ -68,6 +68,8 @@
         Of a stream, passed on so far.
     last_id : bytes
         Of the last event passed on.
+    longest_pause : float
+        Seconds between two events, at most.
     rejected_only : bool
         Whether every target so far stated that it did not run the request.
     """
@@ -75,11 +77,13 @@
     __slots__ = (
         "_connection",
         "_held",
+        "_last_event",
         "_request",
         "_route",
         "_splitter",
         "events",
         "first_byte",
+        "longest_pause",
         "rejected_only",
         "status",
     )
@@ -90,7 +94,9 @@
         self._route = route
         self._splitter = EventSplitter()
         self._held: bytes | None = None
+        self._last_event = 0.0
         self.events = 0
+        self.longest_pause = 0.0
         self.first_byte: float | None = None
         self.rejected_only = True
         self.status = 0
@@ -210,7 +216,7 @@
             if not self._connection.started:
                 self._begin_chunked(head)
             self._connection.write(format_chunk(whole))
-            self.events = self._splitter.count
+            self._note_event()
             await self._connection.drain()
         if self._splitter.has_rest():
             rest = self._splitter.drop_rest()
@@ -224,6 +230,13 @@
         self._connection.write(LAST_CHUNK)
         return Finished(head.status, False, held=False)
 
+    def _note_event(self) -> None:
+        time = now()
+        if self.events:
+            self.longest_pause = max(self.longest_pause, time - self._last_event)
+        self._last_event = time
+        self.events = self._splitter.count
+
     def _note_first(self) -> None:
         if self.first_byte is None:
             self.first_byte = now()
--- a/celeryrun/gateway/_follow.py
+++ b/celeryrun/gateway/_follow.py
@@ -127,10 +127,10 @@
             self._lost = False
             self.returned = now()
             self._events.emit("store-regained", topic=self._topic, age=self.age())
-        self._apply(page)
         if page.at_end:
             self.proved = began
             self._proofs.set()
+        self._apply(page)
 
     def _note_lost(self, reason: str) -> None:
         if not self._lost:
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -329,6 +329,7 @@
                     first=answering.first_after(course.arrived),
                     seconds=round(now() - course.arrived, 4),
                     events=answering.events,
+                    pause=round(answering.longest_pause, 3),
                 )
                 return True
             case Rejected(status=status):
