--- a/celeryrun/scheduling/_quota.py
+++ b/celeryrun/scheduling/_quota.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 
 __all__ = ["Bucket", "RetryBudget", "SlidingSum"]
 
-RETURNING = 0.5  # share of refused takers that come again, about
 STEP = 0.25  # s, the resolution of a sliding window
 
 
@@ -61,19 +59,18 @@
     --------
     >>> bucket = Bucket(rate=10.0, burst=20.0, now=0.0)
     >>> bucket.take(15.0, now=0.0), bucket.take(15.0, now=0.0)
-    (0.0, None)
-    >>> bucket.take(15.0, now=0.5, patience=1.0)
-    0.5
+    (0.0, 1.0)
+    >>> bucket.take(15.0, now=1.0)
+    0.0
     """
 
-    __slots__ = ("_burst", "_filled", "_level", "_promised", "_rate")
+    __slots__ = ("_burst", "_filled", "_level", "_rate")
 
     def __init__(self, rate: float, burst: float, now: float, level: float = 1.0) -> None:
         self._rate = rate
         self._burst = burst
         self._level = burst * level
         self._filled = now
-        self._promised = now
 
     def set_quota(self, rate: float, burst: float, now: float) -> None:
         """Change rate and size from now on; what is left changes with the size."""
@@ -83,44 +80,17 @@
         self._rate, self._burst = rate, burst
         self._level = min(self._level, burst)
 
-    def take(self, amount: float, now: float, patience: float = 0.0) -> float | None:
-        """Take an amount, ahead of time if it will be there soon.
+    def take(self, amount: float, now: float) -> float:
+        """Take an amount and return 0, or return the seconds until it is there.
 
         An amount above the size is served once the bucket is full, and leaves a debt.
-
-        Parameters
-        ----------
-        patience : float
-            Seconds for which the taker can wait.
-
-        Returns
-        -------
-        float or None
-            Seconds until the amount is there, None if it was not taken.
         """
-        wait = self._time_until(amount, now)
-        if wait > patience:
-            return None
-        self._level -= amount
-        return wait
-
-    def return_after(self, amount: float, now: float) -> float:
-        """Return the seconds after which a refused taker may come again.
-
-        Takers that were refused are told times one after the other, so that they do not meet.
-        """
-        self._promised = max(self._promised, now + self._time_until(amount, now))
-        wait = self._promised - now
-        if self._rate > 0:
-            self._promised += RETURNING * amount / self._rate
-        return wait
-
-    def _time_until(self, amount: float, now: float) -> float:
         self._fill(now)
         needed = min(amount, self._burst)
         if self._level >= needed:
+            self._level -= amount
             return 0.0
-        return (needed - self._level) / self._rate if self._rate > 0 else math.inf
+        return (needed - self._level) / self._rate if self._rate > 0 else float("inf")
 
     def give_back(self, amount: float) -> None:
         """Return what was taken for a request that did not run."""
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -42,7 +42,6 @@
 SUSPICION_AGE = 20.0  # s for which a death counts; a caller comes back within its deadline
 OVERRUN = 0.05  # s after which a request that should have ended is expected to
 NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
-QUOTA_PATIENCE = 0.5  # of the objective for which a request waits for its quota, not refused
 NEW_LEVEL = 0.5  # of a burst, in a bucket of a scheduler that can't know what was spent
 LEAST_RETRY_AFTER = 0.05  # s, some round trips
 SPREAD = 0.5  # by which returns are spread at random, of the time told
@@ -61,18 +60,11 @@
 
 @dataclass(slots=True)
 class Waiting:
-    """An ask in the queue, with its times as this scheduler's clock counts them.
-
-    Parameters
-    ----------
-    start : float
-        When its workspace's quota lets it start.
-    """
+    """An ask in the queue, with its times as this scheduler's clock counts them."""
 
     node: str
     ask: Ask
     arrived: float
-    start: float
     objective: float
     patience: float
     deadline: float
@@ -162,16 +154,12 @@
                 return Denial(ask.id, "retry-budget", 0.0)
         else:
             budget.note_first(now)
-        start = now
         if ask.rate > 0 and ask.charge > 0:
-            bucket = self._bucket(ask, now)
-            wait = bucket.take(ask.charge, now, QUOTA_PATIENCE * ask.objective)
-            if wait is None:
-                later = bucket.return_after(ask.charge, now)
-                return Denial(ask.id, "quota", min(later, ask.deadline))
-            start += wait
+            wait = self._bucket(ask, now).take(ask.charge, now)
+            if wait > 0:
+                return Denial(ask.id, "quota", self._spread(min(wait, ask.deadline)))
         waiting = Waiting(
-            node, ask, now, start, now + ask.objective, now + ask.patience, now + ask.deadline
+            node, ask, now, now + ask.objective, now + ask.patience, now + ask.deadline
         )
         self.waiting_by_pool.setdefault(ask.pool, {})[node, ask.id] = waiting
         return None
@@ -194,14 +182,11 @@
         queue = self.waiting_by_pool.get(pool)
         if not queue:
             return [], []
-        due = [waiting for waiting in queue.values() if waiting.start <= now]
-        if not due:
-            return [], []
         targets = self._usable(pool, now)
         free_by_target = self._free_times(targets, now)
         grants: list[tuple[str, Grant]] = []
         denials: list[tuple[str, Denial]] = []
-        for number, waiting in enumerate(self._in_order(due, targets, now)):
+        for number, waiting in enumerate(self._in_order(queue.values(), targets, now)):
             if number < PLANNED:
                 place = self._best_place(waiting, targets, free_by_target, now)
             else:
