Leave what would be late for when nothing on time can start; spare streams long pauses

Cause: in overload the least time to spare goes first and arrives just too late, one after the other; on the slowest engines 40 of 137 streams paused over 250 ms beside long prompts.

--- a/celeryrun/gateway/_hub.py
+++ b/celeryrun/gateway/_hub.py
@@ -70,7 +70,7 @@
         self.scheduler = Scheduler(
             Bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window),
             self._news.of_pool,
-            self._news.is_engine,
+            self._news.pool,
             self.share,
             new_level=1.0 if settings.node.first_start == "yes" else NEW_LEVEL,
         )
--- a/celeryrun/gateway/_news.py
+++ b/celeryrun/gateway/_news.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from celeryrun.catalog import Catalog, Target
+from celeryrun.catalog import Catalog, Pool, Target
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._follow import Follower
 from celeryrun.kernel import Kernel, now
@@ -88,10 +88,10 @@
             self._pool_index[pool] = found
         return found
 
-    def is_engine(self, pool: str) -> bool:
-        """Tell whether a pool's targets are engines."""
-        known = self.catalog.pools_by_name.get(pool) if self.catalog is not None else None
-        return known is not None and known.engine
+    def pool(self, name: str) -> Pool:
+        """Return what is configured of a pool, also of one that is not."""
+        known = self.catalog.pools_by_name.get(name) if self.catalog is not None else None
+        return known if known is not None else Pool(name)
 
     def is_known(self) -> bool:
         """Tell whether there is a configuration and a list of targets."""
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -120,9 +120,7 @@
         if isinstance(admitted, Refusal):
             self._refuse(connection, request, admitted, "admission")
             return
-        pool_name = choose_pool(admitted.route)
-        assert self._news.catalog is not None
-        pool = self._news.catalog.pools_by_name.get(pool_name, Pool(pool_name))
+        pool = self._news.pool(choose_pool(admitted.route))
         route = admitted.route
         course = Course(
             request,
@@ -213,6 +211,7 @@
                     admitted.route.patience - elapsed - PATIENCE_MARGIN, course.until - now()
                 ),
                 deadline=course.until - now(),
+                pause=admitted.route.max_pause,
                 fingerprint=course.fingerprint,
                 charge=charge,
                 rate=workspace.tokens_per_second,
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -10,6 +10,7 @@
 FIRST_PREFILL = 0.00002  # s for a prompt token until learned; a current accelerator's
 FIRST_EVENT_GAP = 0.02  # s between events until learned
 FIRST_CALL = 0.03  # s for a plain call until learned
+CHUNK = 1024  # prompt tokens read in one step, as engines commonly have it
 BASE = 0.015  # s to the first event beside the prompt: a few steps and the way there
 LEARNING = 0.2  # weight of a new observation; about ten settle an estimate
 WORST_RATIO = 4.0  # an observation counts as no further from its prediction than this
@@ -61,6 +62,8 @@
 
     Parameters
     ----------
+    stride : int
+        Tokens in one event of a stream, each made in a step that may also read a prompt.
     prefill : float
         Seconds for one prompt token.
     event_gap : float
@@ -77,6 +80,7 @@
 
     engine: bool
     slots: int
+    stride: int = 1
     prefill: float = FIRST_PREFILL
     event_gap: float = FIRST_EVENT_GAP
     call: float = FIRST_CALL
@@ -109,6 +113,12 @@
         first = prompt * self.prefill + BASE
         return first, first + events * self.event_gap
 
+    def pause_with(self, prompt: int, now: float) -> float:
+        """Return the seconds between two events of a stream while a prompt is read beside it."""
+        unread = max(0.0, self.busy_until - now)
+        reading = min(unread + prompt * self.prefill, self.stride * CHUNK * self.prefill)
+        return self.event_gap + reading
+
     def add(self, grant: int, running: Running) -> None:
         """Take a slot."""
         self.running_by_grant[grant] = running
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -24,6 +24,8 @@
     objective, patience, deadline : float
         Seconds left to the first byte for full credit, to the first byte before the caller gives
         up, and to the end.
+    pause : float
+        Seconds between two events of a stream that make it late, 0 where that does not count.
     fingerprint : int
         Hash of what is asked, the same when it is asked again.
     charge : float
@@ -48,6 +50,7 @@
     objective: float
     patience: float
     deadline: float
+    pause: float
     fingerprint: int
     charge: float = 0.0
     rate: float = 0.0
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -7,9 +7,9 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from celeryrun.catalog import Target
+from celeryrun.catalog import Pool, Target
 from celeryrun.scheduling._ledger import Ledger
 from celeryrun.scheduling._load import Running, TargetLoad
 from celeryrun.scheduling._messages import Ask, Denial, Done, Grant, Hold
@@ -40,6 +40,7 @@
 URGENT_FACTOR = 2.0  # times its expected run before its deadline, a late ask is urgent again
 FAILURE_COST = 2.0  # objectives that a certain failure counts as, when targets are compared
 SUSPICION_AGE = 20.0  # s for which a death counts; a caller comes back within its deadline
+PAUSE_COST = 1.0  # objectives that each stream made to pause too long counts as
 OVERRUN = 0.05  # s after which a request that should have ended is expected to
 NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
 NEW_LEVEL = 0.5  # of a burst, in a bucket of a scheduler that can't know what was spent
@@ -81,6 +82,24 @@
     end: float
 
 
+@dataclass(slots=True)
+class _Pass:
+    """One look at a queue.
+
+    Parameters
+    ----------
+    free_by_target : dict
+        A heap for each target of the times at which its slots are free.
+    """
+
+    targets: dict[str, TargetLoad]
+    free_by_target: dict[str, list[float]]
+    now: float
+    looked_at: int = 0
+    grants: list[tuple[str, Grant]] = field(default_factory=list)
+    denials: list[tuple[str, Denial]] = field(default_factory=list)
+
+
 class Scheduler:
     """Queues and loads of all pools.
 
@@ -90,8 +109,8 @@
         Limits over all nodes.
     targets : callable
         Returns the targets of a pool, ready ones only.
-    is_engine : callable
-        Tells whether a pool's targets are engines.
+    pool : callable
+        Returns what is configured of a pool.
     share : callable
         Returns the part of the fleet's limits that this scheduler may use, 1 when all nodes
         ask it.
@@ -100,7 +119,7 @@
     __slots__ = (
         "_bounds",
         "_ids",
-        "_is_engine",
+        "_pool",
         "_ledger",
         "_load_by_grant",
         "_new_level",
@@ -118,14 +137,14 @@
         self,
         bounds: Bounds,
         targets: Callable[[str], Iterable[Target]],
-        is_engine: Callable[[str], bool],
+        pool: Callable[[str], Pool],
         share: Callable[[], float] = lambda: 1.0,
         seed: int | None = None,
         new_level: float = NEW_LEVEL,
     ) -> None:
         self._bounds = bounds
         self._targets = targets
-        self._is_engine = is_engine
+        self._pool = pool
         self._share = share
         self._random = random.Random(seed)
         self._new_level = new_level
@@ -183,26 +202,37 @@
         if not queue:
             return [], []
         targets = self._usable(pool, now)
-        free_by_target = self._free_times(targets, now)
-        grants: list[tuple[str, Grant]] = []
-        denials: list[tuple[str, Denial]] = []
-        for number, waiting in enumerate(self._in_order(queue.values(), targets, now)):
-            if number < PLANNED:
-                place = self._best_place(waiting, targets, free_by_target, now)
-            else:
-                place = self._next_place(waiting, targets, free_by_target)
-            if place is None:
-                if waiting.patience <= now:
-                    denials.append(self._deny(waiting, "no-target", now))
-                continue
-            if self._is_vain(waiting, place):
-                denials.append(self._deny(waiting, "overload", place.start))
-                continue
-            waiting.seen = True
-            heapq.heapreplace(free_by_target[place.target], place.start + place.end)
-            if place.start <= now:
-                grants.append((waiting.node, self._grant(waiting, place, now)))
-        return grants, denials
+        pass_ = _Pass(targets, self._free_times(targets, now), now)
+        late = []
+        for waiting in self._in_order(queue.values(), targets, now):
+            if not self._settle(waiting, pass_, may_be_late=False):
+                late.append(waiting)
+        for waiting in late:
+            self._settle(waiting, pass_, may_be_late=True)
+        return pass_.grants, pass_.denials
+
+    def _settle(self, waiting: Waiting, pass_: _Pass, may_be_late: bool) -> bool:
+        """Decide on one ask in a pass; tell whether it was, or is left for when it may be late."""
+        now = pass_.now
+        pass_.looked_at += 1
+        if pass_.looked_at <= PLANNED:
+            place = self._best_place(waiting, pass_)
+        else:
+            place = self._next_place(waiting, pass_)
+        if place is None:
+            if waiting.patience <= now:
+                pass_.denials.append(self._deny(waiting, "no-target", now))
+            return True
+        if place.start + place.first > waiting.objective and not may_be_late:
+            return False
+        if self._is_vain(waiting, place):
+            pass_.denials.append(self._deny(waiting, "overload", place.start))
+            return True
+        waiting.seen = True
+        heapq.heapreplace(pass_.free_by_target[place.target], place.start + place.end)
+        if place.start <= now:
+            pass_.grants.append((waiting.node, self._grant(waiting, place, now)))
+        return True
 
     def first(self, grant: int, seconds: float, now: float) -> None:
         """Learn that the first byte of an answer came."""
@@ -318,7 +348,8 @@
     def _load(self, target: str, pool: str, slots: int = 1) -> TargetLoad:
         load = self.loads_by_target.get(target)
         if load is None:
-            load = TargetLoad(self._is_engine(pool), slots)
+            known = self._pool(pool)
+            load = TargetLoad(known.engine, slots, known.tokens_per_event)
             others = [
                 other
                 for other in self.loads_by_target.values()
@@ -374,41 +405,33 @@
 
         return sorted(queue, key=order)
 
-    def _best_place(
-        self,
-        waiting: Waiting,
-        targets: dict[str, TargetLoad],
-        free_by_target: dict[str, list[float]],
-        now: float,
-    ) -> Place | None:
-        """Return where an ask would end first; a late first byte and failures cost extra."""
+    def _best_place(self, waiting: Waiting, pass_: _Pass) -> Place | None:
+        """Return where an ask would end first; what harms it or others there costs extra."""
         ask = waiting.ask
         best: Place | None = None
         least = math.inf
-        for name, load in targets.items():
+        for name, load in pass_.targets.items():
             if name in ask.avoid:
                 continue
-            start = free_by_target[name][0]
+            start = pass_.free_by_target[name][0]
             first, end = load.predict(ask.prompt, ask.events, start)
-            cost = start - now + end
+            cost = start - pass_.now + end
             cost += max(0.0, start + first - waiting.objective)
             cost += load.failure_rate * FAILURE_COST * ask.objective
+            if ask.pause > 0 and load.pause_with(ask.prompt, pass_.now) > ask.pause:
+                cost += PAUSE_COST * len(load.running_by_grant) * ask.objective
             if cost < least:
                 least, best = cost, Place(name, start, first, end)
         return best
 
-    def _next_place(
-        self,
-        waiting: Waiting,
-        targets: dict[str, TargetLoad],
-        free_by_target: dict[str, list[float]],
-    ) -> Place | None:
+    def _next_place(self, waiting: Waiting, pass_: _Pass) -> Place | None:
         """Return the next slot of any target."""
-        if not targets:
+        if not pass_.targets:
             return None
-        name = min(free_by_target, key=lambda known: free_by_target[known][0])
-        start = free_by_target[name][0]
-        first, end = targets[name].predict(waiting.ask.prompt, waiting.ask.events, start)
+        free = pass_.free_by_target
+        name = min(free, key=lambda known: free[known][0])
+        start = free[name][0]
+        first, end = pass_.targets[name].predict(waiting.ask.prompt, waiting.ask.events, start)
         return Place(name, start, first, end)
 
     def _is_vain(self, waiting: Waiting, place: Place) -> bool:
