--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -40,7 +40,6 @@
 URGENT_FACTOR = 2.0  # times its expected run before its deadline, a late ask is urgent again
 FAILURE_COST = 2.0  # objectives that a certain failure counts as, when targets are compared
 SUSPICION_AGE = 20.0  # s for which a death counts; a caller comes back within its deadline
-RANK_LEAD = 0.25  # of its objective that a request may have waited to go before the next rank
 PAUSE_COST = 1.0  # objectives that each stream made to pause too long counts as
 OVERRUN = 0.05  # s after which a request that should have ended is expected to
 NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
@@ -393,19 +392,16 @@
     def _in_order(
         self, queue: Iterable[Waiting], targets: dict[str, TargetLoad], now: float
     ) -> list[Waiting]:
-        """Order asks: by tier, then by time to spare with a head start by rank, late ones last."""
+        """Order asks: by tier and rank, the least time to spare first, late ones last."""
         loads = list(targets.values())
         fastest = min(loads, key=lambda load: load.prefill + load.call, default=None)
 
-        def order(waiting: Waiting) -> tuple[bool, int, float]:
+        def order(waiting: Waiting) -> tuple[bool, int, int, float]:
             ask = waiting.ask
             first, end = fastest.estimate(ask.prompt, ask.events) if fastest else (0.0, 0.0)
-            spare = waiting.objective - first - now
+            late = now + first > waiting.objective
             urgent = now + URGENT_FACTOR * end > waiting.deadline
-            lead = RANK_LEAD * ask.rank
-            if spare < 0 and not urgent:
-                return True, ask.tier, waiting.patience - first - now + lead
-            return False, ask.tier, spare / (waiting.objective - waiting.arrived) + lead
+            return late and not urgent, ask.tier, ask.rank, waiting.objective - first
 
         return sorted(queue, key=order)
 
