--- a/celeryrun/gateway/_follow.py
+++ b/celeryrun/gateway/_follow.py
@@ -13,7 +13,7 @@
 __all__ = ["Follower"]
 
 FIRST_PAUSE = 0.1  # s after a failed call
-LAST_PAUSE = 0.8  # s, so that the store's return is noticed well within a second
+LAST_PAUSE = 0.4  # s, so that the store's return is noticed well within a second
 
 
 class Follower:
