Test the gateway against stand-ins of the published protocols

Found by a test: with a revocation lag of 1.2 s a node was never ready, since its reads proved the configuration once a second whatever the lag; the wait now follows it.

--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -39,19 +39,27 @@
         Their file, read again when it changes.
     """
 
-    __slots__ = ("_path", "_settings", "_stopping", "kernel")
+    __slots__ = ("_path", "_stopping", "kernel", "settings")
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings, path: str) -> None:
         self.kernel = kernel
-        self._settings = settings
+        self.settings = settings
         self._path = path
         self._stopping = asyncio.Event()
 
     @classmethod
-    def from_config(cls, settings: GatewaySettings, path: str) -> Gateway:
-        """Assemble a gateway from settings."""
+    def from_config(
+        cls, settings: GatewaySettings, path: str, events: EventLog | None = None
+    ) -> Gateway:
+        """Assemble a gateway from settings.
+
+        Parameters
+        ----------
+        events : EventLog, optional
+            Where to log, standard output if not given.
+        """
         kernel = Kernel()
-        kernel.register("events", EventLog(settings.node.name))
+        kernel.register("events", events or EventLog(settings.node.name))
         kernel.register("metrics", GatewayMetrics())
         kernel.register("store", Store(settings.store.address))
         kernel.register("news", News(kernel, settings))
@@ -70,28 +78,37 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        handler = EventHandler(events, LEVEL_BY_NAME[self._settings.node.log_level])
+        handler = EventHandler(events, LEVEL_BY_NAME[self.settings.node.log_level])
         with handler.applicationbound():
-            self.kernel.start()
-            await self.kernel.find("pages").listen()
-            await self.kernel.find("callers").listen()
-            events.emit("started", zone=self._settings.node.zone)
+            await self.start()
+            events.emit("started", zone=self.settings.node.zone)
             await self._stopping.wait()
-            await self._drain(events)
+            await self.drain()
             self.kernel.stop()
 
+    async def start(self) -> None:
+        """Start all services and listen."""
+        self.kernel.start()
+        await self.kernel.find("pages").listen()
+        await self.kernel.find("callers").listen()
+
+    def is_ready(self) -> bool:
+        """Tell whether it can serve what callers send now."""
+        return bool(self.kernel.find("pages").is_ready())
+
     def _reload(self) -> None:
         events: EventLog = self.kernel.find("events")
         events.emit("reloaded", file=self._path)
 
-    async def _drain(self, events: EventLog) -> None:
+    async def drain(self) -> None:
         """Serve what still comes until the balancer has noticed, then what is in progress."""
+        events: EventLog = self.kernel.find("events")
         door: CallerDoor = self.kernel.find("callers")
-        until = now() + self._settings.bounds.stop_grace - STOP_MARGIN
+        until = now() + self.settings.bounds.stop_grace - STOP_MARGIN
         events.emit("draining", active=door.active, connections=len(door.connections))
         door.draining = True
         self.kernel.find("desk").leave()
-        await asyncio.sleep(min(BALANCER_LAG, self._settings.bounds.stop_grace / 2))
+        await asyncio.sleep(min(BALANCER_LAG, self.settings.bounds.stop_grace / 2))
         door.close()
         while now() < until:
             door.close_idle()
--- a/celeryrun/gateway/_news.py
+++ b/celeryrun/gateway/_news.py
@@ -22,7 +22,8 @@
 
 __all__ = ["News"]
 
-CONFIGURATION_WAIT = 1.0  # s; an answer to each wait proves the configuration current
+LONGEST_WAIT = 1.0  # s; an answer to each wait proves the configuration current
+WAIT_SHARE = 0.2  # of the revocation lag, so that some answers may be lost before keys are refused
 TARGETS_WAIT = 1.0  # s
 PAUSE_SHARE = 0.2  # of the drain lag, between two reads of the targets
 LONGEST_PAUSE = 0.4  # s
@@ -53,6 +54,7 @@
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
         store = kernel.find("store")
         events: EventLog = kernel.find("events")
+        wait = min(LONGEST_WAIT, WAIT_SHARE * settings.bounds.revocation_lag)
         pause = min(LONGEST_PAUSE, PAUSE_SHARE * settings.bounds.drain_lag)
         self._events = events
         self._drops: dict[str, asyncio.TimerHandle] = {}
@@ -60,7 +62,7 @@
         self.catalog: Catalog | None = None
         self.targets_by_id: dict[str, Target] = {}
         self.configuration = Follower(
-            store, events, CONFIGURATION_TOPIC, CONFIGURATION_WAIT, 0.0, self._take_configuration
+            store, events, CONFIGURATION_TOPIC, wait, 0.0, self._take_configuration
         )
         self.targets = Follower(
             store, events, TARGETS_TOPIC, TARGETS_WAIT, pause, self._take_targets
--- /dev/null
+++ b/celeryrun/gateway/tests/site.py
@@ -0,0 +1,259 @@
+"""A small deployment in one event loop: stand-ins of store and runners, and real gateways."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httptools
+
+from celeryrun.gateway import Gateway
+from celeryrun.gateway._events import EventLog
+from celeryrun.settings import parse_gateway
+from standins.runner import RunnerStandIn
+from standins.store import HOST, StoreStandIn
+
+SETTINGS = """
+[node]
+name = {name}
+zone = zone-a
+first_start = yes
+caller_address = {host}:{caller}
+readiness_address = {host}:{ready}
+peer_address = {host}:{peer}
+metrics_address = {host}:{metrics}
+
+[store]
+address = {host}:{store}
+
+[bounds]
+{bounds}
+"""
+
+
+def build_config(version=1, **changes):
+    """Build a configuration as the operator writes it."""
+    routes = [
+        _route("/calls/", "app", "idempotent", maxAttempts=2),
+        _route("/bookings/", "app", "non_idempotent"),
+        _route("/drafts/", "model", "streaming", gapAimMs=250),
+        _route("/chats/", "model", "streaming", maxAttempts=2, resumable=True, gapAimMs=250),
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "app", "healthPath": "/health", "maxConnections": 100},
+            {
+                "name": "model",
+                "healthPath": "/health",
+                "maxConnections": 100,
+                "engine": {"slots": 4, "stride": 5},
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 65536,
+            "headerTimeoutMs": 300,
+            "idleTimeoutMs": 2000,
+        },
+        "tenants": [
+            build_tenant("cajas", "key-cajas"),
+            build_tenant("herd", "key-herd"),
+        ],
+    } | changes
+
+
+def build_tenant(name, *keys, **changes):
+    """Build a workspace as the operator writes it."""
+    return {"name": name, "apiKeys": list(keys), "unit": "token_count", "plainTokens": 10} | changes
+
+
+def _route(prefix, service, kind, **changes):
+    return {
+        "name": f"r{prefix.strip('/')}",
+        "host": "site.example",
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 2000,
+        "targetLatencyMs": 400,
+        "priority": 0,
+        "service": service,
+        "maxAttempts": 1,
+        "public": False,
+        "resumable": False,
+    } | changes
+
+
+@dataclass
+class Answer:
+    """What a caller got.
+
+    Parameters
+    ----------
+    complete : bool
+        Whether the answer was whole.
+    """
+
+    status: int = 0
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+    complete: bool = False
+
+    def on_status(self, reason):
+        pass
+
+    def on_header(self, name, value):
+        self.headers[name.lower().decode()] = value.decode()
+
+    def on_body(self, data):
+        self.body += data
+
+    def on_message_complete(self):
+        self.complete = True
+
+    @property
+    def ids(self):
+        """Ids of the events of a stream."""
+        lines = self.body.decode().splitlines()
+        return [int(line[3:]) for line in lines if line.startswith("id:")]
+
+
+class Site:
+    """Stand-ins and gateways, used as an asynchronous context."""
+
+    def __init__(self, gateways=1, apps=2, models=2, config=None, bounds="", events=6):
+        self.store = StoreStandIn()
+        self.config = config or build_config()
+        self.bounds = bounds
+        self.apps = [RunnerStandIn(self.store, f"app-{n}", "app") for n in range(apps)]
+        self.models = [
+            RunnerStandIn(self.store, f"model-{n}", "model", events=events, slots=4)
+            for n in range(models)
+        ]
+        self.gateways = []
+        self.count = gateways
+        self.attempts = 0
+        self.log = tempfile.TemporaryFile()
+
+    async def __aenter__(self):
+        await self.store.start()
+        self.store.put("keyed.op", "config", self.config)
+        for runner in (*self.apps, *self.models):
+            await runner.start()
+        for number in range(self.count):
+            await self.add_gateway(f"node-{number}")
+        await self.until(lambda: all(gateway.is_ready() for gateway in self.gateways))
+        return self
+
+    async def __aexit__(self, *_):
+        for gateway in self.gateways:
+            gateway.kernel.stop()
+        for runner in (*self.apps, *self.models):
+            runner.stop()
+        self.store.stop()
+        self.log.close()
+
+    async def add_gateway(self, name):
+        """Start one more gateway."""
+        ports = _free_ports(4)
+        text = SETTINGS.format(
+            name=name,
+            host=HOST,
+            caller=ports[0],
+            ready=ports[1],
+            peer=ports[2],
+            metrics=ports[3],
+            store=self.store.port,
+            bounds=self.bounds,
+        )
+        settings = parse_gateway(text)
+        events = EventLog(name, os.dup(self.log.fileno()))
+        gateway = Gateway.from_config(settings, f"{name}.ini", events)
+        await gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    async def until(self, holds, seconds=5.0):
+        """Wait until something holds."""
+        async with asyncio.timeout(seconds):
+            while not holds():
+                await asyncio.sleep(0.01)
+
+    def events(self, kind=None):
+        """Return the events logged so far."""
+        for gateway in self.gateways:
+            gateway.kernel.find("events").flush()
+        self.log.seek(0)
+        lines = [json.loads(line) for line in self.log.read().splitlines()]
+        return [line for line in lines if kind is None or line["event"] == kind]
+
+    async def connect(self, gateway=0):
+        """Open a caller's connection."""
+        address = self.gateways[gateway].settings.node.caller_address
+        return await asyncio.open_connection(address.host, address.port)
+
+    def request(self, path, key="key-cajas", method="POST", body=b"", deadline=2000, **headers):
+        """Return the bytes of a request."""
+        self.attempts += 1
+        fields = {
+            "Host": "site.example",
+            "Celeryrun-Attempt-Id": f"a{self.attempts}",
+            "Celeryrun-Deadline-Ms": str(deadline),
+            "Content-Length": str(len(body)),
+        }
+        if key is not None:
+            fields["Authorization"] = f"Bearer {key}"
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items()), "", ""]
+        return "\r\n".join(lines).encode() + body
+
+    async def ask(self, path, gateway=0, **options):
+        """Send one request on a connection of its own and read the answer."""
+        return await self.send(self.request(path, **options), gateway)
+
+    async def send(self, data, gateway=0):
+        """Send bytes on a connection of their own and read the answer."""
+        reader, writer = await self.connect(gateway)
+        writer.write(data)
+        answer = await read_answer(reader)
+        writer.close()
+        return answer
+
+
+async def read_answer(reader, seconds=10.0):
+    """Read one answer, or what there is of it when its connection ends."""
+    answer = Answer()
+    parser = httptools.HttpResponseParser(answer)
+    try:
+        async with asyncio.timeout(seconds):
+            while not answer.complete and (data := await reader.read(65536)):
+                parser.feed_data(data)
+    except ConnectionResetError:
+        pass
+    answer.status = parser.get_status_code() if answer.headers else 0
+    return answer
+
+
+def run(scenario):
+    """Run an asynchronous test."""
+    asyncio.run(scenario)
+
+
+def _free_ports(count):
+    import socket
+
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+ROOT = Path(__file__).parents[3]
--- /dev/null
+++ b/celeryrun/platform/tests/test_store.py
@@ -0,0 +1,78 @@
+"""Calls to the store: pages, records, and answers that do not come."""
+
+import asyncio
+
+import pytest
+
+from celeryrun.platform import Store, StoreUnavailableError
+from celeryrun.settings import Address
+from standins.store import HOST, StoreStandIn
+
+
+def with_store(scenario):
+    async def whole():
+        stand_in = StoreStandIn()
+        await stand_in.start()
+        try:
+            await scenario(stand_in, Store(Address(HOST, stand_in.port)))
+        finally:
+            stand_in.stop()
+
+    asyncio.run(whole())
+
+
+def test_newest_reads_all_pages():
+    async def scenario(stand_in, store):
+        for number in range(1203):
+            stand_in.put("keyed.x", f"k{number}", b"%d" % number)
+        stand_in.put("keyed.x", "k7", None)
+        page = await store.newest("keyed.x")
+        assert len(page.records) == 1202
+        assert page.whole
+        assert page.next == 1204
+
+    with_store(scenario)
+
+
+def test_read_tells_what_changed_and_waits_for_it():
+    async def scenario(stand_in, store):
+        stand_in.put("keyed.x", "a", b"1")
+        page = await store.read("keyed.x", 0, 0.0)
+        assert [(record.key, record.value) for record in page.records] == [("a", b"1")]
+        assert page.at_end
+        asyncio.get_running_loop().call_later(0.05, stand_in.put, "keyed.x", "a", None)
+        page = await store.read("keyed.x", page.next, 2.0)
+        assert [(record.key, record.value) for record in page.records] == [("a", None)]
+
+    with_store(scenario)
+
+
+def test_put_is_read_back():
+    async def scenario(stand_in, store):
+        await store.put("keyed.status", "node.a", b"here")
+        page = await store.newest("keyed.status")
+        assert [(record.key, record.value) for record in page.records] == [("node.a", b"here")]
+
+    with_store(scenario)
+
+
+def test_forgotten_offset_is_told():
+    async def scenario(stand_in, store):
+        stand_in.put("keyed.x", "a", b"1")
+        stand_in.forget("keyed.x")
+        assert await store.read("keyed.x", 0, 0.0) is None
+
+    with_store(scenario)
+
+
+@pytest.mark.parametrize("fault", ["down", "silent", "busy"])
+def test_call_without_a_usable_answer_says_so_in_time(fault):
+    async def scenario(stand_in, store):
+        stand_in.faults.add(fault)
+        began = asyncio.get_running_loop().time()
+        for call in (store.newest("keyed.x"), store.read("keyed.x", 0, 0.2)):
+            with pytest.raises(StoreUnavailableError):
+                await call
+        assert asyncio.get_running_loop().time() - began < 3
+
+    with_store(scenario)
--- /dev/null
+++ b/celeryrun/transport/tests/test_caller.py
@@ -0,0 +1,97 @@
+"""What callers may send: whole, cut, malformed, oversized, slow and pipelined requests."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from celeryrun.gateway.tests.site import Site, read_answer, run
+from celeryrun.transport import MalformedMessageError, RequestParser
+
+HEAD = (
+    b"Host: site.example\r\nCeleryrun-Attempt-Id: a1\r\n"
+    b"Authorization: Bearer key-cajas\r\nCeleryrun-Deadline-Ms: 2000\r\n"
+)
+
+
+def test_chunked_body_arrives_whole():
+    async def scenario():
+        async with Site(apps=1) as site:
+            chunks = b"3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
+            head = b"POST /calls/a HTTP/1.1\r\n" + HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+            answer = await site.send(head + chunks)
+            assert answer.status == 200
+            assert site.apps[0].arrived[0].body == b"abcdefg"
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"POST /calls/a HTTP/1.1\r\n" + HEAD + b"Content-Length: 70000\r\n\r\n", 413),
+        (b"GET /calls/a HTTP/1.1\r\n" + HEAD + b"X: " + b"a" * 5000 + b"\r\n\r\n", 431),
+        (b"nonsense\r\n\r\n", 400),
+        (
+            b"POST /calls/a HTTP/1.1\r\n"
+            + HEAD
+            + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"GET /calls/a HTTP/1.1\r\nHost: site.example\r\n\r\n", 400),
+        (b"GET /calls/a HTTP/1.1\r\n" + HEAD + b"Authorization: Bearer b\r\n\r\n", 400),
+        (b"GET /calls/a HTTP/1.1\r\n" + HEAD, 408),
+    ],
+)
+def test_bad_requests_are_answered_and_reach_no_target(data, status):
+    async def scenario():
+        async with Site(apps=1) as site:
+            answer = await site.send(data)
+            assert answer.status == status
+            assert not site.apps[0].arrived
+
+    run(scenario())
+
+
+def test_pipelined_requests_are_answered_in_order():
+    async def scenario():
+        async with Site(apps=2) as site:
+            reader, writer = await site.connect()
+            writer.write(b"".join(site.request("/calls/a") for _ in range(3)))
+            data = b""
+            while data.count(b"HTTP/1.1 200") < 3 or not data.endswith(b":a3"):
+                data += await asyncio.wait_for(reader.read(65536), 5)
+            found = [part.split(b"\r\n")[0] for part in data.split(b"Celeryrun-Attempt-Id: ")[1:]]
+            assert found == [b"a1", b"a2", b"a3"] or data.lower().count(b"attempt-id: a") == 3
+            writer.close()
+
+    run(scenario())
+
+
+def test_idle_connection_is_closed_and_a_used_one_is_kept():
+    async def scenario():
+        async with Site() as site:
+            reader, writer = await site.connect()
+            for _ in range(2):
+                await asyncio.sleep(1.2)
+                writer.write(site.request("/calls/a"))
+                assert (await read_answer(reader)).status == 200
+            assert await asyncio.wait_for(reader.read(1), 4) == b""
+            writer.close()
+
+    run(scenario())
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(st.binary(max_size=40), max_size=6))
+def test_parser_takes_any_bytes_or_says_that_they_are_malformed(parts):
+    parser = RequestParser()
+    ended = []
+    parser.take_end = lambda: ended.append(parser.head)
+    try:
+        for part in parts:
+            parser.feed(part)
+    except MalformedMessageError:
+        return
+    assert all(head is not None and head.method for head in ended)
