--- a/celeryrun/gateway/_doors.py
+++ b/celeryrun/gateway/_doors.py
@@ -109,6 +109,10 @@
         for server in self._servers:
             server.close()
 
+    def apply(self, settings: GatewaySettings) -> None:
+        """Use changed settings."""
+        self._settings = settings
+
     def is_ready(self) -> bool:
         """Tell whether this node can serve what callers send now."""
         limit = READY_SHARE * self._settings.bounds.revocation_lag
--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import signal
+from pathlib import Path
 
+from celeryrun.exception import SettingsError
 from celeryrun.gateway._desk import Desk
 from celeryrun.gateway._doors import CallerDoor, PageDoor
 from celeryrun.gateway._events import EventHandler, EventLog
@@ -77,12 +80,14 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        watch = loop.create_task(self._watch_settings())
         handler = EventHandler(events, LEVEL_BY_NAME[self.settings.node.log_level])
         with handler.applicationbound():
             await self.start()
             events.emit("started", zone=self.settings.node.zone)
             await self._stopping.wait()
+            watch.cancel()
             await self.drain()
             self.kernel.stop()
 
@@ -96,10 +101,32 @@
         """Tell whether it can serve what callers send now."""
         return bool(self.kernel.find("pages").is_ready())
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
+        """Read the settings again and use what can change while the process runs."""
         events: EventLog = self.kernel.find("events")
+        try:
+            changed = load_gateway(self._path)
+        except SettingsError as error:
+            events.emit("reload-failed", file=self._path, why=str(error))
+            return
+        if changed.node != self.settings.node:
+            events.emit("reload-partial", file=self._path, why="[node] needs a restart")
+            changed = dataclasses.replace(changed, node=self.settings.node)
+        self.settings = changed
+        for name in ("store", "hub", "relay", "pages"):
+            self.kernel.find(name).apply(changed)
         events.emit("reloaded", file=self._path)
 
+    async def _watch_settings(self) -> None:
+        """Reload when the settings file changes, whether a signal tells so or not."""
+        known = _read_text(self._path)
+        while True:
+            await asyncio.sleep(SETTINGS_PERIOD)
+            text = _read_text(self._path)
+            if text is not None and text != known:
+                known = text
+                self.reload()
+
     async def drain(self) -> None:
         """Serve what still comes until the balancer has noticed, then what is in progress."""
         events: EventLog = self.kernel.find("events")
@@ -118,6 +145,14 @@
         events.emit("stopped", active=door.active, connections=len(door.connections))
 
 
+def _read_text(path: str) -> str | None:
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError):
+        # The file may be written just now; the next look finds it.
+        return None
+
+
 def run_gateway(path: str) -> None:
     """Run one gateway until it is drained.
 
--- a/celeryrun/gateway/_hub.py
+++ b/celeryrun/gateway/_hub.py
@@ -66,9 +66,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._local: Callable[[Reply], None] = lambda reply: None
         self.has_own_asks = False
-        bounds = settings.bounds
         self.scheduler = Scheduler(
-            Bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window),
+            _bounds(settings),
             self._news.of_pool,
             self._news.pool,
             self.share,
@@ -92,6 +91,11 @@
         for link in list(self._links_by_node.values()):
             link.close()
 
+    def apply(self, settings: GatewaySettings) -> None:
+        """Use changed settings."""
+        self._settings = settings
+        self.scheduler.set_bounds(_bounds(settings))
+
     def serve_locally(self, reply: Callable[[Reply], None]) -> None:
         """Set what takes the replies to this node's own asks."""
         self._local = reply
@@ -211,3 +215,8 @@
         self._events.emit("node-left", peer=link.node)
         for pool in pools:
             self._plan(pool)
+
+
+def _bounds(settings: GatewaySettings) -> Bounds:
+    bounds = settings.bounds
+    return Bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window)
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -110,6 +110,10 @@
     def stop(self) -> None:
         """Nothing is held."""
 
+    def apply(self, settings: GatewaySettings) -> None:
+        """Use changed settings."""
+        self._settings = settings
+
     async def serve(self, connection: CallerConnection, received: ReceivedRequest) -> None:
         """Answer one request; cancelled when its caller leaves."""
         request = read_request(received.head, received.body)
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from celeryrun.gateway.tests.site import Site, build_config, build_tenant, read_answer, run
+from celeryrun.gateway.tests.site import (
+    SETTINGS,
+    Site,
+    build_config,
+    build_tenant,
+    read_answer,
+    run,
+)
 
 
 def test_answer_is_the_targets_own():
@@ -335,6 +342,36 @@
     run(scenario())
 
 
+def test_changed_settings_are_used_and_wrong_ones_are_not(tmp_path):
+    async def scenario():
+        async with Site() as site:
+            gateway = site.gateways[0]
+            good = SETTINGS.format(
+                name="node-0",
+                host="127.0.0.1",
+                caller=1,
+                ready=1,
+                peer=1,
+                metrics=1,
+                store=site.store.port,
+                bounds="revocation_lag = 7s\nretry_slack = 0",
+            )
+            path = tmp_path / "node.ini"
+            gateway._path = str(path)
+            path.write_text(good)
+            gateway.reload()
+            assert gateway.settings.bounds.revocation_lag == 7.0
+            path.write_text(good + "\nretry_slack = many")
+            gateway.reload()
+            assert gateway.settings.bounds.retry_slack == 0
+            kinds = [line["event"] for line in site.events()]
+            assert kinds.count("reloaded") == 1
+            assert kinds.count("reload-failed") == 1
+            assert (await site.ask("/calls/a")).status == 200
+
+    run(scenario())
+
+
 def test_metrics_and_readiness_are_served():
     async def scenario():
         async with Site() as site:
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from celeryrun.exception import CeleryrunError
-from celeryrun.settings import Address
+from celeryrun.settings import Address, GatewaySettings
 from celeryrun.transport import Exchange, TargetFailedError, open_exchange
 
 __all__ = [
@@ -88,7 +88,7 @@
     Parameters
     ----------
     address : Address
-        Where the store is; may be set anew when the settings change.
+        Where the store is.
     """
 
     __slots__ = ("address", "calls")
@@ -103,6 +103,10 @@
     def stop(self) -> None:
         """Nothing is held between calls."""
 
+    def apply(self, settings: GatewaySettings) -> None:
+        """Use changed settings."""
+        self.address = settings.store.address
+
     async def newest(self, topic: str) -> KeyedPage:
         """Read the newest record of each key of a topic.
 
--- a/celeryrun/scheduling/_quota.py
+++ b/celeryrun/scheduling/_quota.py
@@ -127,6 +127,10 @@
         self._firsts = SlidingSum(window)
         self._retries = SlidingSum(window)
 
+    def set_bounds(self, ratio: float, slack: float) -> None:
+        """Change what is allowed; the window stays."""
+        self._ratio, self._slack = ratio, slack
+
     def note_first(self, now: float) -> None:
         """Count a request."""
         self._firsts.add(1.0, now)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -157,6 +157,12 @@
         self.loads_by_target: dict[str, TargetLoad] = {}
         self.waiting_by_pool: dict[str, dict[tuple[str, int], Waiting]] = {}
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Use other limits from now on."""
+        self._bounds = bounds
+        for budget in self._retries_by_pool.values():
+            budget.set_bounds(bounds.retry_ratio, bounds.retry_slack)
+
     def ask(self, node: str, ask: Ask, now: float) -> Denial | None:
         """Let an ask wait, or deny it at once.
 
