--- a/celeryrun/gateway/_hub.py
+++ b/celeryrun/gateway/_hub.py
@@ -11,7 +11,6 @@
 from celeryrun.gateway._roster import Roster
 from celeryrun.kernel import Kernel, now
 from celeryrun.scheduling import (
-    NEW_LEVEL,
     Ask,
     Bounds,
     Cancel,
@@ -71,7 +70,7 @@
             self._news.of_pool,
             self._news.pool,
             self.share,
-            new_level=1.0 if settings.node.first_start == "yes" else NEW_LEVEL,
+            knows_all=settings.node.first_start == "yes",
         )
 
     def start(self) -> None:
@@ -219,4 +218,11 @@
 
 def _bounds(settings: GatewaySettings) -> Bounds:
     bounds = settings.bounds
-    return Bounds(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window)
+    return Bounds(
+        bounds.retry_ratio,
+        bounds.retry_slack,
+        bounds.retry_window,
+        bounds.quota_over,
+        bounds.quota_slack,
+        bounds.quota_window,
+    )
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -20,7 +20,6 @@
     "COMPLETE",
     "CRASHED",
     "FAILED",
-    "NEW_LEVEL",
     "REJECTED",
     "UNREACHABLE",
     "UNUSED",
@@ -43,7 +42,7 @@
 PAUSE_COST = 1.0  # objectives that each stream made to pause too long counts as
 OVERRUN = 0.05  # s after which a request that should have ended is expected to
 NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
-NEW_LEVEL = 0.5  # of a burst, in a bucket of a scheduler that can't know what was spent
+UNKNOWN_SHARE = 0.5  # of a quota's tolerance, for what was spent before a scheduler began
 LEAST_RETRY_AFTER = 0.05  # s, some round trips
 SPREAD = 0.5  # by which returns are spread at random, of the time told
 ADOPTED_LIFE = 60.0  # s, the longest deadline of a request whose own is not known
@@ -52,11 +51,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Budget of retries, over all nodes."""
+    """Limits over all nodes.
+
+    Parameters
+    ----------
+    retry_ratio, retry_slack : float
+        Retries for each request, and beyond these, within the window.
+    quota_over, quota_slack : float
+        Share and amount by which a quota may be exceeded within the window.
+    retry_window, quota_window : float
+        Seconds.
+    """
 
     retry_ratio: float
     retry_slack: float
     retry_window: float
+    quota_over: float
+    quota_slack: float
+    quota_window: float
+
+    def tolerated(self, rate: float, burst: float) -> float:
+        """Return the amount by which a quota may be exceeded."""
+        return self.quota_over * (rate * self.quota_window + burst) + self.quota_slack
 
 
 @dataclass(slots=True)
@@ -122,7 +138,7 @@
         "_pool",
         "_ledger",
         "_load_by_grant",
-        "_new_level",
+        "_knows_all",
         "_random",
         "_retries_by_pool",
         "_share",
@@ -140,14 +156,14 @@
         pool: Callable[[str], Pool],
         share: Callable[[], float] = lambda: 1.0,
         seed: int | None = None,
-        new_level: float = NEW_LEVEL,
+        knows_all: bool = False,
     ) -> None:
         self._bounds = bounds
         self._targets = targets
         self._pool = pool
         self._share = share
         self._random = random.Random(seed)
-        self._new_level = new_level
+        self._knows_all = knows_all
         self._ids = itertools.count(self._random.getrandbits(31) << 32 | 1)
         self._ledger = Ledger(SUSPICION_AGE)
         self._load_by_grant: dict[int, TargetLoad] = {}
@@ -342,7 +358,13 @@
         bucket = self.buckets_by_workspace.get(ask.workspace)
         known = self._versions.get(ask.workspace)
         if bucket is None:
-            bucket = Bucket(ask.rate * share, ask.burst * share, now, self._new_level)
+            level = 1.0
+            if not self._knows_all and ask.burst > 0:
+                # What was spent before is not known: half of the tolerance covers it, so that
+                # two schedulers may follow each other within a window.
+                tolerated = self._bounds.tolerated(ask.rate, ask.burst)
+                level = min(1.0, UNKNOWN_SHARE * tolerated / ask.burst)
+            bucket = Bucket(ask.rate * share, ask.burst * share, now, level)
             self.buckets_by_workspace[ask.workspace] = bucket
         if known is None or ask.version > known[0]:
             known = (ask.version, ask.rate, ask.burst, -1.0)
--- a/celeryrun/scheduling/tests/builders.py
+++ b/celeryrun/scheduling/tests/builders.py
@@ -3,7 +3,14 @@
 from celeryrun.catalog import Pool, Target
 from celeryrun.scheduling import Ask, Bounds, Scheduler
 
-BOUNDS = Bounds(retry_ratio=0.2, retry_slack=2.0, retry_window=10.0)
+BOUNDS = Bounds(
+    retry_ratio=0.2,
+    retry_slack=2.0,
+    retry_window=10.0,
+    quota_over=0.1,
+    quota_slack=0.0,
+    quota_window=8.0,
+)
 
 
 def build_target(id="t0", pool="model", slots=2, ready=True):
--- a/celeryrun/scheduling/tests/test_scheduler.py
+++ b/celeryrun/scheduling/tests/test_scheduler.py
@@ -128,7 +128,7 @@
 
 
 def test_quota_is_enforced_and_given_back_for_what_did_not_run():
-    scheduler = build_scheduler(build_target(slots=1), new_level=1.0)
+    scheduler = build_scheduler(build_target(slots=1), knows_all=True)
     quota = {"charge": 60.0, "rate": 10.0, "burst": 100.0}
     assert scheduler.ask("n", build_ask(1, **quota), 0.0) is None
     denial = scheduler.ask("n", build_ask(2, **quota), 0.0)
@@ -137,9 +137,16 @@
     assert scheduler.ask("n", build_ask(3, **quota), 0.0) is None
 
 
+def test_scheduler_that_cannot_know_what_was_spent_starts_within_the_tolerance():
+    scheduler = build_scheduler(build_target(slots=99))
+    quota = {"charge": 1.0, "rate": 10.0, "burst": 100.0}
+    allowed = sum(scheduler.ask("n", build_ask(n, **quota), 0.0) is None for n in range(100))
+    assert allowed == 9  # half of a tenth of 10 * 8 + 100
+
+
 def test_quota_follows_the_part_of_the_fleet_that_asks():
     share = [1.0]
-    scheduler = build_scheduler(build_target(), share=lambda: share[0], new_level=1.0)
+    scheduler = build_scheduler(build_target(), share=lambda: share[0], knows_all=True)
     quota = {"charge": 30.0, "rate": 10.0, "burst": 100.0}
     assert scheduler.ask("n", build_ask(1, **quota), 0.0) is None
     share[0] = 0.25
@@ -147,7 +154,7 @@
 
 
 def test_lower_quota_of_a_newer_version_binds_whoever_asks():
-    scheduler = build_scheduler(build_target(), new_level=1.0)
+    scheduler = build_scheduler(build_target(), knows_all=True)
     old = {"charge": 10.0, "rate": 100.0, "burst": 100.0, "version": 1}
     new = {"charge": 10.0, "rate": 1.0, "burst": 10.0, "version": 2}
     assert scheduler.ask("n", build_ask(1, **new), 0.0) is None
--- a/celeryrun/settings/_gateway.py
+++ b/celeryrun/settings/_gateway.py
@@ -43,6 +43,8 @@
     retry_ratio: float = setting(Number(0, 10), "retries for each request", 0.2)
     retry_window: float = setting(Duration(0.1, 600), "over which retries are counted", 10.0)
     retry_slack: float = setting(Number(0, 1e9), "retries beyond the ratio", 20.0)
+    quota_over: float = setting(Number(0, 10), "share by which a quota may be exceeded", 0.1)
+    quota_slack: float = setting(Number(0, 1e12), "amount beyond that", 0.0)
     quota_window: float = setting(Duration(0.1, 600), "over which quotas are counted", 8.0)
 
 
