--- a/celeryrun/cli/_commands.py
+++ b/celeryrun/cli/_commands.py
@@ -20,7 +20,7 @@
 from celeryrun.kernel import set_strict
 from celeryrun.node import Node
 from celeryrun.observe import json_handler, redirect_output
-from celeryrun.settings import Address, load_settings
+from celeryrun.settings import Address, load_gateway, load_settings
 
 __all__ = ["check", "completion", "drain", "keys", "node", "publish", "status"]
 
@@ -53,12 +53,18 @@
 @click.option("--settings", "settings_file", type=FILE, help="Settings of a node.")
 @click.option("--plans", type=FILE, help="List of customers' plans.")
 @click.option("--uses", type=FILE, help="List of what each plan may use.")
-def check(settings_file: str | None, plans: str | None, uses: str | None) -> None:
+@click.option("--gateway", "gateway_file", type=FILE, help="Settings of a gateway.")
+def check(
+    settings_file: str | None, plans: str | None, uses: str | None, gateway_file: str | None
+) -> None:
     """Check settings and lists without publishing."""
     if bool(plans) != bool(uses):
         raise click.UsageError("--plans and --uses go together")
-    if not settings_file and not plans:
-        raise click.UsageError("give --settings, or --plans and --uses")
+    if not settings_file and not plans and not gateway_file:
+        raise click.UsageError("give --settings, --gateway, or --plans and --uses")
+    if gateway_file:
+        load_gateway(gateway_file)
+        click.echo(f"{gateway_file}: good")
     if settings_file:
         load_settings(settings_file)
         click.echo(f"{settings_file}: good")
--- a/celeryrun/cli/_main.py
+++ b/celeryrun/cli/_main.py
@@ -15,6 +15,7 @@
     "check": "_commands",
     "completion": "_commands",
     "drain": "_commands",
+    "explain": "_explain",
     "gateway": "_gateway",
     "keys": "_commands",
     "node": "_commands",
--- /dev/null
+++ b/celeryrun/cli/tests/test_gateway.py
@@ -0,0 +1,42 @@
+"""Subcommands for the users' platform."""
+
+import pytest
+from click.testing import CliRunner
+
+from celeryrun.cli import main
+from celeryrun.gateway.tests.site import SETTINGS
+
+LINES = """
+ 0.1 b {"time":"2026-01-01T00:00:02","node":"b","event":"answered","request":"x","status":200}
+nonsense {"time
+{"time":"2026-01-01T00:00:01","node":"a","event":"placed","request":"x","target":"t","waited":0.1}
+{"time":"2026-01-01T00:00:01","node":"a","event":"placed","request":"y","target":"t"}
+"""
+
+
+def test_explain_orders_the_lines_of_one_request():
+    result = CliRunner().invoke(main, ["explain", "x"], input=LINES)
+    assert result.exit_code == 0
+    assert result.output.splitlines() == [
+        "2026-01-01T00:00:01 a placed target=t waited=0.1",
+        "2026-01-01T00:00:02 b answered status=200",
+    ]
+
+
+def test_explain_says_when_nothing_is_known():
+    result = CliRunner().invoke(main, ["explain", "z"], input=LINES)
+    assert result.exit_code == 7
+    assert "logs of all nodes" in result.output
+
+
+@pytest.mark.parametrize(
+    ("bounds", "code"), [("drain_lag = 2s", 0), ("drain_lag = 2", 2), ("drain_lagg = 2s", 2)]
+)
+def test_settings_of_a_gateway_are_checked(tmp_path, bounds, code):
+    path = tmp_path / "gateway.ini"
+    text = SETTINGS.format(
+        name="n", host="127.0.0.1", caller=1, ready=2, peer=3, metrics=4, store=5, bounds=bounds
+    )
+    path.write_text(text)
+    result = CliRunner().invoke(main, ["check", "--gateway", str(path)])
+    assert result.exit_code == code
--- a/celeryrun/front/_server.py
+++ b/celeryrun/front/_server.py
@@ -44,7 +44,9 @@
         self.ready = False
         manager: Any = self._connections  # type: ignore[attr-defined]
         manager.stop()
-        self._take_readable(manager)
+        while self._take_readable(manager):
+            self._wait_for_workers(is_idle)
+        self._close_kept(manager)
         self._wait_for_workers(is_idle)
         self.ready = True
         self.shutdown_timeout = READ_PATIENCE
@@ -61,12 +63,22 @@
             self.process_conn(connection)
         listener.close()
 
-    def _take_readable(self, manager: Any) -> None:
-        """Serve kept connections on which a request came while their watch was stopped."""
+    def _take_readable(self, manager: Any) -> int:
+        """Serve kept connections on which a request came meanwhile; returns how many."""
+        taken = 0
         for fd, connection in list(manager._selector.select(timeout=0)):
             if connection is not self:
                 manager._selector.unregister(fd)
                 self.process_conn(connection)
+                taken += 1
+        return taken
+
+    def _close_kept(self, manager: Any) -> None:
+        """Close the kept connections at once: waiting first would leave requests unread."""
+        for fd, connection in list(manager._selector.connections):
+            if connection is not self:
+                manager._selector.unregister(fd)
+                connection.close()
 
     def _wait_for_workers(self, is_idle: Callable[[], bool]) -> None:
         """Wait until every worker is idle, or only reads a connection that stays empty."""
--- /dev/null
+++ b/celeryrun/gateway/tests/test_events.py
@@ -0,0 +1,78 @@
+"""The log: listed, bounded, and never in the way."""
+
+import json
+import os
+import re
+from pathlib import Path
+
+from celeryrun.gateway._events import MAX_HELD, MAX_PER_PERIOD, EventLog
+from celeryrun.gateway.tests.site import ROOT, Site, run
+
+PACKAGE = Path(__file__).parents[1]
+
+
+def test_every_event_is_listed_for_operators():
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    table = page[page.index("## Events") : page.index("## Three walks")]
+    listed = {name for row in table.splitlines() if row.startswith("| `") for name in names(row)}
+    source = "".join(path.read_text() for path in PACKAGE.glob("_*.py"))
+    found = set(re.findall(r'emit\(\s*(?:course,\s*)?"([a-z-]+)"', source))
+    assert len(found) > 25
+    assert found == listed
+
+
+def names(row):
+    return re.findall(r"`([a-z-]+)`", row.split("|")[1])
+
+
+def test_reader_that_reads_nothing_stops_no_writer():
+    read_end, write_end = os.pipe()
+    events = EventLog("n", write_end)
+    os.set_blocking(write_end, False)
+    for number in range(20_000):
+        events.emit(f"kind-{number % 400}", number=number)
+        if number % 100 == 0:
+            events.flush()
+    assert len(events._lines) <= MAX_HELD + 1
+    data = os.read(read_end, 1 << 20)
+    for _ in range(200):
+        events.flush()
+        data += os.read(read_end, 1 << 20)
+        if data.endswith(b"\n") and b"events-left-out" in data:
+            break
+    assert all(json.loads(line) for line in data.splitlines())
+    assert b"events-left-out" in data
+
+
+def test_one_kind_does_not_crowd_out_the_others():
+    read_end, write_end = os.pipe()
+    events = EventLog("n", write_end)
+    for number in range(5 * MAX_PER_PERIOD):
+        events.emit("flood", number=number)
+    events.emit("rare")
+    events.flush()
+    events.flush()
+    lines = [json.loads(line) for line in os.read(read_end, 1 << 20).splitlines()]
+    assert sum(line["event"] == "flood" for line in lines) == MAX_PER_PERIOD
+    assert any(line["event"] == "rare" for line in lines)
+    (left_out,) = [line for line in lines if line["event"] == "events-left-out"]
+    assert left_out["flood"] == 4 * MAX_PER_PERIOD
+
+
+def test_requests_are_served_while_nobody_reads_the_log():
+    async def scenario():
+        async with Site(apps=1) as site:
+            read_end, write_end = os.pipe()
+            events = site.gateways[0].kernel.find("events")
+            os.set_blocking(write_end, False)
+            events._descriptor = write_end
+            for _ in range(3):
+                for number in range(800):
+                    events.emit(f"kind-{number}", filler="x" * 100)
+                events.flush()
+            for _ in range(20):
+                assert (await site.ask("/calls/a")).status == 200
+            os.close(read_end)
+            assert (await site.ask("/calls/a")).status == 200
+
+    run(scenario())
