Let the scheduler's node read the store for all that ask it

Change: the scheduler's node passes on the records it reads, and answers each heartbeat with the age of its proof; a node believes it from the moment at which it sent that heartbeat, and reads by itself when proofs stop, are late, or say that the store is lost. Test: test_versions_are_in_force_in_time_though_the_scheduler_lost_the_store.

--- a/celeryrun/gateway/_desk.py
+++ b/celeryrun/gateway/_desk.py
@@ -8,9 +8,11 @@
 
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._hub import Hub, Reply
-from celeryrun.gateway._links import Beat, Hello, Leaving, Link, Message
+from celeryrun.gateway._links import Beat, Feed, Hello, Leaving, Link, Message
+from celeryrun.gateway._news import News
 from celeryrun.gateway._roster import Roster
 from celeryrun.kernel import Kernel, now
+from celeryrun.platform import KeyedPage, KeyedRecord
 from celeryrun.scheduling import UNUSED, Ask, Cancel, Denial, Done, First, Grant, Hold
 from celeryrun.settings import Address, GatewaySettings
 
@@ -19,6 +21,7 @@
 DUTY = "scheduler"
 BEAT_PERIOD = 0.2  # s
 SILENCE = 0.6  # s without an answer to heartbeats after which a scheduler counts as gone
+BEATS_KEPT = 16  # heartbeats whose answers are still believed, a few seconds
 DIAL_PERIOD = 1.0  # s between two tries to reach a node
 DIAL_TIMEOUT = 0.3  # s
 SETTLE = 0.4  # s after the start for which asks wait until a scheduler is found
@@ -57,9 +60,11 @@
         "_links_by_node",
         "_local",
         "_name",
+        "_news",
         "_number",
         "_pending_by_ask",
         "_roster",
+        "_sent_by_number",
         "_settled",
         "_started",
         "_task",
@@ -70,10 +75,12 @@
         self._local: Hub = kernel.find("hub")
         self._roster: Roster = kernel.find("roster")
         self._events: EventLog = kernel.find("events")
+        self._news: News = kernel.find("news")
         self._name = settings.node.name
         self._hub = self._name
         self._ids = itertools.count(1)
         self._number = 0
+        self._sent_by_number: dict[int, float] = {}
         self._links_by_node: dict[str, Link] = {}
         self._leaving: set[str] = set()
         self._dialing: set[str] = set()
@@ -178,6 +185,8 @@
         """Send heartbeats, give up silent schedulers, and turn to the one of highest rank."""
         time = now()
         self._number += 1
+        self._sent_by_number[self._number] = time
+        self._sent_by_number.pop(self._number - BEATS_KEPT, None)
         for node, link in list(self._links_by_node.items()):
             if time - link.heard > SILENCE:
                 self._events.emit("scheduler-silent", peer=node, silent=time - link.heard)
@@ -276,6 +285,10 @@
         match message:
             case Grant() | Denial():
                 self._take_reply(link.node, message)
+            case Beat():
+                self._take_proofs(link, message)
+            case Feed():
+                self._take_feed(link, message)
             case Leaving():
                 self._leaving.add(link.node)
                 self._look_around()
@@ -283,6 +296,24 @@
             case _:
                 pass
 
+    def _take_proofs(self, link: Link, beat: Beat) -> None:
+        """Believe what the scheduler's node has proved, no later than the heartbeat was sent."""
+        sent = self._sent_by_number.get(beat.number)
+        if link.node != self._hub or sent is None:
+            return
+        for follower, (age, position) in zip(self._news.followers, beat.proofs, strict=False):
+            if age < 0:
+                follower.doubt()
+            else:
+                follower.prove(sent - age, position)
+
+    def _take_feed(self, link: Link, feed: Feed) -> None:
+        followers = self._news.followers
+        if link.node != self._hub or not 0 <= feed.topic < len(followers):
+            return
+        records = tuple(KeyedRecord(key, value) for key, value in feed.records)
+        followers[feed.topic].feed(feed.start, KeyedPage(records, feed.next, False, False))
+
     def _on_closed(self, link: Link) -> None:
         if self._links_by_node.get(link.node) is not link:
             return
--- a/celeryrun/gateway/_follow.py
+++ b/celeryrun/gateway/_follow.py
@@ -13,6 +13,9 @@
 __all__ = ["Follower"]
 
 FIRST_PAUSE = 0.1  # s after a failed call
+FED_MARGIN = 0.15  # s by which another node's proof may be late before this node reads
+FED_LOOK = 0.1  # s between two looks whether another node's proofs still come
+FED_LEASE = 0.7  # s, some heartbeats, after which a node without proofs reads by itself
 LAST_PAUSE = 0.4  # s, so that the store's return is noticed well within a second
 
 
@@ -34,11 +37,14 @@
         When the read began that showed what is held to be the newest; -inf before the first.
     returned : float
         When the store last answered after it had not.
+    on_page : callable
+        Takes the offset before, and each page that this node read.
     """
 
     __slots__ = (
         "_apply",
         "_events",
+        "_fed_until",
         "_lost",
         "_pause",
         "_position",
@@ -47,6 +53,7 @@
         "_task",
         "_topic",
         "_wait",
+        "on_page",
         "proved",
         "returned",
     )
@@ -68,10 +75,12 @@
         self._apply = apply
         self._position: int | None = None
         self._lost = False
+        self._fed_until = float("-inf")
         self._proofs = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self.proved = float("-inf")
         self.returned = float("-inf")
+        self.on_page: Callable[[int, KeyedPage], None] = lambda start, page: None
 
     def start(self) -> None:
         """Begin to follow."""
@@ -86,6 +95,43 @@
         """Return how many seconds old what is held may be."""
         return now() - self.proved
 
+    @property
+    def position(self) -> int:
+        """Offset of the first record that is not held, -1 before the first."""
+        return -1 if self._position is None else self._position
+
+    def feed(self, start: int, page: KeyedPage) -> None:
+        """Take what another node read from an offset on, unless something before it is missing."""
+        if self._position is not None and start <= self._position < page.next:
+            self._position = page.next
+            self._apply(page)
+
+    def prove(self, when: float, position: int) -> None:
+        """Take another node's proof that nothing stood behind an offset at a time.
+
+        While such proofs come, this node does not read by itself.
+
+        Parameters
+        ----------
+        when : float
+            Time, by this node's clock, before which the proof did not begin.
+        """
+        if self.position < position:
+            return
+        self.proved = max(self.proved, when)
+        self._proofs.set()
+        # The other node's next proof is due within two waits and a pause.
+        due = self.proved + 2 * self._wait + self._pause + FED_MARGIN
+        self._fed_until = min(due, now() + FED_LEASE)
+
+    def doubt(self) -> None:
+        """Read by itself again, as the other node has lost the store."""
+        self._fed_until = float("-inf")
+
+    def proof(self) -> tuple[float, int]:
+        """Return the age of what is held and the offset up to which it is; age -1 for no proof."""
+        return (-1.0 if self._lost else self.age()), self.position
+
     async def wait_fresh(self, age: float, timeout: float) -> bool:
         """Wait until what is held is younger than an age; tell whether it is."""
         try:
@@ -100,6 +146,8 @@
     async def _run(self) -> None:
         pause = FIRST_PAUSE
         while True:
+            while (rest := self._fed_until - now()) > 0:
+                await asyncio.sleep(min(rest, FED_LOOK))
             try:
                 await self._step()
             except StoreUnavailableError as error:
@@ -113,24 +161,28 @@
 
     async def _step(self) -> None:
         began = now()
-        if self._position is None:
+        start = self._position
+        if start is None:
             page = await self._store.newest(self._topic)
         else:
-            following = await self._store.read(self._topic, self._position, self._wait)
+            following = await self._store.read(self._topic, start, self._wait)
             if following is None:
-                self._events.emit("store-history-lost", topic=self._topic, offset=self._position)
+                self._events.emit("store-history-lost", topic=self._topic, offset=start)
                 self._position = None
                 return
             page = following
-        self._position = page.next
+        # Another node may have told what stands behind this page meanwhile.
+        self._position = max(self.position, page.next)
         if self._lost:
             self._lost = False
             self.returned = now()
             self._events.emit("store-regained", topic=self._topic, age=self.age())
         if page.at_end:
-            self.proved = began
+            self.proved = max(self.proved, began)
             self._proofs.set()
         self._apply(page)
+        if start is not None and page.records:
+            self.on_page(start, page)
 
     def _note_lost(self, reason: str) -> None:
         if not self._lost:
--- a/celeryrun/gateway/_hub.py
+++ b/celeryrun/gateway/_hub.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from celeryrun.gateway._events import EventLog
-from celeryrun.gateway._links import Beat, Hello, Leaving, Link, Message
+from celeryrun.gateway._links import MAX_FRAME, Beat, Feed, Hello, Leaving, Link, Message
 from celeryrun.gateway._news import News
 from celeryrun.gateway._roster import Roster
 from celeryrun.kernel import Kernel, now
+from celeryrun.platform import KeyedPage
 from celeryrun.scheduling import (
     Ask,
     Bounds,
@@ -80,6 +82,8 @@
 
     def start(self) -> None:
         """Listen for nodes and begin to plan."""
+        for topic, follower in enumerate(self._news.followers):
+            follower.on_page = partial(self._feed, topic)
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self._listen()),
@@ -152,6 +156,14 @@
         for hold in holds:
             self.scheduler.adopt(node, hold, now())
 
+    def _feed(self, topic: int, start: int, page: KeyedPage) -> None:
+        """Tell the nodes that ask this one what it has read; too much they read by themselves."""
+        records = tuple((record.key, record.value) for record in page.records)
+        if sum(len(value or b"") for _, value in records) > MAX_FRAME // 2:
+            return
+        for link in self._links_by_node.values():
+            link.send(Feed(topic, start, page.next, records))
+
     def _plan_soon(self, pool: str) -> None:
         """Plan now, or together with what else comes until planning has had its share of time."""
         if pool in self._planned_later:
@@ -220,7 +232,8 @@
                     link.send(Leaving())
             case Beat():
                 self._last_heard[link.node] = link.heard
-                link.send(message)
+                proofs = tuple(follower.proof() for follower in self._news.followers)
+                link.send(Beat(message.number, proofs))
             case _ if link.node:
                 self.take(link.node, message)
             case _:
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -11,7 +11,7 @@
 
 from celeryrun.scheduling import Ask, Cancel, Denial, Done, First, Grant, Hold
 
-__all__ = ["Beat", "Hello", "Leaving", "Link", "Message"]
+__all__ = ["MAX_FRAME", "Beat", "Feed", "Hello", "Leaving", "Link", "Message"]
 
 LENGTH = struct.Struct(">I")
 MAX_FRAME = 1024 * 1024  # bytes; the largest message tells all that a node holds
@@ -26,16 +26,33 @@
 
 
 class Beat(msgspec.Struct, array_like=True, tag=True):
-    """Heartbeat, sent by the node and returned by the scheduler."""
+    """Heartbeat, sent by the node and returned by the scheduler.
+
+    Parameters
+    ----------
+    proofs : tuple of (float, int)
+        Of the scheduler, for configuration and targets: the age of its proof in seconds, -1 if it
+        has lost the store, and the offset up to which it has read.
+    """
 
     number: int
+    proofs: tuple[tuple[float, int], ...] = ()
+
+
+class Feed(msgspec.Struct, array_like=True, tag=True):
+    """Records that the scheduler's node has read: number of the topic, offsets, content."""
+
+    topic: int
+    start: int
+    next: int
+    records: tuple[tuple[str, bytes | None], ...]
 
 
 class Leaving(msgspec.Struct, array_like=True, tag=True):
     """The scheduler's node is leaving; ask another."""
 
 
-Message = Hello | Beat | Leaving | Ask | Cancel | First | Done | Grant | Denial
+Message = Hello | Beat | Feed | Leaving | Ask | Cancel | First | Done | Grant | Denial
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/celeryrun/gateway/_news.py
+++ b/celeryrun/gateway/_news.py
@@ -24,8 +24,8 @@
 
 LONGEST_WAIT = 2.0  # s; an answer to each wait proves the configuration current
 WAIT_SHARE = 0.3  # of the revocation lag, so that an answer may be lost before keys are refused
-WAIT_SHARE_OF_LAG = 0.75  # of the configuration lag, as an older one denies nothing for sure
-TARGETS_WAIT = 2.0  # s
+WAIT_SHARE_OF_LAG = 0.45  # of the configuration lag: a proof is up to two waits old
+TARGETS_WAIT_SHARE = 0.3  # of the drain lag, so that the store's silence is noticed within it
 PAUSE_SHARE = 0.4  # of the drain lag, between two reads of the targets; calls to the store cost
 LONGEST_PAUSE = 1.0  # s
 RETURN_GRACE = 2.3  # s for which targets may be missing after the store's return
@@ -61,7 +61,8 @@
             WAIT_SHARE * bounds.revocation_lag,
             WAIT_SHARE_OF_LAG * bounds.configuration_lag,
         )
-        pause = min(LONGEST_PAUSE, PAUSE_SHARE * settings.bounds.drain_lag)
+        targets_wait = min(LONGEST_WAIT, TARGETS_WAIT_SHARE * bounds.drain_lag)
+        pause = min(LONGEST_PAUSE, PAUSE_SHARE * bounds.drain_lag)
         self._events = events
         self._drops: dict[str, asyncio.TimerHandle] = {}
         self._pool_index: dict[str, list[Target]] = {}
@@ -71,7 +72,7 @@
             store, events, CONFIGURATION_TOPIC, wait, 0.0, self._take_configuration
         )
         self.targets = Follower(
-            store, events, TARGETS_TOPIC, TARGETS_WAIT, pause, self._take_targets
+            store, events, TARGETS_TOPIC, targets_wait, pause, self._take_targets
         )
 
     def start(self) -> None:
@@ -84,6 +85,11 @@
         self.configuration.stop()
         self.targets.stop()
 
+    @property
+    def followers(self) -> tuple[Follower, ...]:
+        """What is followed, in the order in which nodes number it among themselves."""
+        return self.configuration, self.targets
+
     def of_pool(self, pool: str) -> list[Target]:
         """Return the targets of a pool that take new work."""
         found = self._pool_index.get(pool)
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -1,6 +1,7 @@
 """The whole path: callers, gateways and stand-ins of the platform."""
 
 import asyncio
+import dataclasses
 import json
 
 import pytest
@@ -13,6 +14,7 @@
     read_answer,
     run,
 )
+from standins.store import StoreStandIn
 
 
 def test_answer_is_the_targets_own():
@@ -322,6 +324,78 @@
     run(scenario())
 
 
+def test_one_gateway_reads_the_store_for_all_and_the_others_do_when_it_is_gone():
+    async def scenario():
+        async with Site(gateways=4) as site:
+            await site.until(lambda: len(site.events("scheduler-chosen")) >= 3)
+            await asyncio.sleep(2.5)
+            stores = [gateway.kernel.find("store") for gateway in site.gateways]
+            before = [store.calls for store in stores]
+            await asyncio.sleep(2.0)
+            calls = sorted(store.calls - was for store, was in zip(stores, before, strict=True))
+            assert calls[:3] == [0, 0, 0], calls
+            news = [gateway.kernel.find("news") for gateway in site.gateways]
+            assert all(each.configuration.age() < 2.5 for each in news)
+            site.store.put("keyed.op", "config", build_config(9))
+            site.apps[0].register("draining")
+            await site.until(lambda: all(each.catalog.version == 9 for each in news), 1.0)
+            await site.until(lambda: not any(e.targets_by_id["app-0"].ready for e in news), 1.2)
+            chosen = site.events("scheduler-chosen")[-1]["peer"]
+            for gateway in site.gateways:
+                if gateway.settings.node.name == chosen:
+                    for name in ("desk", "hub", "news"):
+                        gateway.kernel.find(name).stop()
+                    news.remove(gateway.kernel.find("news"))
+            site.store.put("keyed.op", "config", build_config(10))
+            await site.until(lambda: all(each.catalog.version == 10 for each in news), 2.0)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("fault", ["busy", "silent"])
+def test_versions_are_in_force_in_time_though_the_scheduler_lost_the_store(fault):
+    async def scenario():
+        async with Site(gateways=3) as site:
+            await site.until(lambda: len(site.events("scheduler-chosen")) >= 2)
+            await asyncio.sleep(1.5)
+            chosen = site.events("scheduler-chosen")[-1]["peer"]
+            cut = next(g for g in site.gateways if g.settings.node.name == chosen)
+            stand_in = StoreStandIn()
+            await stand_in.start()
+            stand_in.faults.add(fault)
+            store = cut.kernel.find("store")
+            store.address = dataclasses.replace(store.address, port=stand_in.port)
+            await asyncio.sleep(0.95)
+            site.store.put("keyed.op", "config", build_config(2))
+            site.apps[0].register("draining")
+            news = [g.kernel.find("news") for g in site.gateways if g is not cut]
+            await site.until(lambda: all(each.catalog.version == 2 for each in news), 1.8)
+            await site.until(lambda: not any(e.targets_by_id["app-0"].ready for e in news), 1.0)
+            stand_in.stop()
+
+    run(scenario())
+
+
+def test_scheduler_cut_off_from_the_store_passes_on_no_freshness():
+    async def scenario():
+        bounds = "revocation_lag = 2s\nconfiguration_lag = 600ms"
+        async with Site(gateways=2, bounds=bounds) as site:
+            await site.until(lambda: len(site.events("scheduler-chosen")) >= 1)
+            await asyncio.sleep(1.0)
+            chosen = site.events("scheduler-chosen")[-1]["peer"]
+            for gateway in site.gateways:
+                name = gateway.settings.node.name
+                gateway.kernel.find("news").configuration._task.cancel()
+                assert name == chosen or gateway.kernel.find("desk")._hub == chosen
+            news = [gateway.kernel.find("news") for gateway in site.gateways]
+            await asyncio.sleep(1.8)
+            assert all(each.configuration.age() > 1.6 for each in news)
+            for number in range(2):
+                assert (await site.ask("/calls/a", gateway=number)).status == 503
+
+    run(scenario())
+
+
 def test_draining_gateway_cuts_nothing():
     async def scenario():
         async with Site(events=60, bounds="stop_grace = 4s") as site:
