Split scheduler and relay by job; never count a past objective or an avoided target

Found while splitting: a request past its objective gained where a failing target should cost it; asks beyond the planned number could get a target that they must avoid; Retry-After counted from the arrival in place of now.

--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
-from dataclasses import dataclass, field
 
-from celeryrun.catalog import Pool, Target
+from celeryrun.catalog import Target
 from celeryrun.exception import Refusal
 from celeryrun.gateway._admission import (
     Admitted,
@@ -16,6 +14,18 @@
     still_allowed,
 )
 from celeryrun.gateway._answering import Answering, Broken, Finished, Rejected
+from celeryrun.gateway._course import (
+    OUT_OF_TIME,
+    REJECTED_BY_TARGET,
+    TIMED_OUT,
+    UNKNOWN,
+    UNREACHABLE_TARGETS,
+    Course,
+    build_ask,
+    fingerprint,
+    patience_for,
+    refusal_of,
+)
 from celeryrun.gateway._desk import Desk
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._metrics import GatewayMetrics
@@ -30,7 +40,6 @@
     REJECTED,
     UNREACHABLE,
     UNUSED,
-    Ask,
     Denial,
     Grant,
 )
@@ -40,6 +49,7 @@
     Exchange,
     ReceivedRequest,
     TargetFailedError,
+    accepts_connections,
     open_exchange,
 )
 
@@ -49,47 +59,8 @@
 PROBE_TIMEOUT = 0.25  # s in which a target that is up accepts a connection
 KEY_MARGIN = 0.4  # s of the revocation lag that the way to a target and a late timer may take
 FRESH_PATIENCE = 0.3  # s for which a request waits for news before it is refused
-LEAST_PATIENCE = 0.25  # s for a first byte before a repeatable request is sent elsewhere
-PATIENCE_FACTOR = 5.0  # times the predicted time to the first byte
-STREAM_PATIENCE = 1.2  # s without an event after which a resumable stream goes on elsewhere
 MAX_UNSENT = 4  # targets in a row that could not be reached
-PATIENCE_MARGIN = 0.1  # s of a caller's patience that ways and late timers may take
 ANSWER_MARGIN = 0.004  # s before its time is up at which a request is answered
-STATUS_BY_DENIAL = {"quota": 429}
-REMEDY_BY_DENIAL = {
-    "quota": "send less; the workspace's quota is used up",
-    "overload": "send it again later; no target would have answered in time",
-    "suspect": "do not send it again; it took its targets down",
-    "no-target": "send it again later; the pool has no target",
-    "retry-budget": "send it again later; its target rejected it",
-}
-
-
-@dataclass(slots=True)
-class Course:
-    """One request on its way.
-
-    Parameters
-    ----------
-    until : float
-        When it must have its final answer.
-    sent : int
-        Targets that it was sent to.
-    avoid : list of str
-        Targets that it must not get again.
-    """
-
-    request: CallerRequest
-    admitted: Admitted
-    pool: Pool
-    arrived: float
-    until: float
-    fingerprint: int
-    sent: int = 0
-    unsent: int = 0
-    charged: bool = False
-    avoid: list[str] = field(default_factory=list)
-    last_event: bytes | None = None
 
 
 class Relay:
@@ -132,7 +103,7 @@
             pool,
             received.arrived,
             received.arrived + min(request.deadline, route.timeout) - ANSWER_MARGIN,
-            _fingerprint(request, admitted),
+            fingerprint(request, admitted),
         )
         await self._serve_in_time(connection, course)
 
@@ -190,49 +161,15 @@
                 return
 
     async def _place(self, course: Course) -> Grant | Denial:
-        request, admitted = course.request, course.admitted
-        workspace = admitted.workspace
-        elapsed = now() - course.arrived
-        sized = request.prompt_tokens + request.output_tokens
-        charge = 0.0
-        if workspace.tokens_per_second > 0 and not course.charged:
-            charge = float(sized if request.sized else workspace.plain_tokens)
-            charge = charge if workspace.counts_tokens else 1.0
-        events = 0.0
-        if course.pool.engine:
-            events = max(1.0, request.expected_output / course.pool.tokens_per_event)
-        reply = await self._desk.place(
-            Ask(
-                id=0,
-                pool=course.pool.name,
-                tier=admitted.tier,
-                rank=admitted.route.tier,
-                workspace=workspace.name,
-                prompt=max(1, request.prompt_tokens),
-                events=events,
-                objective=admitted.route.objective - elapsed,
-                patience=min(
-                    admitted.route.patience - elapsed - PATIENCE_MARGIN, course.until - now()
-                ),
-                deadline=course.until - now(),
-                pause=admitted.route.max_pause,
-                fingerprint=course.fingerprint,
-                charge=charge,
-                rate=workspace.tokens_per_second,
-                burst=workspace.burst,
-                version=admitted.version,
-                retry=course.sent > 0,
-                avoid=tuple(course.avoid),
-            )
-        )
+        reply = await self._desk.place(build_ask(course, now()))
         if isinstance(reply, Grant):
             course.charged = True
             self._emit(
                 course,
                 "placed",
                 target=reply.target,
-                tier=admitted.tier,
-                prompt=request.prompt_tokens,
+                tier=course.admitted.tier,
+                prompt=course.request.prompt_tokens,
                 waited=round(now() - course.arrived, 4),
                 expected=round(reply.expected, 4),
                 sent=course.sent,
@@ -275,7 +212,7 @@
             result = await answering.take(
                 exchange,
                 on_first=lambda: self._desk.first(grant, now() - began),
-                patience=self._patience(course, grant),
+                patience=patience_for(course, grant.expected),
             )
             outcome = await self._judge(course, result, target)
             return self._conclude(connection, course, answering, result, target)
@@ -284,15 +221,6 @@
                 exchange.close()
             self._desk.done(grant, outcome, now() - began, answering.events)
 
-    def _patience(self, course: Course, grant: Grant) -> float | None:
-        """Return how long a target may be silent, or None where only the deadline counts."""
-        route = course.admitted.route
-        if not route.kind.repeatable or course.sent >= route.max_attempts:
-            return None
-        if route.kind.stream:
-            return max(STREAM_PATIENCE, PATIENCE_FACTOR * grant.expected)
-        return max(LEAST_PATIENCE, PATIENCE_FACTOR * grant.expected)
-
     async def _judge(
         self, course: Course, result: Finished | Broken | Rejected, target: Target
     ) -> str:
@@ -302,7 +230,9 @@
                 return FAILED if failed else COMPLETE
             case Rejected():
                 return REJECTED
-            case Broken(kind="reset" | "closed") if await _is_down(target):
+            case Broken(kind="reset" | "closed") if not await accepts_connections(
+                target.host, target.port, PROBE_TIMEOUT
+            ):
                 self._emit(course, "target-down", target=target.id)
                 return CRASHED
         return FAILED
@@ -339,11 +269,10 @@
                 if may_repeat and not connection.started:
                     self._emit(course, "rejected", status=status, target=target.id)
                     return False
-                refusal = Refusal(503, "rejected", "send it again later", 0.2)
                 if connection.started:
                     connection.abort()
                 else:
-                    self._refuse(connection, course.request, refusal, "target")
+                    self._refuse(connection, course.request, REJECTED_BY_TARGET, "target")
                 return True
         self._emit(
             course,
@@ -367,8 +296,7 @@
         if connection.started:
             connection.abort()
             return
-        remedy = "find out whether it ran before you send it again"
-        self._refuse(connection, course.request, Refusal(502, "unknown", remedy), "target")
+        self._refuse(connection, course.request, UNKNOWN, "target")
 
     def _deny(
         self,
@@ -385,12 +313,7 @@
         if course.sent and not answering.rejected_only:
             self._fail(connection, course, answering)
             return
-        refusal = Refusal(
-            STATUS_BY_DENIAL.get(denial.kind, 503),
-            denial.kind,
-            REMEDY_BY_DENIAL.get(denial.kind, "send it again later"),
-            denial.retry_after or None,
-        )
+        refusal = refusal_of(denial)
         self._refuse(connection, course.request, refusal, "scheduler")
 
     def _note_unsent(
@@ -408,8 +331,7 @@
         if course.sent or connection.started:
             self._fail(connection, course, answering)
         else:
-            refusal = Refusal(503, "unreachable", "send it again later", 0.5)
-            self._refuse(connection, course.request, refusal, "target")
+            self._refuse(connection, course.request, UNREACHABLE_TARGETS, "target")
         return True
 
     def _end_late(self, connection: CallerConnection, course: Course) -> None:
@@ -417,11 +339,9 @@
         if connection.started:
             connection.abort()
         elif course.sent:
-            remedy = "find out whether it ran before you send it again"
-            self._refuse(connection, course.request, Refusal(504, "timeout", remedy), "timeout")
+            self._refuse(connection, course.request, TIMED_OUT, "timeout")
         else:
-            refusal = Refusal(503, "overload", REMEDY_BY_DENIAL["overload"], 0.2)
-            self._refuse(connection, course.request, refusal, "timeout")
+            self._refuse(connection, course.request, OUT_OF_TIME, "timeout")
 
     def _refuse(
         self, connection: CallerConnection, request: CallerRequest, refusal: Refusal, by: str
@@ -446,27 +366,3 @@
             workspace=course.admitted.workspace.name,
             **fields,
         )
-
-
-def _fingerprint(request: CallerRequest, admitted: Admitted) -> int:
-    """Return a hash that a request shares with itself when it is sent again."""
-    digest = hashlib.blake2b(digest_size=8)
-    for part in (
-        request.head.method,
-        request.head.target,
-        admitted.workspace.name.encode(),
-        request.body,
-    ):
-        digest.update(part)
-        digest.update(b"\0")
-    return int.from_bytes(digest.digest(), "big") >> 1
-
-
-async def _is_down(target: Target) -> bool:
-    """Tell whether a target that broke a request off accepts no connection."""
-    try:
-        exchange = await open_exchange(target.host, target.port, PROBE_TIMEOUT)
-    except TargetFailedError:
-        return True
-    exchange.close()
-    return False
--- a/celeryrun/scheduling/__init__.py
+++ b/celeryrun/scheduling/__init__.py
@@ -2,9 +2,7 @@
 
 from celeryrun.scheduling._ledger import Death, Ledger, Verdict
 from celeryrun.scheduling._load import Running, TargetLoad
-from celeryrun.scheduling._messages import Ask, Cancel, Denial, Done, First, Grant, Hold, Outcome
-from celeryrun.scheduling._quota import Bucket, RetryBudget, SlidingSum
-from celeryrun.scheduling._scheduler import (
+from celeryrun.scheduling._messages import (
     CANCELLED,
     COMPLETE,
     CRASHED,
@@ -12,9 +10,17 @@
     REJECTED,
     UNREACHABLE,
     UNUSED,
-    Bounds,
-    Scheduler,
+    Ask,
+    Cancel,
+    Denial,
+    Done,
+    First,
+    Grant,
+    Hold,
+    Outcome,
 )
+from celeryrun.scheduling._quota import Bucket, RetryBudget, SlidingSum
+from celeryrun.scheduling._scheduler import Bounds, Scheduler
 
 __all__ = [
     "CANCELLED",
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -4,7 +4,33 @@
 
 import msgspec
 
-__all__ = ["Ask", "Cancel", "Denial", "Done", "First", "Grant", "Hold", "Outcome"]
+__all__ = [
+    "CANCELLED",
+    "COMPLETE",
+    "CRASHED",
+    "FAILED",
+    "REJECTED",
+    "UNREACHABLE",
+    "UNUSED",
+    "Ask",
+    "Cancel",
+    "Denial",
+    "Done",
+    "First",
+    "Grant",
+    "Hold",
+    "Outcome",
+]
+
+
+COMPLETE = "complete"
+FAILED = "failed"  # the target ran it, or may have, and gave no good answer
+CRASHED = "crashed"  # it was running when its target went down
+REJECTED = "rejected"  # the target said that it did not run it
+UNREACHABLE = "unreachable"  # nothing was sent
+UNUSED = "unused"  # the node had no use for the grant any more
+CANCELLED = "cancelled"
+Outcome = str  # one of these
 
 
 class Ask(msgspec.Struct, array_like=True, tag=True):
@@ -104,9 +130,6 @@
     seconds: float
 
 
-Outcome = str  # one of the constants of celeryrun.scheduling
-
-
 class Done(msgspec.Struct, array_like=True, tag=True):
     """A slot is free again.
 
--- /dev/null
+++ b/celeryrun/scheduling/_placing.py
@@ -0,0 +1,151 @@
+"""Which of the asks that wait goes first, and which target it would run on; pure functions."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from celeryrun.scheduling._load import TargetLoad
+from celeryrun.scheduling._messages import Ask, Denial, Grant
+
+__all__ = ["Pass", "Place", "Waiting", "find_place", "free_times", "in_order", "is_vain"]
+
+PLANNED = 48  # asks that are given their best target; those behind them get the next one
+URGENT_FACTOR = 2.0  # times its expected run before its deadline, a late ask is urgent again
+FAILURE_COST = 2.0  # objectives that a certain failure counts as, when targets are compared
+PAUSE_COST = 1.0  # objectives that each stream made to pause too long counts as
+LEAST_OBJECTIVE = 0.1  # s that costs are counted by where the objective is over, a fast call's own
+OVERRUN = 0.05  # s after which a request that should have ended is expected to
+NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
+
+
+@dataclass(slots=True)
+class Waiting:
+    """An ask in the queue, with its times as this scheduler's clock counts them."""
+
+    node: str
+    ask: Ask
+    arrived: float
+    objective: float
+    patience: float
+    deadline: float
+    seen: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where and when an ask would run: on a target, from a time, with seconds from then on."""
+
+    target: str
+    start: float
+    first: float
+    end: float
+
+
+@dataclass(slots=True)
+class Pass:
+    """One look at a queue.
+
+    Parameters
+    ----------
+    free_by_target : dict
+        A heap for each target of the times at which its slots are free.
+    """
+
+    targets: dict[str, TargetLoad]
+    free_by_target: dict[str, list[float]]
+    now: float
+    looked_at: int = 0
+    grants: list[tuple[str, Grant]] = field(default_factory=list)
+    denials: list[tuple[str, Denial]] = field(default_factory=list)
+
+
+def free_times(
+    loads: dict[str, TargetLoad], limit: Callable[[TargetLoad], int], now: float
+) -> dict[str, list[float]]:
+    """Return a heap for each target of the times at which its slots are free.
+
+    Parameters
+    ----------
+    limit : callable
+        Returns how many slots of a target may be used.
+    """
+    free_by_target = {}
+    for name, load in loads.items():
+        soon = now + OVERRUN
+        times = [max(soon, run.finish) for run in load.present(now)]
+        slots = limit(load)
+        times += [now] * (slots - len(times))
+        heapq.heapify(times)
+        while len(times) > slots:
+            heapq.heappop(times)
+        free_by_target[name] = times
+    return free_by_target
+
+
+def in_order(queue: Iterable[Waiting], targets: dict[str, TargetLoad], now: float) -> list[Waiting]:
+    """Order asks: by tier and rank, the least time to spare first, late ones last."""
+    fastest = min(targets.values(), key=lambda load: load.prefill + load.call, default=None)
+
+    def order(waiting: Waiting) -> tuple[bool, int, int, float]:
+        ask = waiting.ask
+        first, end = fastest.estimate(ask.prompt, ask.events) if fastest else (0.0, 0.0)
+        late = now + first > waiting.objective
+        urgent = now + URGENT_FACTOR * end > waiting.deadline
+        return late and not urgent, ask.tier, ask.rank, waiting.objective - first
+
+    return sorted(queue, key=order)
+
+
+def find_place(waiting: Waiting, pass_: Pass) -> Place | None:
+    """Return where an ask would run, None if there is no target for it."""
+    pass_.looked_at += 1
+    if pass_.looked_at <= PLANNED:
+        return _best_place(waiting, pass_)
+    return _next_place(waiting, pass_)
+
+
+def _best_place(waiting: Waiting, pass_: Pass) -> Place | None:
+    """Return where an ask would end first; what harms it or others there costs extra."""
+    ask = waiting.ask
+    objective = max(LEAST_OBJECTIVE, ask.objective)
+    best: Place | None = None
+    least = math.inf
+    for name, load in pass_.targets.items():
+        if name in ask.avoid:
+            continue
+        start = pass_.free_by_target[name][0]
+        first, end = load.predict(ask.prompt, ask.events, start)
+        cost = start - pass_.now + end
+        cost += max(0.0, start + first - waiting.objective)
+        cost += load.failure_rate * FAILURE_COST * objective
+        if ask.pause > 0 and load.pause_with(ask.prompt, pass_.now) > ask.pause:
+            cost += PAUSE_COST * len(load.running_by_grant) * objective
+        if cost < least:
+            least, best = cost, Place(name, start, first, end)
+    return best
+
+
+def _next_place(waiting: Waiting, pass_: Pass) -> Place | None:
+    """Return the next slot of any target that the ask may get."""
+    ask = waiting.ask
+    free = pass_.free_by_target
+    name = min((n for n in free if n not in ask.avoid), key=lambda n: free[n][0], default=None)
+    if name is None:
+        return None
+    start = free[name][0]
+    first, end = pass_.targets[name].predict(ask.prompt, ask.events, start)
+    return Place(name, start, first, end)
+
+
+def is_vain(waiting: Waiting, place: Place) -> bool:
+    """Tell whether an ask would not be answered before its caller gives up.
+
+    A new ask is held to a part of that time, since what is more urgent may still come.
+    """
+    limit = waiting.patience
+    if not waiting.seen:
+        limit = waiting.arrived + NEW_PATIENCE * (limit - waiting.arrived)
+    return place.start + place.first > min(limit, waiting.deadline)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -4,44 +4,34 @@
 
 import heapq
 import itertools
-import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from celeryrun.catalog import Pool, Target
 from celeryrun.scheduling._ledger import Ledger
 from celeryrun.scheduling._load import Running, TargetLoad
-from celeryrun.scheduling._messages import Ask, Denial, Done, Grant, Hold
+from celeryrun.scheduling._messages import (
+    Ask,
+    Denial,
+    Done,
+    Grant,
+    Hold,
+)
+from celeryrun.scheduling._placing import (
+    Pass,
+    Place,
+    Waiting,
+    find_place,
+    free_times,
+    in_order,
+    is_vain,
+)
 from celeryrun.scheduling._quota import Bucket, RetryBudget
 
-__all__ = [
-    "CANCELLED",
-    "COMPLETE",
-    "CRASHED",
-    "FAILED",
-    "REJECTED",
-    "UNREACHABLE",
-    "UNUSED",
-    "Bounds",
-    "Scheduler",
-]
-
-COMPLETE = "complete"
-FAILED = "failed"  # the target ran it, or may have, and gave no good answer
-CRASHED = "crashed"  # it was running when its target went down
-REJECTED = "rejected"  # the target said that it did not run it
-UNREACHABLE = "unreachable"  # nothing was sent
-UNUSED = "unused"  # the node had no use for the grant any more
-CANCELLED = "cancelled"
-
-PLANNED = 48  # asks that are given their best target; those behind them get the next one
-URGENT_FACTOR = 2.0  # times its expected run before its deadline, a late ask is urgent again
-FAILURE_COST = 2.0  # objectives that a certain failure counts as, when targets are compared
+__all__ = ["Bounds", "Scheduler"]
+
 SUSPICION_AGE = 20.0  # s for which a death counts; a caller comes back within its deadline
-PAUSE_COST = 1.0  # objectives that each stream made to pause too long counts as
-OVERRUN = 0.05  # s after which a request that should have ended is expected to
-NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
 UNKNOWN_SHARE = 0.5  # of a quota's tolerance, for what was spent before a scheduler began
 LEAST_RETRY_AFTER = 0.05  # s, some round trips
 SPREAD = 0.5  # by which returns are spread at random, of the time told
@@ -75,47 +65,6 @@
         return self.quota_over * (rate * self.quota_window + burst) + self.quota_slack
 
 
-@dataclass(slots=True)
-class Waiting:
-    """An ask in the queue, with its times as this scheduler's clock counts them."""
-
-    node: str
-    ask: Ask
-    arrived: float
-    objective: float
-    patience: float
-    deadline: float
-    seen: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Place:
-    """Where and when an ask would run: on a target, from a time, with seconds from then on."""
-
-    target: str
-    start: float
-    first: float
-    end: float
-
-
-@dataclass(slots=True)
-class _Pass:
-    """One look at a queue.
-
-    Parameters
-    ----------
-    free_by_target : dict
-        A heap for each target of the times at which its slots are free.
-    """
-
-    targets: dict[str, TargetLoad]
-    free_by_target: dict[str, list[float]]
-    now: float
-    looked_at: int = 0
-    grants: list[tuple[str, Grant]] = field(default_factory=list)
-    denials: list[tuple[str, Denial]] = field(default_factory=list)
-
-
 class Scheduler:
     """Queues and loads of all pools.
 
@@ -224,31 +173,27 @@
         if not queue:
             return [], []
         targets = self._usable(pool, now)
-        pass_ = _Pass(targets, self._free_times(targets, now), now)
+        pass_ = Pass(targets, free_times(targets, self._limit, now), now)
         late = []
-        for waiting in self._in_order(queue.values(), targets, now):
+        for waiting in in_order(queue.values(), targets, now):
             if not self._settle(waiting, pass_, may_be_late=False):
                 late.append(waiting)
         for waiting in late:
             self._settle(waiting, pass_, may_be_late=True)
         return pass_.grants, pass_.denials
 
-    def _settle(self, waiting: Waiting, pass_: _Pass, may_be_late: bool) -> bool:
+    def _settle(self, waiting: Waiting, pass_: Pass, may_be_late: bool) -> bool:
         """Decide on one ask in a pass; tell whether it was, or is left for when it may be late."""
         now = pass_.now
-        pass_.looked_at += 1
-        if pass_.looked_at <= PLANNED:
-            place = self._best_place(waiting, pass_)
-        else:
-            place = self._next_place(waiting, pass_)
+        place = find_place(waiting, pass_)
         if place is None:
             if waiting.patience <= now:
-                pass_.denials.append(self._deny(waiting, "no-target", now))
+                pass_.denials.append(self._deny(waiting, "no-target", now, now))
             return True
         if place.start + place.first > waiting.objective and not may_be_late:
             return False
-        if self._is_vain(waiting, place):
-            pass_.denials.append(self._deny(waiting, "overload", place.start))
+        if is_vain(waiting, place):
+            pass_.denials.append(self._deny(waiting, "overload", place.start, now))
             return True
         waiting.seen = True
         heapq.heapreplace(pass_.free_by_target[place.target], place.start + place.end)
@@ -399,79 +344,10 @@
                 loads[target.id] = load
         return loads
 
-    def _free_times(self, targets: dict[str, TargetLoad], now: float) -> dict[str, list[float]]:
-        """Return a heap for each target of the times at which its slots are free."""
-        free_by_target = {}
-        for name, load in targets.items():
-            soon = now + OVERRUN
-            times = [max(soon, run.finish) for run in load.present(now)]
-            limit = self._limit(load)
-            times += [now] * (limit - len(times))
-            heapq.heapify(times)
-            while len(times) > limit:
-                heapq.heappop(times)
-            free_by_target[name] = times
-        return free_by_target
-
     def _limit(self, load: TargetLoad) -> int:
         share = self._share()
         return load.slots if share > 0.5 else max(1, round(load.slots * share))
 
-    def _in_order(
-        self, queue: Iterable[Waiting], targets: dict[str, TargetLoad], now: float
-    ) -> list[Waiting]:
-        """Order asks: by tier and rank, the least time to spare first, late ones last."""
-        loads = list(targets.values())
-        fastest = min(loads, key=lambda load: load.prefill + load.call, default=None)
-
-        def order(waiting: Waiting) -> tuple[bool, int, int, float]:
-            ask = waiting.ask
-            first, end = fastest.estimate(ask.prompt, ask.events) if fastest else (0.0, 0.0)
-            late = now + first > waiting.objective
-            urgent = now + URGENT_FACTOR * end > waiting.deadline
-            return late and not urgent, ask.tier, ask.rank, waiting.objective - first
-
-        return sorted(queue, key=order)
-
-    def _best_place(self, waiting: Waiting, pass_: _Pass) -> Place | None:
-        """Return where an ask would end first; what harms it or others there costs extra."""
-        ask = waiting.ask
-        best: Place | None = None
-        least = math.inf
-        for name, load in pass_.targets.items():
-            if name in ask.avoid:
-                continue
-            start = pass_.free_by_target[name][0]
-            first, end = load.predict(ask.prompt, ask.events, start)
-            cost = start - pass_.now + end
-            cost += max(0.0, start + first - waiting.objective)
-            cost += load.failure_rate * FAILURE_COST * ask.objective
-            if ask.pause > 0 and load.pause_with(ask.prompt, pass_.now) > ask.pause:
-                cost += PAUSE_COST * len(load.running_by_grant) * ask.objective
-            if cost < least:
-                least, best = cost, Place(name, start, first, end)
-        return best
-
-    def _next_place(self, waiting: Waiting, pass_: _Pass) -> Place | None:
-        """Return the next slot of any target."""
-        if not pass_.targets:
-            return None
-        free = pass_.free_by_target
-        name = min(free, key=lambda known: free[known][0])
-        start = free[name][0]
-        first, end = pass_.targets[name].predict(waiting.ask.prompt, waiting.ask.events, start)
-        return Place(name, start, first, end)
-
-    def _is_vain(self, waiting: Waiting, place: Place) -> bool:
-        """Tell whether an ask would not be answered before its caller gives up.
-
-        A new ask is held to a part of that time, since what is more urgent may still come.
-        """
-        limit = waiting.patience
-        if not waiting.seen:
-            limit = waiting.arrived + NEW_PATIENCE * (limit - waiting.arrived)
-        return place.start + place.first > min(limit, waiting.deadline)
-
     def _grant(self, waiting: Waiting, place: Place, now: float) -> Grant:
         ask = waiting.ask
         del self.waiting_by_pool[ask.pool][waiting.node, ask.id]
@@ -493,13 +369,13 @@
         self._load_by_grant[grant] = load
         return Grant(ask.id, grant, place.target, place.first)
 
-    def _deny(self, waiting: Waiting, kind: str, until: float) -> tuple[str, Denial]:
+    def _deny(self, waiting: Waiting, kind: str, until: float, now: float) -> tuple[str, Denial]:
         ask = waiting.ask
         del self.waiting_by_pool[ask.pool][waiting.node, ask.id]
         bucket = self.buckets_by_workspace.get(ask.workspace)
         if bucket is not None:
             bucket.give_back(ask.charge)
-        wait = max(LEAST_RETRY_AFTER, until - waiting.arrived)
+        wait = max(LEAST_RETRY_AFTER, until - now)
         return waiting.node, Denial(ask.id, kind, self._spread(wait))
 
     def _spread(self, seconds: float) -> float:
--- a/celeryrun/scheduling/tests/test_scheduler.py
+++ b/celeryrun/scheduling/tests/test_scheduler.py
@@ -133,7 +133,7 @@
     assert scheduler.ask("n", build_ask(1, **quota), 0.0) is None
     denial = scheduler.ask("n", build_ask(2, **quota), 0.0)
     assert (denial.kind, denial.retry_after) == ("quota", pytest.approx(2.5, rel=0.5))
-    scheduler._deny(scheduler.waiting_by_pool["model"]["n", 1], "overload", 0.0)
+    scheduler._deny(scheduler.waiting_by_pool["model"]["n", 1], "overload", 0.0, 0.0)
     assert scheduler.ask("n", build_ask(3, **quota), 0.0) is None
 
 
--- a/celeryrun/transport/__init__.py
+++ b/celeryrun/transport/__init__.py
@@ -1,7 +1,12 @@
 """HTTP between callers, this node and targets, one asyncio task a connection."""
 
 from celeryrun.transport._caller import CallerConnection, Handler, ReceivedRequest
-from celeryrun.transport._exchange import Exchange, TargetFailedError, open_exchange
+from celeryrun.transport._exchange import (
+    Exchange,
+    TargetFailedError,
+    accepts_connections,
+    open_exchange,
+)
 from celeryrun.transport._message import (
     LAST_CHUNK,
     AnswerHead,
@@ -26,6 +31,7 @@
     "RequestHead",
     "RequestParser",
     "TargetFailedError",
+    "accepts_connections",
     "end_to_end",
     "format_chunk",
     "format_head",
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -8,7 +8,7 @@
 
 from celeryrun.transport._message import AnswerHead, AnswerParser, MalformedMessageError
 
-__all__ = ["Exchange", "TargetFailedError", "open_exchange"]
+__all__ = ["Exchange", "TargetFailedError", "accepts_connections", "open_exchange"]
 
 READ_AHEAD = 65_536  # bytes of an answer held while the caller is slow
 
@@ -193,3 +193,13 @@
     except (OSError, TimeoutError) as error:
         raise TargetFailedError("refused") from error
     return exchange
+
+
+async def accepts_connections(host: str, port: int, timeout: float) -> bool:
+    """Tell whether a target takes a connection within some seconds."""
+    try:
+        exchange = await open_exchange(host, port, timeout)
+    except TargetFailedError:
+        return False
+    exchange.close()
+    return True
