--- a/celeryrun/gateway/_desk.py
+++ b/celeryrun/gateway/_client.py
@@ -6,17 +6,17 @@
 import itertools
 from dataclasses import dataclass
 
+from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._events import EventLog
-from celeryrun.gateway._hub import Hub, Reply
 from celeryrun.gateway._links import Beat, Feed, Hello, Leaving, Link, Message
-from celeryrun.gateway._news import News
-from celeryrun.gateway._roster import Roster
+from celeryrun.gateway._members import Members
+from celeryrun.gateway._server import Reply, SchedulerServer
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import KeyedPage, KeyedRecord
 from celeryrun.scheduling import UNUSED, Ask, Cancel, Denial, Done, First, Grant, Hold
 from celeryrun.settings import Address, GatewaySettings
 
-__all__ = ["Desk"]
+__all__ = ["SchedulerClient"]
 
 DUTY = "scheduler"
 BEAT_PERIOD = 0.2  # s
@@ -34,36 +34,36 @@
     ask: Ask
     asked: float
     future: asyncio.Future[Reply]
-    hub: str
+    scheduler: str
 
 
 @dataclass(slots=True)
 class Held:
     """A slot that this node uses."""
 
-    hub: str
+    scheduler: str
     grant: Grant
     ask: Ask
     granted: float
 
 
-class Desk:
+class SchedulerClient:
     """Service by which this node's requests get their slots."""
 
     __slots__ = (
         "_dialing",
         "_events",
         "_held_by_grant",
-        "_hub",
+        "_chosen",
         "_ids",
         "_leaving",
         "_links_by_node",
         "_local",
         "_name",
-        "_news",
+        "_discovery",
         "_number",
         "_pending_by_ask",
-        "_roster",
+        "_members",
         "_sent_by_number",
         "_settled",
         "_started",
@@ -72,12 +72,12 @@
     )
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
-        self._local: Hub = kernel.find("hub")
-        self._roster: Roster = kernel.find("roster")
+        self._local: SchedulerServer = kernel.find("scheduler")
+        self._members: Members = kernel.find("members")
         self._events: EventLog = kernel.find("events")
-        self._news: News = kernel.find("news")
+        self._discovery: Discovery = kernel.find("discovery")
         self._name = settings.node.name
-        self._hub = self._name
+        self._chosen = self._name
         self._ids = itertools.count(1)
         self._number = 0
         self._sent_by_number: dict[int, float] = {}
@@ -96,7 +96,7 @@
     def start(self) -> None:
         """Begin to look for the fleet's scheduler."""
         self._started = now()
-        self._roster.on_change = self._look_around
+        self._members.on_change = self._look_around
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def stop(self) -> None:
@@ -123,13 +123,13 @@
             await self._settled.wait()
         ask.id = next(self._ids)
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
-        self._pending_by_ask[ask.id] = Pending(ask, now(), future, self._hub)
-        self._send(self._hub, ask)
+        self._pending_by_ask[ask.id] = Pending(ask, now(), future, self._chosen)
+        self._send(self._chosen, ask)
         try:
             return await future
         except asyncio.CancelledError:
             if future.cancelled():
-                self._send(self._pending_by_ask[ask.id].hub, Cancel(ask.id))
+                self._send(self._pending_by_ask[ask.id].scheduler, Cancel(ask.id))
             elif isinstance(reply := future.result(), Grant):
                 # The grant came in the same turn in which the caller left.
                 self.done(reply, UNUSED)
@@ -141,7 +141,7 @@
         """Tell that the first byte of an answer came."""
         held = self._held_by_grant.get(grant.grant)
         if held is not None:
-            self._send(held.hub, First(grant.grant, seconds))
+            self._send(held.scheduler, First(grant.grant, seconds))
 
     def done(self, grant: Grant, outcome: str, seconds: float = 0.0, events: int = 0) -> None:
         """Give a slot back."""
@@ -149,28 +149,30 @@
         if held is None:
             return
         message = Done(grant.grant, outcome, seconds, events)
-        self._send(held.hub, message)
-        if self._hub != held.hub:
-            self._send(self._hub, message)
+        self._send(held.scheduler, message)
+        if self._chosen != held.scheduler:
+            self._send(self._chosen, message)
 
-    def _send(self, hub: str, message: Message) -> None:
-        if hub == self._name:
+    def _send(self, scheduler: str, message: Message) -> None:
+        if scheduler == self._name:
             self._local.take(self._name, message)
-        elif hub in self._links_by_node:
-            self._links_by_node[hub].send(message)
+        elif scheduler in self._links_by_node:
+            self._links_by_node[scheduler].send(message)
 
     def _on_reply(self, reply: Reply) -> None:
         self._take_reply(self._name, reply)
 
-    def _take_reply(self, hub: str, reply: Reply) -> None:
+    def _take_reply(self, scheduler: str, reply: Reply) -> None:
         pending = self._pending_by_ask.get(reply.ask)
-        wanted = pending is not None and pending.hub == hub and not pending.future.done()
+        wanted = (
+            pending is not None and pending.scheduler == scheduler and not pending.future.done()
+        )
         match reply:
             case Grant():
                 if not wanted or pending is None:
-                    self._send(hub, Done(reply.grant, UNUSED))
+                    self._send(scheduler, Done(reply.grant, UNUSED))
                     return
-                self._held_by_grant[reply.grant] = Held(hub, reply, pending.ask, now())
+                self._held_by_grant[reply.grant] = Held(scheduler, reply, pending.ask, now())
                 pending.future.set_result(reply)
             case Denial():
                 if wanted and pending is not None:
@@ -194,7 +196,7 @@
             else:
                 link.send(Beat(self._number))
         chosen = self._name
-        for node in self._roster.ranked(DUTY, self._name):
+        for node in self._members.ranked(DUTY, self._name):
             if node == self._name and self._name not in self._leaving:
                 break
             if node in self._links_by_node:
@@ -205,36 +207,40 @@
                 self._dial(node, time)
         self._turn_to(chosen)
         is_late = time - self._started > SETTLE
-        if is_late or (self._roster.is_known() and not self._dialing):
+        if is_late or (self._members.is_known() and not self._dialing):
             self._settled.set()
 
-    def _turn_to(self, hub: str) -> None:
-        if hub == self._hub:
+    def _turn_to(self, scheduler: str) -> None:
+        if scheduler == self._chosen:
             return
-        self._events.emit("scheduler-chosen", peer=hub, former=self._hub)
-        self._hub = hub
-        self._local.has_own_asks = hub == self._name
-        if hub == self._name:
+        self._events.emit("scheduler-chosen", peer=scheduler, former=self._chosen)
+        self._chosen = scheduler
+        self._local.has_own_asks = scheduler == self._name
+        if scheduler == self._name:
             self._local.adopt(self._name, self._holds())
         for pending in list(self._pending_by_ask.values()):
-            if pending.hub != hub and not self._is_reachable(pending.hub):
+            if pending.scheduler != scheduler and not self._is_reachable(pending.scheduler):
                 self._ask_again(pending)
 
-    def _is_reachable(self, hub: str) -> bool:
-        return hub == self._name or (hub in self._links_by_node and hub not in self._leaving)
+    def _is_reachable(self, scheduler: str) -> bool:
+        return scheduler == self._name or (
+            scheduler in self._links_by_node and scheduler not in self._leaving
+        )
 
     def _ask_again(self, pending: Pending) -> None:
         if pending.future.done():
             return
         waited = now() - pending.asked
         pending.asked += waited
-        pending.hub = self._hub
+        pending.scheduler = self._chosen
         ask = pending.ask
         ask.objective -= waited
         ask.patience -= waited
         ask.deadline -= waited
-        self._events.emit("asked-again", ask=ask.id, pool=ask.pool, peer=self._hub, waited=waited)
-        self._send(self._hub, ask)
+        self._events.emit(
+            "asked-again", ask=ask.id, pool=ask.pool, peer=self._chosen, waited=waited
+        )
+        self._send(self._chosen, ask)
 
     def _holds(self) -> tuple[Hold, ...]:
         time = now()
@@ -255,7 +261,7 @@
             return
         self._tried[node] = time
         self._dialing.add(node)
-        address = self._roster.address_by_node[node]
+        address = self._members.address_by_node[node]
         task = asyncio.get_running_loop().create_task(self._connect(node, address))
         task.add_done_callback(lambda _: self._end_dial(node))
 
@@ -299,17 +305,17 @@
     def _take_proofs(self, link: Link, beat: Beat) -> None:
         """Believe what the scheduler's node has proved, no later than the heartbeat was sent."""
         sent = self._sent_by_number.get(beat.number)
-        if link.node != self._hub or sent is None:
+        if link.node != self._chosen or sent is None:
             return
-        for follower, (age, position) in zip(self._news.followers, beat.proofs, strict=False):
+        for follower, (age, position) in zip(self._discovery.followers, beat.proofs, strict=False):
             if age < 0:
-                follower.doubt()
+                follower.resume_reading()
             else:
                 follower.prove(sent - age, position)
 
     def _take_feed(self, link: Link, feed: Feed) -> None:
-        followers = self._news.followers
-        if link.node != self._hub or not 0 <= feed.topic < len(followers):
+        followers = self._discovery.followers
+        if link.node != self._chosen or not 0 <= feed.topic < len(followers):
             return
         records = tuple(KeyedRecord(key, value) for key, value in feed.records)
         followers[feed.topic].feed(feed.start, KeyedPage(records, feed.next, False, False))
@@ -324,5 +330,5 @@
 
     def _move_from(self, node: str) -> None:
         for pending in list(self._pending_by_ask.values()):
-            if pending.hub == node:
+            if pending.scheduler == node:
                 self._ask_again(pending)
--- a/celeryrun/gateway/_news.py
+++ b/celeryrun/gateway/_discovery.py
@@ -20,7 +20,7 @@
 )
 from celeryrun.settings import GatewaySettings
 
-__all__ = ["News"]
+__all__ = ["Discovery"]
 
 LONGEST_WAIT = 2.0  # s; an answer to each wait proves the configuration current
 WAIT_SHARE = 0.3  # of the revocation lag, so that an answer may be lost before keys are refused
@@ -31,7 +31,7 @@
 RETURN_GRACE = 2.3  # s for which targets may be missing after the store's return
 
 
-class News:
+class Discovery:
     """Service that follows the configuration and the list of targets.
 
     Attributes
--- a/celeryrun/gateway/_follow.py
+++ b/celeryrun/gateway/_follow.py
@@ -124,7 +124,7 @@
         due = self.proved + 2 * self._wait + self._pause + FED_MARGIN
         self._fed_until = min(due, now() + FED_LEASE)
 
-    def doubt(self) -> None:
+    def resume_reading(self) -> None:
         """Read by itself again, as the other node has lost the store."""
         self._fed_until = float("-inf")
 
--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -8,14 +8,14 @@
 from pathlib import Path
 
 from celeryrun.exception import SettingsError
-from celeryrun.gateway._desk import Desk
-from celeryrun.gateway._doors import CallerDoor, PageDoor
+from celeryrun.gateway._client import SchedulerClient
+from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._events import EventHandler, EventLog
-from celeryrun.gateway._hub import Hub
+from celeryrun.gateway._listeners import CallerListener, PageListener
+from celeryrun.gateway._members import Members
 from celeryrun.gateway._metrics import GatewayMetrics
-from celeryrun.gateway._news import News
 from celeryrun.gateway._relay import Relay
-from celeryrun.gateway._roster import Roster
+from celeryrun.gateway._server import SchedulerServer
 from celeryrun.kernel import Kernel, now
 from celeryrun.observe import LEVEL_BY_NAME
 from celeryrun.platform import Store
@@ -65,13 +65,13 @@
         kernel.register("events", events or EventLog(settings.node.name))
         kernel.register("metrics", GatewayMetrics())
         kernel.register("store", Store(settings.store.address))
-        kernel.register("news", News(kernel, settings))
-        kernel.register("roster", Roster(kernel, settings))
-        kernel.register("hub", Hub(kernel, settings))
-        kernel.register("desk", Desk(kernel, settings))
+        kernel.register("discovery", Discovery(kernel, settings))
+        kernel.register("members", Members(kernel, settings))
+        kernel.register("scheduler", SchedulerServer(kernel, settings))
+        kernel.register("scheduler-client", SchedulerClient(kernel, settings))
         kernel.register("relay", Relay(kernel, settings))
-        kernel.register("callers", CallerDoor(kernel, settings))
-        kernel.register("pages", PageDoor(kernel, settings))
+        kernel.register("callers", CallerListener(kernel, settings))
+        kernel.register("pages", PageListener(kernel, settings))
         return cls(kernel, settings, path)
 
     async def run(self) -> None:
@@ -113,7 +113,7 @@
             events.emit("reload-partial", file=self._path, why="[node] needs a restart")
             changed = dataclasses.replace(changed, node=self.settings.node)
         self.settings = changed
-        for name in ("store", "hub", "relay", "pages"):
+        for name in ("store", "scheduler", "relay", "pages"):
             self.kernel.find(name).apply(changed)
         events.emit("reloaded", file=self._path)
 
@@ -130,19 +130,19 @@
     async def drain(self) -> None:
         """Serve what still comes until the balancer has noticed, then what is in progress."""
         events: EventLog = self.kernel.find("events")
-        door: CallerDoor = self.kernel.find("callers")
+        callers: CallerListener = self.kernel.find("callers")
         until = now() + self.settings.bounds.stop_grace - STOP_MARGIN
-        events.emit("draining", active=door.active, connections=len(door.connections))
-        door.draining = True
-        self.kernel.find("desk").leave()
+        events.emit("draining", active=callers.active, connections=len(callers.connections))
+        callers.draining = True
+        self.kernel.find("scheduler-client").leave()
         await asyncio.sleep(min(BALANCER_LAG, self.settings.bounds.stop_grace / 2))
-        door.close()
+        callers.close()
         while now() < until:
-            door.close_idle()
-            if not door.connections:
+            callers.close_idle()
+            if not callers.connections:
                 break
             await asyncio.sleep(POLL)
-        events.emit("stopped", active=door.active, connections=len(door.connections))
+        events.emit("stopped", active=callers.active, connections=len(callers.connections))
 
 
 def _read_text(path: str) -> str | None:
--- a/celeryrun/gateway/_doors.py
+++ b/celeryrun/gateway/_listeners.py
@@ -7,23 +7,23 @@
 
 from celeryrun.catalog import CallerLimits
 from celeryrun.exception import Refusal
+from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._metrics import GatewayMetrics
-from celeryrun.gateway._news import News
 from celeryrun.gateway._relay import Relay
 from celeryrun.kernel import Kernel
 from celeryrun.platform import READY_PATH
 from celeryrun.settings import Address, GatewaySettings
 from celeryrun.transport import CallerConnection, ReceivedRequest, format_head
 
-__all__ = ["CallerDoor", "PageDoor"]
+__all__ = ["CallerListener", "PageListener"]
 
 BACKLOG = 512  # connections that may wait to be accepted; clients come in bursts
 READY_SHARE = 0.8  # of the revocation lag; an older configuration soon refuses every key
 NOT_FOUND = Refusal(404, "no-page", "ask for a page that is served here")
 
 
-class CallerDoor:
+class CallerListener:
     """Service that accepts callers.
 
     Attributes
@@ -32,11 +32,19 @@
         Whether the node is leaving.
     """
 
-    __slots__ = ("_events", "_news", "_relay", "_server", "_settings", "connections", "draining")
+    __slots__ = (
+        "_events",
+        "_discovery",
+        "_relay",
+        "_server",
+        "_settings",
+        "connections",
+        "draining",
+    )
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
         self._relay: Relay = kernel.find("relay")
-        self._news: News = kernel.find("news")
+        self._discovery: Discovery = kernel.find("discovery")
         self._events: EventLog = kernel.find("events")
         self._settings = settings
         self._server: asyncio.Server | None = None
@@ -79,19 +87,19 @@
         return connection
 
     def _limits(self) -> CallerLimits:
-        catalog = self._news.catalog
+        catalog = self._discovery.catalog
         return catalog.limits if catalog is not None else CallerLimits()
 
 
-class PageDoor:
+class PageListener:
     """Service that serves readiness and metrics, each on its own address."""
 
-    __slots__ = ("_door", "_metrics", "_news", "_servers", "_settings", "_task")
+    __slots__ = ("_callers", "_metrics", "_discovery", "_servers", "_settings", "_task")
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
-        self._door: CallerDoor = kernel.find("callers")
+        self._callers: CallerListener = kernel.find("callers")
         self._metrics: GatewayMetrics = kernel.find("metrics")
-        self._news: News = kernel.find("news")
+        self._discovery: Discovery = kernel.find("discovery")
         self._settings = settings
         self._servers: list[asyncio.Server] = []
 
@@ -116,8 +124,8 @@
     def is_ready(self) -> bool:
         """Tell whether this node can serve what callers send now."""
         limit = READY_SHARE * self._settings.bounds.revocation_lag
-        known = self._news.is_known() and self._news.configuration.age() < limit
-        return known and not self._door.draining
+        known = self._discovery.is_known() and self._discovery.configuration.age() < limit
+        return known and not self._callers.draining
 
     def _connect(self) -> CallerConnection:
         return CallerConnection(self._serve, CallerLimits, lambda: False, lambda _: None)
--- a/celeryrun/gateway/_roster.py
+++ b/celeryrun/gateway/_members.py
@@ -13,10 +13,10 @@
 from celeryrun.platform import NODES_TOPIC, KeyedPage, Store, StoreUnavailableError
 from celeryrun.settings import Address, GatewaySettings
 
-__all__ = ["Roster"]
+__all__ = ["Members"]
 
-ROSTER_WAIT = 10.0  # s; nodes come and go seldom
-ROSTER_PAUSE = 0.3  # s, so that nodes which start together are read together
+MEMBERS_WAIT = 10.0  # s; nodes come and go seldom
+MEMBERS_PAUSE = 0.3  # s, so that nodes which start together are read together
 REGISTER_PAUSE = 0.5  # s between two tries
 KEY_PREFIX = "node."
 
@@ -27,7 +27,7 @@
     speed: float = 1.0
 
 
-class Roster:
+class Members:
     """Service that registers this node and knows the others.
 
     Attributes
@@ -55,7 +55,7 @@
         self._settings = settings
         self._task: asyncio.Task[None] | None = None
         self._follower = Follower(
-            self._store, self._events, NODES_TOPIC, ROSTER_WAIT, ROSTER_PAUSE, self._take
+            self._store, self._events, NODES_TOPIC, MEMBERS_WAIT, MEMBERS_PAUSE, self._take
         )
         self.address_by_node: dict[str, Address] = {}
         self.speed_by_node: dict[str, float] = {}
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -1,4 +1,4 @@
-"""Course of one request: admitted, placed, sent, answered."""
+"""RequestState of one request: admitted, placed, sent, answered."""
 
 from __future__ import annotations
 
@@ -14,22 +14,22 @@
     still_allowed,
 )
 from celeryrun.gateway._answering import Answering, Broken, Finished, Rejected
-from celeryrun.gateway._course import (
+from celeryrun.gateway._client import SchedulerClient
+from celeryrun.gateway._discovery import Discovery
+from celeryrun.gateway._events import EventLog
+from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._state import (
     OUT_OF_TIME,
     REJECTED_BY_TARGET,
     TIMED_OUT,
     UNKNOWN,
     UNREACHABLE_TARGETS,
-    Course,
+    RequestState,
     build_ask,
     fingerprint,
     patience_for,
     refusal_of,
 )
-from celeryrun.gateway._desk import Desk
-from celeryrun.gateway._events import EventLog
-from celeryrun.gateway._metrics import GatewayMetrics
-from celeryrun.gateway._news import News
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import CallerRequest, format_request, read_request
 from celeryrun.scheduling import (
@@ -58,7 +58,7 @@
 CONNECT_TIMEOUT = 0.4  # s; targets are some milliseconds away, a lost packet costs a second
 PROBE_TIMEOUT = 0.25  # s in which a target that is up accepts a connection
 KEY_MARGIN = 0.4  # s of the revocation lag that the way to a target and a late timer may take
-FRESH_PATIENCE = 0.3  # s for which a request waits for news before it is refused
+FRESH_PATIENCE = 0.3  # s for which a request waits for a newer configuration before it is refused
 MAX_UNSENT = 4  # targets in a row that could not be reached
 ANSWER_MARGIN = 0.004  # s before its time is up at which a request is answered
 
@@ -66,11 +66,11 @@
 class Relay:
     """Service that serves one request after the other of each connection."""
 
-    __slots__ = ("_desk", "_events", "_metrics", "_news", "_settings")
+    __slots__ = ("_scheduler", "_events", "_metrics", "_discovery", "_settings")
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
-        self._news: News = kernel.find("news")
-        self._desk: Desk = kernel.find("desk")
+        self._discovery: Discovery = kernel.find("discovery")
+        self._scheduler: SchedulerClient = kernel.find("scheduler-client")
         self._events: EventLog = kernel.find("events")
         self._metrics: GatewayMetrics = kernel.find("metrics")
         self._settings = settings
@@ -95,9 +95,9 @@
         if isinstance(admitted, Refusal):
             self._refuse(connection, request, admitted, "admission")
             return
-        pool = self._news.pool(choose_pool(admitted.route))
+        pool = self._discovery.pool(choose_pool(admitted.route))
         route = admitted.route
-        course = Course(
+        state = RequestState(
             request,
             admitted,
             pool,
@@ -105,86 +105,86 @@
             received.arrived + min(request.deadline, route.timeout) - ANSWER_MARGIN,
             fingerprint(request, admitted),
         )
-        await self._serve_in_time(connection, course)
+        await self._serve_in_time(connection, state)
 
-    async def _serve_in_time(self, connection: CallerConnection, course: Course) -> None:
-        answering = Answering(connection, course.request, course.admitted.route)
+    async def _serve_in_time(self, connection: CallerConnection, state: RequestState) -> None:
+        answering = Answering(connection, state.request, state.admitted.route)
         try:
-            async with asyncio.timeout(course.until - now()):
-                await self._run(connection, course, answering)
+            async with asyncio.timeout(state.until - now()):
+                await self._run(connection, state, answering)
         except TimeoutError:
-            self._end_late(connection, course)
+            self._end_late(connection, state)
         except asyncio.CancelledError:
-            self._emit(course, "caller-left", sent=course.sent)
+            self._emit(state, "caller-left", sent=state.sent)
             raise
         finally:
-            self._metrics.observe(course.admitted, course.arrived, answering)
+            self._metrics.observe(state.admitted, state.arrived, answering)
 
     async def _admit(self, request: CallerRequest) -> Admitted | Refusal:
         freshness = self._freshness()
-        found = admit(self._news.catalog, request.host, request.path, request.key, freshness)
+        found = admit(self._discovery.catalog, request.host, request.path, request.key, freshness)
         if isinstance(found, Refusal) and found.status == 503:
             patience = min(FRESH_PATIENCE, request.deadline / 4)
-            if await self._news.configuration.wait_fresh(freshness.denial_limit, patience):
+            if await self._discovery.configuration.wait_fresh(freshness.denial_limit, patience):
                 freshness = self._freshness()
-                catalog = self._news.catalog
+                catalog = self._discovery.catalog
                 found = admit(catalog, request.host, request.path, request.key, freshness)
         return found
 
     def _freshness(self) -> Freshness:
         bounds = self._settings.bounds
         return Freshness(
-            self._news.configuration.age(),
+            self._discovery.configuration.age(),
             bounds.revocation_lag - KEY_MARGIN,
             bounds.configuration_lag,
         )
 
     async def _run(
-        self, connection: CallerConnection, course: Course, answering: Answering
+        self, connection: CallerConnection, state: RequestState, answering: Answering
     ) -> None:
         """Send a request to one target after the other until it has its answer."""
         while True:
-            reply = await self._place(course)
+            reply = await self._place(state)
             if isinstance(reply, Denial):
-                self._deny(connection, course, answering, reply)
+                self._deny(connection, state, answering, reply)
                 return
-            target = self._news.targets_by_id.get(reply.target)
-            refusal = self._check(course)
+            target = self._discovery.targets_by_id.get(reply.target)
+            refusal = self._check(state)
             if refusal is not None or target is None or not target.ready:
-                self._desk.done(reply, UNUSED)
-                course.avoid.append(reply.target)
+                self._scheduler.done(reply, UNUSED)
+                state.avoid.append(reply.target)
                 if refusal is not None:
-                    self._refuse(connection, course.request, refusal, "dispatch")
+                    self._refuse(connection, state.request, refusal, "dispatch")
                     return
                 continue
-            if await self._try(connection, course, answering, reply, target):
+            if await self._try(connection, state, answering, reply, target):
                 return
 
-    async def _place(self, course: Course) -> Grant | Denial:
-        reply = await self._desk.place(build_ask(course, now()))
+    async def _place(self, state: RequestState) -> Grant | Denial:
+        reply = await self._scheduler.place(build_ask(state, now()))
         if isinstance(reply, Grant):
-            course.charged = True
+            state.charged = True
             self._emit(
-                course,
+                state,
                 "placed",
                 target=reply.target,
-                tier=course.admitted.tier,
-                prompt=course.request.prompt_tokens,
-                waited=round(now() - course.arrived, 4),
+                tier=state.admitted.tier,
+                prompt=state.request.prompt_tokens,
+                waited=round(now() - state.arrived, 4),
                 expected=round(reply.expected, 4),
-                sent=course.sent,
+                sent=state.sent,
             )
         return reply
 
-    def _check(self, course: Course) -> Refusal | None:
-        catalog = self._news.catalog
+    def _check(self, state: RequestState) -> Refusal | None:
+        catalog = self._discovery.catalog
         assert catalog is not None
-        return still_allowed(catalog, course.admitted, course.request.key, self._freshness())
+        return still_allowed(catalog, state.admitted, state.request.key, self._freshness())
 
     async def _try(
         self,
         connection: CallerConnection,
-        course: Course,
+        state: RequestState,
         answering: Answering,
         grant: Grant,
         target: Target,
@@ -198,31 +198,31 @@
                 exchange = await open_exchange(target.host, target.port, CONNECT_TIMEOUT)
             except TargetFailedError:
                 outcome = UNREACHABLE
-                return self._note_unsent(connection, course, answering, target)
-            course.sent += 1
+                return self._note_unsent(connection, state, answering, target)
+            state.sent += 1
             await exchange.send(
                 format_request(
-                    course.request,
+                    state.request,
                     target.id,
-                    course.admitted.workspace.name or None,
-                    course.until - now(),
-                    course.last_event,
+                    state.admitted.workspace.name or None,
+                    state.until - now(),
+                    state.last_event,
                 )
             )
             result = await answering.take(
                 exchange,
-                on_first=lambda: self._desk.first(grant, now() - began),
-                patience=patience_for(course, grant.expected),
+                on_first=lambda: self._scheduler.first(grant, now() - began),
+                patience=patience_for(state, grant.expected),
             )
-            outcome = await self._judge(course, result, target)
-            return self._conclude(connection, course, answering, result, target)
+            outcome = await self._judge(state, result, target)
+            return self._conclude(connection, state, answering, result, target)
         finally:
             if exchange is not None:
                 exchange.close()
-            self._desk.done(grant, outcome, now() - began, answering.events)
+            self._scheduler.done(grant, outcome, now() - began, answering.events)
 
     async def _judge(
-        self, course: Course, result: Finished | Broken | Rejected, target: Target
+        self, state: RequestState, result: Finished | Broken | Rejected, target: Target
     ) -> str:
         """Return what the scheduler is told of a try."""
         match result:
@@ -233,75 +233,77 @@
             case Broken(kind="reset" | "closed") if not await accepts_connections(
                 target.host, target.port, PROBE_TIMEOUT
             ):
-                self._emit(course, "target-down", target=target.id)
+                self._emit(state, "target-down", target=target.id)
                 return CRASHED
         return FAILED
 
     def _conclude(
         self,
         connection: CallerConnection,
-        course: Course,
+        state: RequestState,
         answering: Answering,
         result: Finished | Broken | Rejected,
         target: Target,
     ) -> bool:
-        route = course.admitted.route
-        may_repeat = course.sent < route.max_attempts
-        course.avoid.append(target.id)
+        route = state.admitted.route
+        may_repeat = state.sent < route.max_attempts
+        state.avoid.append(target.id)
         match result:
             case Finished(status=status, held=held):
                 if held and may_repeat and route.kind.repeatable:
-                    self._emit(course, "sent-again", status=status, target=target.id)
+                    self._emit(state, "sent-again", status=status, target=target.id)
                     return False
                 answering.release()
                 self._emit(
-                    course,
+                    state,
                     "answered",
                     status=status,
                     target=target.id,
-                    first=answering.first_after(course.arrived),
-                    seconds=round(now() - course.arrived, 4),
+                    first=answering.first_after(state.arrived),
+                    seconds=round(now() - state.arrived, 4),
                     events=answering.events,
                     pause=round(answering.longest_pause, 3),
                 )
                 return True
             case Rejected(status=status):
                 if may_repeat and not connection.started:
-                    self._emit(course, "rejected", status=status, target=target.id)
+                    self._emit(state, "rejected", status=status, target=target.id)
                     return False
                 if connection.started:
                     connection.abort()
                 else:
-                    self._refuse(connection, course.request, REJECTED_BY_TARGET, "target")
+                    self._refuse(connection, state.request, REJECTED_BY_TARGET, "target")
                 return True
         self._emit(
-            course,
+            state,
             "broken-off",
             why=result.kind,
             target=target.id,
             events=answering.events,
-            seconds=now() - course.arrived,
+            seconds=now() - state.arrived,
         )
         if may_repeat and route.kind.repeatable and answering.can_go_on():
             if answering.events:
-                course.last_event = answering.last_id
+                state.last_event = answering.last_id
             return False
-        self._fail(connection, course, answering)
+        self._fail(connection, state, answering)
         return True
 
-    def _fail(self, connection: CallerConnection, course: Course, answering: Answering) -> None:
+    def _fail(
+        self, connection: CallerConnection, state: RequestState, answering: Answering
+    ) -> None:
         """Pass on a failure that was held back, or tell that the outcome is not known."""
         if answering.release():
             return
         if connection.started:
             connection.abort()
             return
-        self._refuse(connection, course.request, UNKNOWN, "target")
+        self._refuse(connection, state.request, UNKNOWN, "target")
 
     def _deny(
         self,
         connection: CallerConnection,
-        course: Course,
+        state: RequestState,
         answering: Answering,
         denial: Denial,
     ) -> None:
@@ -310,38 +312,38 @@
         if connection.started:
             connection.abort()
             return
-        if course.sent and not answering.rejected_only:
-            self._fail(connection, course, answering)
+        if state.sent and not answering.rejected_only:
+            self._fail(connection, state, answering)
             return
         refusal = refusal_of(denial)
-        self._refuse(connection, course.request, refusal, "scheduler")
+        self._refuse(connection, state.request, refusal, "scheduler")
 
     def _note_unsent(
         self,
         connection: CallerConnection,
-        course: Course,
+        state: RequestState,
         answering: Answering,
         target: Target,
     ) -> bool:
-        self._emit(course, "unreachable", target=target.id)
-        course.avoid.append(target.id)
-        course.unsent += 1
-        if course.unsent < MAX_UNSENT:
+        self._emit(state, "unreachable", target=target.id)
+        state.avoid.append(target.id)
+        state.unsent += 1
+        if state.unsent < MAX_UNSENT:
             return False
-        if course.sent or connection.started:
-            self._fail(connection, course, answering)
+        if state.sent or connection.started:
+            self._fail(connection, state, answering)
         else:
-            self._refuse(connection, course.request, UNREACHABLE_TARGETS, "target")
+            self._refuse(connection, state.request, UNREACHABLE_TARGETS, "target")
         return True
 
-    def _end_late(self, connection: CallerConnection, course: Course) -> None:
-        self._emit(course, "timed-out", sent=course.sent, seconds=now() - course.arrived)
+    def _end_late(self, connection: CallerConnection, state: RequestState) -> None:
+        self._emit(state, "timed-out", sent=state.sent, seconds=now() - state.arrived)
         if connection.started:
             connection.abort()
-        elif course.sent:
-            self._refuse(connection, course.request, TIMED_OUT, "timeout")
+        elif state.sent:
+            self._refuse(connection, state.request, TIMED_OUT, "timeout")
         else:
-            self._refuse(connection, course.request, OUT_OF_TIME, "timeout")
+            self._refuse(connection, state.request, OUT_OF_TIME, "timeout")
 
     def _refuse(
         self, connection: CallerConnection, request: CallerRequest, refusal: Refusal, by: str
@@ -353,16 +355,16 @@
             kind=refusal.kind,
             by=by,
             retry_after=refusal.retry_after,
-            configuration_age=round(self._news.configuration.age(), 3),
+            configuration_age=round(self._discovery.configuration.age(), 3),
         )
         self._metrics.refusals.labels(refusal.kind).inc()
         connection.refuse(refusal)
 
-    def _emit(self, course: Course, event: str, **fields: object) -> None:
+    def _emit(self, state: RequestState, event: str, **fields: object) -> None:
         self._events.emit(
             event,
-            request=course.request.id.decode("latin-1"),
-            pool=course.pool.name,
-            workspace=course.admitted.workspace.name,
+            request=state.request.id.decode("latin-1"),
+            pool=state.pool.name,
+            workspace=state.admitted.workspace.name,
             **fields,
         )
--- a/celeryrun/gateway/_hub.py
+++ b/celeryrun/gateway/_server.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from functools import partial
 
+from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._links import MAX_FRAME, Beat, Feed, Hello, Leaving, Link, Message
-from celeryrun.gateway._news import News
-from celeryrun.gateway._roster import Roster
+from celeryrun.gateway._members import Members
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import KeyedPage
 from celeryrun.scheduling import (
@@ -25,7 +25,7 @@
 )
 from celeryrun.settings import GatewaySettings
 
-__all__ = ["Hub", "Reply"]
+__all__ = ["Reply", "SchedulerServer"]
 
 TICK = 0.05  # s between two looks at what waits
 PLAN_REST = 2.0  # times a plan's own duration until the next, so that planning takes a third
@@ -36,7 +36,7 @@
 Reply = Grant | Denial
 
 
-class Hub:
+class SchedulerServer:
     """Service that schedules for all nodes that ask this one."""
 
     __slots__ = (
@@ -46,10 +46,10 @@
         "_links_by_node",
         "_local",
         "_name",
-        "_news",
+        "_discovery",
         "_plan_allowed",
         "_planned_later",
-        "_roster",
+        "_members",
         "_server",
         "_settings",
         "_tasks",
@@ -58,9 +58,9 @@
     )
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
-        self._news: News = kernel.find("news")
+        self._discovery: Discovery = kernel.find("discovery")
         self._events: EventLog = kernel.find("events")
-        self._roster: Roster = kernel.find("roster")
+        self._members: Members = kernel.find("members")
         self._settings = settings
         self._name = settings.node.name
         self._links_by_node: dict[str, Link] = {}
@@ -74,15 +74,15 @@
         self.has_own_asks = False
         self.scheduler = Scheduler(
             _bounds(settings),
-            self._news.of_pool,
-            self._news.pool,
+            self._discovery.of_pool,
+            self._discovery.pool,
             self.share,
             knows_all=settings.node.first_start == "yes",
         )
 
     def start(self) -> None:
         """Listen for nodes and begin to plan."""
-        for topic, follower in enumerate(self._news.followers):
+        for topic, follower in enumerate(self._discovery.followers):
             follower.on_page = partial(self._feed, topic)
         loop = asyncio.get_running_loop()
         self._tasks = [
@@ -123,7 +123,7 @@
         asking = len(self._links_by_node) + (1 if self.has_own_asks else 0)
         silent = sum(
             1
-            for node in self._roster.address_by_node
+            for node in self._members.address_by_node
             if node != self._name
             and node not in self._links_by_node
             and time - self._last_heard.setdefault(node, time) < ABSENCE
@@ -214,7 +214,7 @@
             if time - swept > SWEEP:
                 swept = time
                 self.scheduler.expire(time)
-                self.scheduler.forget_targets(set(self._news.targets_by_id))
+                self.scheduler.forget_targets(set(self._discovery.targets_by_id))
 
     def _on_message(self, link: Link, message: Message) -> None:
         link.heard = now()
@@ -232,7 +232,7 @@
                     link.send(Leaving())
             case Beat():
                 self._last_heard[link.node] = link.heard
-                proofs = tuple(follower.proof() for follower in self._news.followers)
+                proofs = tuple(follower.proof() for follower in self._discovery.followers)
                 link.send(Beat(message.number, proofs))
             case _ if link.node:
                 self.take(link.node, message)
--- a/celeryrun/gateway/_course.py
+++ b/celeryrun/gateway/_state.py
@@ -17,7 +17,7 @@
     "TIMED_OUT",
     "UNKNOWN",
     "UNREACHABLE_TARGETS",
-    "Course",
+    "RequestState",
     "build_ask",
     "fingerprint",
     "patience_for",
@@ -49,7 +49,7 @@
 
 
 @dataclass(slots=True)
-class Course:
+class RequestState:
     """One request on its way.
 
     Parameters
@@ -99,17 +99,17 @@
     return int.from_bytes(digest.digest(), "big") >> 1
 
 
-def build_ask(course: Course, time: float) -> Ask:
+def build_ask(state: RequestState, time: float) -> Ask:
     """Return what the scheduler is asked for a request at a time."""
-    request, admitted = course.request, course.admitted
+    request, admitted = state.request, state.admitted
     workspace, route = admitted.workspace, admitted.route
-    elapsed, left = time - course.arrived, course.until - time
+    elapsed, left = time - state.arrived, state.until - time
     events = 0.0
-    if course.pool.engine:
-        events = max(1.0, request.expected_output / course.pool.tokens_per_event)
+    if state.pool.engine:
+        events = max(1.0, request.expected_output / state.pool.tokens_per_event)
     return Ask(
         id=0,
-        pool=course.pool.name,
+        pool=state.pool.name,
         tier=admitted.tier,
         rank=route.tier,
         workspace=workspace.name,
@@ -119,20 +119,20 @@
         patience=min(route.patience - elapsed - PATIENCE_MARGIN, left),
         deadline=left,
         pause=route.max_pause,
-        fingerprint=course.fingerprint,
-        charge=_charge(course),
+        fingerprint=state.fingerprint,
+        charge=_charge(state),
         rate=workspace.tokens_per_second,
         burst=workspace.burst,
         version=admitted.version,
-        retry=course.sent > 0,
-        avoid=tuple(course.avoid),
+        retry=state.sent > 0,
+        avoid=tuple(state.avoid),
     )
 
 
-def _charge(course: Course) -> float:
+def _charge(state: RequestState) -> float:
     """Return what a request counts against its workspace's quota, 0 once it was counted."""
-    workspace, request = course.admitted.workspace, course.request
-    if workspace.tokens_per_second <= 0 or course.charged:
+    workspace, request = state.admitted.workspace, state.request
+    if workspace.tokens_per_second <= 0 or state.charged:
         return 0.0
     if not workspace.counts_tokens:
         return 1.0
@@ -141,7 +141,7 @@
     return float(request.prompt_tokens + request.output_tokens)
 
 
-def patience_for(course: Course, expected: float) -> float | None:
+def patience_for(state: RequestState, expected: float) -> float | None:
     """Return how long a target may be silent, or None where only the deadline counts.
 
     Parameters
@@ -149,8 +149,8 @@
     expected : float
         Seconds that its first byte should take.
     """
-    route = course.admitted.route
-    if not route.kind.repeatable or course.sent >= route.max_attempts:
+    route = state.admitted.route
+    if not route.kind.repeatable or state.sent >= route.max_attempts:
         return None
     least = STREAM_PATIENCE if route.kind.stream else LEAST_PATIENCE
     return max(least, PATIENCE_FACTOR * expected)
--- a/celeryrun/gateway/tests/test_events.py
+++ b/celeryrun/gateway/tests/test_events.py
@@ -16,7 +16,7 @@
     table = page[page.index("## Events") : page.index("## Three walks")]
     listed = {name for row in table.splitlines() if row.startswith("| `") for name in names(row)}
     source = "".join(path.read_text() for path in PACKAGE.glob("_*.py"))
-    found = set(re.findall(r'emit\(\s*(?:course,\s*)?"([a-z-]+)"', source))
+    found = set(re.findall(r'emit\(\s*(?:state,\s*)?"([a-z-]+)"', source))
     assert len(found) > 25
     assert found == listed
 
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -202,8 +202,8 @@
         async with Site() as site:
             tenants = [build_tenant("cajas", "key-new"), build_tenant("herd", "key-herd")]
             site.store.put("keyed.op", "config", build_config(2, tenants=tenants))
-            news = site.gateways[0].kernel.find("news")
-            await site.until(lambda: news.catalog.version == 2)
+            known = site.gateways[0].kernel.find("discovery")
+            await site.until(lambda: known.catalog.version == 2)
             assert (await site.ask("/calls/a", key="key-cajas")).status == 401
             assert (await site.ask("/calls/a", key="key-new")).status == 200
             site.store.put("keyed.op", "config", build_config(1))
@@ -219,8 +219,8 @@
         async with Site(bounds=bounds) as site:
             assert (await site.ask("/calls/a")).status == 200
             site.store.faults.add("silent")
-            news = site.gateways[0].kernel.find("news")
-            await site.until(lambda: news.configuration.age() > 0.9)
+            known = site.gateways[0].kernel.find("discovery")
+            await site.until(lambda: known.configuration.age() > 0.9)
             arrived = sum(len(app.arrived) for app in site.apps)
             answer = await site.ask("/calls/a")
             assert answer.status == 503
@@ -242,8 +242,8 @@
             await site.until(lambda: sum(len(model.ran) for model in site.models) == 4)
             leaving = site.models[0]
             leaving.register("draining")
-            news = site.gateways[0].kernel.find("news")
-            await site.until(lambda: not news.targets_by_id["model-0"].ready)
+            known = site.gateways[0].kernel.find("discovery")
+            await site.until(lambda: not known.targets_by_id["model-0"].ready)
             before = len(leaving.arrived)
             for _ in range(4):
                 assert (await site.ask("/drafts/a")).complete
@@ -275,8 +275,8 @@
             site.store.forget("keyed.op")
             site.store.forget("keyed.servers")
             site.store.put("keyed.op", "config", build_config(6))
-            news = site.gateways[0].kernel.find("news")
-            await site.until(lambda: news.catalog.version == 6)
+            known = site.gateways[0].kernel.find("discovery")
+            await site.until(lambda: known.catalog.version == 6)
             assert (await site.ask("/calls/a")).status == 200
 
     run(scenario())
@@ -314,8 +314,8 @@
             await site.until(lambda: len(site.events("scheduler-chosen")) >= 2)
             chosen = site.events("scheduler-chosen")[-1]["peer"]
             lost = next(g for g in site.gateways if g.settings.node.name == chosen)
-            lost.kernel.find("desk").stop()
-            lost.kernel.find("hub").stop()
+            lost.kernel.find("scheduler-client").stop()
+            lost.kernel.find("scheduler").stop()
             others = [n for n, g in enumerate(site.gateways) if g is not lost]
             for number in range(10):
                 answer = await site.ask("/calls/a", gateway=others[number % 2])
@@ -334,20 +334,20 @@
             await asyncio.sleep(2.0)
             calls = sorted(store.calls - was for store, was in zip(stores, before, strict=True))
             assert calls[:3] == [0, 0, 0], calls
-            news = [gateway.kernel.find("news") for gateway in site.gateways]
-            assert all(each.configuration.age() < 2.5 for each in news)
+            known = [gateway.kernel.find("discovery") for gateway in site.gateways]
+            assert all(each.configuration.age() < 2.5 for each in known)
             site.store.put("keyed.op", "config", build_config(9))
             site.apps[0].register("draining")
-            await site.until(lambda: all(each.catalog.version == 9 for each in news), 1.0)
-            await site.until(lambda: not any(e.targets_by_id["app-0"].ready for e in news), 1.2)
+            await site.until(lambda: all(each.catalog.version == 9 for each in known), 1.0)
+            await site.until(lambda: not any(e.targets_by_id["app-0"].ready for e in known), 1.2)
             chosen = site.events("scheduler-chosen")[-1]["peer"]
             for gateway in site.gateways:
                 if gateway.settings.node.name == chosen:
-                    for name in ("desk", "hub", "news"):
+                    for name in ("scheduler-client", "scheduler", "discovery"):
                         gateway.kernel.find(name).stop()
-                    news.remove(gateway.kernel.find("news"))
+                    known.remove(gateway.kernel.find("discovery"))
             site.store.put("keyed.op", "config", build_config(10))
-            await site.until(lambda: all(each.catalog.version == 10 for each in news), 2.0)
+            await site.until(lambda: all(each.catalog.version == 10 for each in known), 2.0)
 
     run(scenario())
 
@@ -368,9 +368,9 @@
             await asyncio.sleep(0.95)
             site.store.put("keyed.op", "config", build_config(2))
             site.apps[0].register("draining")
-            news = [g.kernel.find("news") for g in site.gateways if g is not cut]
-            await site.until(lambda: all(each.catalog.version == 2 for each in news), 1.8)
-            await site.until(lambda: not any(e.targets_by_id["app-0"].ready for e in news), 1.0)
+            known = [g.kernel.find("discovery") for g in site.gateways if g is not cut]
+            await site.until(lambda: all(each.catalog.version == 2 for each in known), 1.8)
+            await site.until(lambda: not any(e.targets_by_id["app-0"].ready for e in known), 1.0)
             stand_in.stop()
 
     run(scenario())
@@ -385,11 +385,11 @@
             chosen = site.events("scheduler-chosen")[-1]["peer"]
             for gateway in site.gateways:
                 name = gateway.settings.node.name
-                gateway.kernel.find("news").configuration._task.cancel()
-                assert name == chosen or gateway.kernel.find("desk")._hub == chosen
-            news = [gateway.kernel.find("news") for gateway in site.gateways]
+                gateway.kernel.find("discovery").configuration._task.cancel()
+                assert name == chosen or gateway.kernel.find("scheduler-client")._chosen == chosen
+            known = [gateway.kernel.find("discovery") for gateway in site.gateways]
             await asyncio.sleep(1.8)
-            assert all(each.configuration.age() > 1.6 for each in news)
+            assert all(each.configuration.age() > 1.6 for each in known)
             for number in range(2):
                 assert (await site.ask("/calls/a", gateway=number)).status == 503
 
