--- a/celeryrun/gateway/_answering.py
+++ b/celeryrun/gateway/_answering.py
@@ -164,7 +164,8 @@
     ) -> Finished | Broken:
         head = answer.head
         body = b""
-        while part := await self._read(exchange, patience):
+        has_body = self._request.head.method != b"HEAD"
+        while has_body and (part := await self._read(exchange, patience)):
             if not body:
                 on_first()
                 self._note_first()
@@ -177,8 +178,9 @@
         failed = head.status >= FIRST_FAILURE
         self.status = head.status
         headers = [*answer_headers(head), *self._connection_headers()]
-        if self._request.head.method != b"HEAD":
-            headers.append((b"Content-Length", b"%d" % len(body)))
+        length = len(body) if has_body else head.length
+        if length is not None:
+            headers.append((b"Content-Length", b"%d" % length))
         self._held = format_head(_start_line(head), headers) + body
         return Finished(head.status, failed, held=failed)
 
--- a/celeryrun/gateway/_follow.py
+++ b/celeryrun/gateway/_follow.py
@@ -155,6 +155,12 @@
                 await asyncio.sleep(pause * random.uniform(0.5, 1.0))
                 pause = min(LAST_PAUSE, 2 * pause)
                 continue
+            except Exception as error:
+                # Whatever a page holds, the node must go on following; it reads all of it anew.
+                self._events.emit("store-unreadable", topic=self._topic, why=repr(error))
+                self._position = None
+                await asyncio.sleep(LAST_PAUSE)
+                continue
             pause = FIRST_PAUSE
             if self._pause:
                 await asyncio.sleep(self._pause)
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -89,6 +89,7 @@
         """Answer one request; cancelled when its caller leaves."""
         request = read_request(received.head, received.body)
         if isinstance(request, str):
+            self._events.emit("refused", status=400, kind="malformed", by="admission", why=request)
             connection.refuse(Refusal(400, "malformed", request))
             return
         admitted = await self._admit(request)
@@ -113,7 +114,7 @@
             async with asyncio.timeout(state.until - now()):
                 await self._run(connection, state, answering)
         except TimeoutError:
-            self._end_late(connection, state)
+            self._end_late(connection, state, answering)
         except asyncio.CancelledError:
             self._emit(state, "caller-left", sent=state.sent)
             raise
@@ -154,12 +155,25 @@
                 self._scheduler.done(reply, UNUSED)
                 state.avoid.append(reply.target)
                 if refusal is not None:
-                    self._refuse(connection, state.request, refusal, "dispatch")
+                    self._refuse_waiting(connection, state, answering, refusal)
                     return
                 continue
             if await self._try(connection, state, answering, reply, target):
                 return
 
+    def _refuse_waiting(
+        self,
+        connection: CallerConnection,
+        state: RequestState,
+        answering: Answering,
+        refusal: Refusal,
+    ) -> None:
+        """Refuse a request that was allowed when it came, unless it was sent meanwhile."""
+        if state.sent:
+            self._fail(connection, state, answering)
+        else:
+            self._refuse(connection, state.request, refusal, "dispatch")
+
     async def _place(self, state: RequestState) -> Grant | Denial:
         reply = await self._scheduler.place(build_ask(state, now()))
         if isinstance(reply, Grant):
@@ -336,8 +350,12 @@
             self._refuse(connection, state.request, UNREACHABLE_TARGETS, "target")
         return True
 
-    def _end_late(self, connection: CallerConnection, state: RequestState) -> None:
+    def _end_late(
+        self, connection: CallerConnection, state: RequestState, answering: Answering
+    ) -> None:
         self._emit(state, "timed-out", sent=state.sent, seconds=now() - state.arrived)
+        if answering.release():
+            return
         if connection.started:
             connection.abort()
         elif state.sent:
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -170,6 +170,66 @@
     run(scenario())
 
 
+def test_stream_whose_key_is_removed_before_it_goes_on_is_broken_off():
+    async def scenario():
+        async with Site(models=1) as site:
+            site.models[0].faults["cut"] = 1
+            discovery = site.gateways[0].kernel.find("discovery")
+            client = site.gateways[0].kernel.find("scheduler-client")
+            place = client.place
+
+            async def place_later(ask):
+                if ask.retry:
+                    tenants = [build_tenant("cajas", "key-new")]
+                    site.store.put("keyed.op", "config", build_config(2, tenants=tenants))
+                    await site.until(lambda: discovery.catalog.version == 2)
+                    ask.avoid = ()
+                return await place(ask)
+
+            relay = site.gateways[0].kernel.find("relay")
+            relay._scheduler = Wrapped(client, place_later)
+            answer = await site.ask("/chats/a")
+            assert not answer.complete
+            assert b"HTTP/1.1" not in answer.body
+            assert len(site.models[0].ran) == 1
+
+    run(scenario())
+
+
+class Wrapped:
+    """A scheduler's client with another ``place``."""
+
+    def __init__(self, client, place):
+        self.place = place
+        self.first = client.first
+        self.done = client.done
+
+
+def test_head_request_is_answered_without_a_body():
+    async def scenario():
+        async with Site(apps=1) as site:
+            reader, writer = await site.connect()
+            writer.write(site.request("/calls/a", method="HEAD"))
+            data = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            assert data.startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    run(scenario())
+
+
+def test_node_goes_on_following_whatever_a_page_does_to_it():
+    async def scenario():
+        async with Site(apps=1) as site:
+            discovery = site.gateways[0].kernel.find("discovery")
+            apply, discovery.configuration._apply = discovery.configuration._apply, None
+            site.store.put("keyed.op", "config", build_config(2))
+            await site.until(lambda: site.events("store-unreadable"))
+            discovery.configuration._apply = apply
+            await site.until(lambda: discovery.catalog.version == 2)
+
+    run(scenario())
+
+
 def test_caller_that_leaves_frees_its_target_at_once():
     async def scenario():
         async with Site(events=200) as site:
--- a/celeryrun/scheduling/_placing.py
+++ b/celeryrun/scheduling/_placing.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from celeryrun.scheduling._load import TargetLoad
@@ -17,6 +17,7 @@
 FAILURE_COST = 2.0  # objectives that a certain failure counts as, when targets are compared
 PAUSE_COST = 1.0  # objectives that each stream made to pause too long counts as
 LEAST_OBJECTIVE = 0.1  # s that costs are counted by where the objective is over, a fast call's own
+MOST = 0.5  # share above which most nodes ask here, so that the others use few slots
 OVERRUN = 0.05  # s after which a request that should have ended is expected to
 NEW_PATIENCE = 0.6  # of a caller's patience within which a new ask must see its first byte
 
@@ -62,21 +63,19 @@
     denials: list[tuple[str, Denial]] = field(default_factory=list)
 
 
-def free_times(
-    loads: dict[str, TargetLoad], limit: Callable[[TargetLoad], int], now: float
-) -> dict[str, list[float]]:
+def free_times(loads: dict[str, TargetLoad], share: float, now: float) -> dict[str, list[float]]:
     """Return a heap for each target of the times at which its slots are free.
 
     Parameters
     ----------
-    limit : callable
-        Returns how many slots of a target may be used.
+    share : float
+        Part of the fleet's limits that may be used; above a half all slots are.
     """
     free_by_target = {}
     for name, load in loads.items():
         soon = now + OVERRUN
         times = [max(soon, run.finish) for run in load.present(now)]
-        slots = limit(load)
+        slots = load.slots if share > MOST else max(1, round(load.slots * share))
         times += [now] * (slots - len(times))
         heapq.heapify(times)
         while len(times) > slots:
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -173,7 +173,7 @@
         if not queue:
             return [], []
         targets = self._usable(pool, now)
-        pass_ = Pass(targets, free_times(targets, self._limit, now), now)
+        pass_ = Pass(targets, free_times(targets, self._share(), now), now)
         late = []
         for waiting in in_order(queue.values(), targets, now):
             if not self._settle(waiting, pass_, may_be_late=False):
@@ -344,10 +344,6 @@
                 loads[target.id] = load
         return loads
 
-    def _limit(self, load: TargetLoad) -> int:
-        share = self._share()
-        return load.slots if share > 0.5 else max(1, round(load.slots * share))
-
     def _grant(self, waiting: Waiting, place: Place, now: float) -> Grant:
         ask = waiting.ask
         del self.waiting_by_pool[ask.pool][waiting.node, ask.id]
