--- a/standins/runner.py
+++ b/standins/runner.py
@@ -38,6 +38,7 @@
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
+    method: bytes = b"POST"
     ran: bool = False
 
 
@@ -114,7 +115,7 @@
     async def _serve(self, connection: CallerConnection, request: ReceivedRequest) -> None:
         headers = dict(request.head.headers)
         attempt = headers.get(b"celeryrun-attempt-id", b"").decode()
-        run = Run(attempt, request.head.target, headers, request.body)
+        run = Run(attempt, request.head.target, headers, request.body, request.head.method)
         self.arrived.append(run)
         if headers.get(b"celeryrun-expect-instance") != self.id.encode():
             send_answer(connection, 421, b"", Celeryrun_Runner_Id=self.id)
@@ -134,7 +135,7 @@
             self.running -= 1
 
     async def _run(self, connection: CallerConnection, run: Run) -> None:
-        if self._take("hang"):
+        if not self.faults["error"] and self._take("hang"):
             await asyncio.sleep(3600)
         await asyncio.sleep(self.work)
         if self._take("lost"):
@@ -151,7 +152,8 @@
         elif self.events:
             await self._stream(connection, run, common)
         else:
-            send_answer(connection, 200, f"{self.id}:{run.attempt}".encode(), **common)
+            body = f"{self.id}:{run.attempt}".encode()
+            send_answer(connection, 200, body, run.method == b"HEAD", **common)
 
     async def _stream(
         self, connection: CallerConnection, run: Run, headers: dict[str, str]
--- a/standins/store.py
+++ b/standins/store.py
@@ -50,11 +50,15 @@
     return server, server.sockets[0].getsockname()[1]
 
 
-def send_answer(connection: CallerConnection, status: int, body: bytes, **headers: str) -> None:
-    """Write a whole answer."""
+def send_answer(
+    connection: CallerConnection, status: int, body: bytes, head_only: bool = False, **headers: str
+) -> None:
+    """Write a whole answer, or only its head as to a HEAD request."""
     fields = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
     fields.append((b"Content-Length", b"%d" % len(body)))
-    connection.write(format_head(b"HTTP/1.1 %d Answer" % status, fields) + body)
+    connection.write(format_head(b"HTTP/1.1 %d Answer" % status, fields))
+    if not head_only:
+        connection.write(body)
 
 
 class StoreStandIn:
