--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -293,9 +293,10 @@
         return bool(status["ready"] and alive >= live and targets >= wanted)
 
     def status(self, name: str) -> Any:
-        """Return a node's status."""
+        """Return a node's status, on a connection of its own: a kept one may just be closing."""
         url = f"http://127.0.0.1:{self.operator_by_name[name]}/status"
-        return json.loads(self.http.request("GET", url, timeout=2.0).data)
+        headers = {"Connection": "close"}
+        return json.loads(self.http.request("GET", url, headers=headers, timeout=2.0).data)
 
     def url(self, name: str) -> str:
         """Return the base URL of a process."""
