Feed both parsers in one place; drop what nothing reads

RequestParser and AnswerParser had the same feed; it stands in their base now. Removed as unread: AnswerParser.keep_alive, Exchange.trailing, CallerConnection.end_after_answer and the extra headers of refuse, an empty gauge, two slots and a status. The scheduler matches outcomes by their constants in place of the same words again.

--- a/celeryrun/gateway/_answering.py
+++ b/celeryrun/gateway/_answering.py
@@ -25,7 +25,6 @@
 HELD_BYTES = 262_144  # an answer up to this size is read whole before it is passed on
 FIRST_FAILURE = 500
 UNPROMISED = frozenset({408, 421, 429, 503})  # statuses by which a caller takes it as not run
-HTTP_BAD_GATEWAY = 502
 
 
 @dataclass(frozen=True, slots=True)
--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -8,7 +8,6 @@
 from celeryrun.catalog import CallerLimits
 from celeryrun.exception import Refusal
 from celeryrun.gateway._discovery import Discovery
-from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._metrics import GatewayMetrics
 from celeryrun.gateway._relay import Relay
 from celeryrun.kernel import Kernel
@@ -33,7 +32,6 @@
     """
 
     __slots__ = (
-        "_events",
         "_discovery",
         "_relay",
         "_server",
@@ -45,7 +43,6 @@
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
         self._relay: Relay = kernel.find("relay")
         self._discovery: Discovery = kernel.find("discovery")
-        self._events: EventLog = kernel.find("events")
         self._settings = settings
         self._server: asyncio.Server | None = None
         self.connections: set[CallerConnection] = set()
@@ -94,7 +91,7 @@
 class PageListener:
     """Service that serves readiness and metrics, each on its own address."""
 
-    __slots__ = ("_callers", "_metrics", "_discovery", "_servers", "_settings", "_task")
+    __slots__ = ("_callers", "_metrics", "_discovery", "_servers", "_settings")
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
         self._callers: CallerListener = kernel.find("callers")
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 
 from celeryrun.gateway._admission import Admitted
 from celeryrun.gateway._answering import Answering
@@ -21,7 +19,7 @@
     stays bounded.
     """
 
-    __slots__ = ("_labels", "_registry", "_state", "answers", "first_byte", "refusals", "whole")
+    __slots__ = ("_labels", "_registry", "answers", "first_byte", "refusals", "whole")
 
     def __init__(self) -> None:
         self._labels: set[str] = set()
@@ -38,9 +36,6 @@
         self.refusals = Counter(
             "celeryrun_refusals", "Requests not served", ("kind",), registry=self._registry
         )
-        self._state = Gauge(
-            "celeryrun_state", "State of the node", ("what",), registry=self._registry
-        )
 
     def start(self) -> None:
         """Nothing runs."""
@@ -56,10 +51,6 @@
             self.first_byte.labels(*labels).observe(answering.first_byte - arrived)
             self.whole.labels(*labels).observe(now() - arrived)
 
-    def watch(self, what: str, read: Callable[[], float]) -> None:
-        """Serve a value that is read when the metrics are fetched."""
-        self._state.labels(what).set_function(read)
-
     def page(self) -> bytes:
         """Return all metrics as text."""
         return generate_latest(self._registry)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from celeryrun.catalog import Pool, Target
+from celeryrun.scheduling import _messages as messages
 from celeryrun.scheduling._ledger import Ledger
 from celeryrun.scheduling._load import Running, TargetLoad
 from celeryrun.scheduling._messages import (
@@ -217,18 +218,18 @@
         if running is None:
             return None
         match done.outcome:
-            case "complete":
+            case messages.COMPLETE:
                 load.note_result(failed=False)
                 load.learn_end(running, done.seconds, done.events)
                 self._ledger.clear(running.fingerprint)
-            case "failed":
+            case messages.FAILED:
                 load.note_result(failed=True)
-            case "crashed":
+            case messages.CRASHED:
                 load.note_unreachable(now)
                 self._ledger.report(running.fingerprint, running.target, now)
-            case "unreachable":
+            case messages.UNREACHABLE:
                 load.note_unreachable(now)
-            case "rejected":
+            case messages.REJECTED:
                 load.avoid_until = max(load.avoid_until, now + load.call)
             case _:
                 pass
--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -188,18 +188,13 @@
         """Return what the answer says of the connection."""
         return b"close" if self._closing else b"keep-alive"
 
-    def end_after_answer(self) -> None:
-        """Close the connection once the answer in progress is written."""
-        self._closing = True
-
-    def refuse(self, refusal: Refusal, extra: tuple[tuple[bytes, bytes], ...] = ()) -> None:
+    def refuse(self, refusal: Refusal) -> None:
         """Answer that a request was not served, and why."""
         body = f"{refusal.kind}: {refusal.remedy}\n".encode()
         headers = [
             (b"Content-Type", b"text/plain"),
             (b"Content-Length", b"%d" % len(body)),
             (b"Connection", self.connection_header()),
-            *extra,
         ]
         if refusal.retry_after is not None:
             headers.append((b"Retry-After", f"{refusal.retry_after:.3f}".encode()))
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -48,7 +48,6 @@
         "_writable",
         "complete",
         "head",
-        "trailing",
     )
 
     def __init__(self) -> None:
@@ -65,7 +64,6 @@
         self._transport: Any = None
         self.head: AnswerHead | None = None
         self.complete = False
-        self.trailing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -74,7 +72,6 @@
     def data_received(self, data: bytes) -> None:
         """Parse; what follows a whole answer belongs to no request and is dropped."""
         if self.complete:
-            self.trailing = True
             return
         if self._failure is not None:
             return
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Any
 
 import httptools
 
@@ -150,13 +151,29 @@
         Called for each message.
     """
 
-    __slots__ = ("_headers", "take_body", "take_end", "take_head")
+    __slots__ = ("_headers", "_parser", "take_body", "take_end", "take_head")
 
-    def __init__(self) -> None:
+    def __init__(self, parser: Callable[[object], Any]) -> None:
         self._headers: Headers = []
         self.take_head: Callable[[], None] = lambda: None
         self.take_body: Callable[[bytes], None] = lambda data: None
         self.take_end: Callable[[], None] = lambda: None
+        self._parser = parser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes.
+
+        Raises
+        ------
+        MalformedMessageError
+            If they are no message.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise MalformedMessageError("upgrade is not supported") from error
+        except httptools.HttpParserError as error:
+            raise MalformedMessageError(str(error)) from error
 
     def on_message_begin(self) -> None:
         self._headers = []
@@ -174,28 +191,12 @@
 class RequestParser(_Parser):
     """Parses the requests of one connection."""
 
-    __slots__ = ("_parser", "_target", "head")
+    __slots__ = ("_target", "head")
 
     def __init__(self) -> None:
-        super().__init__()
+        super().__init__(httptools.HttpRequestParser)
         self._target = b""
         self.head: RequestHead | None = None
-        self._parser = httptools.HttpRequestParser(self)
-
-    def feed(self, data: bytes) -> None:
-        """Take bytes.
-
-        Raises
-        ------
-        MalformedMessageError
-            If they are no request.
-        """
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise MalformedMessageError("upgrade is not supported") from error
-        except httptools.HttpParserError as error:
-            raise MalformedMessageError(str(error)) from error
 
     def on_message_begin(self) -> None:
         """Forget the request before."""
@@ -218,30 +219,13 @@
 class AnswerParser(_Parser):
     """Parses the one answer of a connection to a target."""
 
-    __slots__ = ("_interim", "_parser", "_reason", "head", "keep_alive")
+    __slots__ = ("_interim", "_reason", "head")
 
     def __init__(self) -> None:
-        super().__init__()
+        super().__init__(httptools.HttpResponseParser)
         self._interim = False
         self._reason = b""
         self.head: AnswerHead | None = None
-        self.keep_alive = False
-        self._parser = httptools.HttpResponseParser(self)
-
-    def feed(self, data: bytes) -> None:
-        """Take bytes.
-
-        Raises
-        ------
-        MalformedMessageError
-            If they are no answer.
-        """
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise MalformedMessageError("upgrade is not supported") from error
-        except httptools.HttpParserError as error:
-            raise MalformedMessageError(str(error)) from error
 
     def on_message_begin(self) -> None:
         """Forget an interim answer."""
@@ -260,7 +244,6 @@
             return
         chunked = b"chunked" in _find(self._headers, b"transfer-encoding").lower()
         length = _find(self._headers, b"content-length")
-        self.keep_alive = self._parser.should_keep_alive()
         self.head = AnswerHead(
             status,
             self._reason,
