standins: lease ports to one process each; nodes exit if they can't listen

A node whose callers' port was taken reported the error but lived on by the threads of its other listeners; a gateway whose peer port was taken lost the error with its task.

A listener that fails raises ListenError with the address and the setting; the node stops its services and exits.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -26,7 +26,7 @@
 from celeryrun.settings._schema import LimitSettings, NodeSettings, PeerSettings, PlatformSettings
 from celeryrun.streams import Vm
 from celeryrun.wire import Peers
-from standins.fleet import free_ports
+from standins.ports import lease_ports
 
 __all__ = ["main"]
 
@@ -103,7 +103,7 @@
     """Member processes and the reports that they printed."""
 
     def __init__(self, size: int) -> None:
-        ports = free_ports(size)
+        ports = lease_ports(size)
         self.names = [f"member-{number}" for number in range(size)]
         command = [sys.executable, "-m", "bench.membership", "--ports", ",".join(map(str, ports))]
         self.process_by_name = {
--- a/celeryrun/cli/_commands.py
+++ b/celeryrun/cli/_commands.py
@@ -9,14 +9,12 @@
 
 import click
 import msgspec
-import pynng
 from click.shell_completion import ShellComplete, get_completion_class
 
 from celeryrun.cli._nodes import drain_node, fetch_statuses, find_operator_address
 from celeryrun.cli._publish import publish_lists, read_lists, wait_until_in_force
 from celeryrun.cli._status import format_statuses
 from celeryrun.configuration import hash_key
-from celeryrun.exception import CeleryrunError
 from celeryrun.kernel import set_strict
 from celeryrun.node import Node
 from celeryrun.observe import json_handler, redirect_errors_to_log
@@ -42,11 +40,7 @@
     gc.freeze()
     with json_handler(settings.node.name, settings.node.log_level).applicationbound():
         redirect_errors_to_log()
-        try:
-            node_process.run()
-        except (OSError, pynng.NNGException) as error:
-            reason = f"can't listen ({error}); free the [node] addresses or choose others"
-            raise CeleryrunError(reason) from error
+        node_process.run()
 
 
 @click.command()
--- a/celeryrun/cli/_gateway.py
+++ b/celeryrun/cli/_gateway.py
@@ -6,7 +6,6 @@
 
 import click
 
-from celeryrun.exception import CeleryrunError
 from celeryrun.gateway import run_gateway
 
 __all__ = ["gateway"]
@@ -17,8 +16,4 @@
 def gateway(settings_file: str) -> None:
     """Run one gateway until it is stopped (SIGTERM)."""
     gc.freeze()
-    try:
-        run_gateway(settings_file)
-    except OSError as error:
-        reason = f"can't listen ({error}); free the [node] addresses or choose others"
-        raise CeleryrunError(reason) from error
+    run_gateway(settings_file)
--- a/celeryrun/cli/tests/test_commands.py
+++ b/celeryrun/cli/tests/test_commands.py
@@ -3,6 +3,7 @@
 import json
 import re
 import signal
+import socket
 import subprocess
 import sys
 
@@ -20,7 +21,8 @@
     RecordsExpiredError,
 )
 from celeryrun.tests.builders import build_settings
-from standins.fleet import free_ports
+from standins.ports import lease_ports
+from standins.site import format_settings
 
 PLANS = "[cajas]\nplan = sales\ntier = 1\nkey_hash = " + hash_key("key-cajas") + "\n"
 USES = "[drafts]\nkind = engine\nplans = sales\n"
@@ -155,7 +157,7 @@
 
 
 def test_unreachable_nodes_are_reported(tmp_path):
-    (port,) = free_ports(1)
+    (port,) = lease_ports(1)
     url = f"http://127.0.0.1:{port}"
     text = build_settings(platform__list_url=url, node__operator_address=f"127.0.0.1:{port}")
     settings = write(tmp_path, "node.ini", text)
@@ -171,7 +173,40 @@
     command = [sys.executable, "-m", "celeryrun", "node", str(settings)]
     result = subprocess.run(command, capture_output=True, text=True, timeout=20)
     assert result.returncode == 1
-    assert "free the [node] addresses or choose others" in result.stderr
+    assert "free it or choose another [node] peer_address" in result.stderr
+
+
+@pytest.mark.parametrize("key", ["caller_address", "operator_address", "peer_address"])
+def test_node_exits_at_once_if_one_address_is_in_use(fleet, tmp_path, key):
+    """A node that lives on would answer on its other addresses."""
+    text = fleet.settings_path(fleet.nodes[0]).read_text()
+    for other, port in zip(
+        ("caller_address", "operator_address", "peer_address"), lease_ports(3), strict=True
+    ):
+        if other != key:
+            text = re.sub(f"{other} = .*", f"{other} = 127.0.0.1:{port}", text)
+    address = re.search(f"{key} = (.*)", text)[1]
+    settings = write(tmp_path, "node.ini", text)
+    command = [sys.executable, "-m", "celeryrun", "node", str(settings)]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=20)
+    assert result.returncode == 1
+    assert f"can't listen on {address}" in result.stderr
+    assert f"free it or choose another [node] {key}" in result.stderr
+
+
+@pytest.mark.parametrize(
+    "key", ["caller_address", "readiness_address", "peer_address", "metrics_address"]
+)
+def test_gateway_exits_at_once_if_one_address_is_in_use(tmp_path, key):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        text = format_settings(ports=lease_ports(4), store=lease_ports(1)[0])
+        settings = write(tmp_path, "gateway.ini", re.sub(f"{key} = .*", f"{key} = {address}", text))
+        command = [sys.executable, "-m", "celeryrun", "gateway", str(settings)]
+        result = subprocess.run(command, capture_output=True, text=True, timeout=20)
+    assert result.returncode == 1
+    assert f"can't listen on {address}" in result.stderr
+    assert f"free it or choose another [node] {key}" in result.stderr
 
 
 def test_drain_by_name_and_by_address(fleet):
--- a/celeryrun/exception.py
+++ b/celeryrun/exception.py
@@ -8,6 +8,7 @@
     "CeleryrunError",
     "ConfigurationRejectedError",
     "InvariantViolatedError",
+    "ListenError",
     "LogUnavailableError",
     "NoResponseError",
     "RecordsExpiredError",
@@ -73,6 +74,27 @@
         super().__init__(f"{reason}; wait for the platform's log and repeat with the same id")
 
 
+class ListenError(CeleryrunError):
+    """A node can't listen on one of its addresses.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` that can't be listened on.
+    key : str
+        Key of the address in the section ``[node]`` of the settings.
+    reason : str
+        Description of the failure.
+    """
+
+    def __init__(self, address: str, key: str, reason: str) -> None:
+        self.address = address
+        self.key = key
+        super().__init__(
+            f"can't listen on {address} ({reason}); free it or choose another [node] {key}"
+        )
+
+
 class NoResponseError(CeleryrunError):
     """A node or a request that an operator names is unknown, or the node does not respond."""
 
--- a/celeryrun/front/_listener.py
+++ b/celeryrun/front/_listener.py
@@ -12,7 +12,7 @@
 import logbook
 
 from celeryrun.claims import key_age
-from celeryrun.exception import Refusal
+from celeryrun.exception import ListenError, Refusal
 from celeryrun.front._answer_cache import AnswerBuffer, AnswerCache, AnswerHead
 from celeryrun.front._executor import RequestExecutor, is_known_not_run
 from celeryrun.front._request import Request, admit
@@ -20,7 +20,7 @@
 from celeryrun.front._writer import refusal_head
 from celeryrun.kernel import Kernel
 from celeryrun.observe import request_context
-from celeryrun.settings import Settings
+from celeryrun.settings import Address, Settings
 
 __all__ = ["CallerListener", "serve"]
 
@@ -55,18 +55,25 @@
         return environ
 
 
-def serve(address: tuple[str, int], app: Any, threads: int, timeout: int) -> Server:
+def serve(address: Address, key: str, app: Any, threads: int, timeout: int) -> Server:
     """Start a WSGI server and return it.
 
     Parameters
     ----------
+    key : str
+        Key of the address in the section ``[node]`` of the settings.
     threads : int
         Fixed number of worker threads.
     timeout : int
         Socket timeout in seconds, after which an idle connection is closed.
+
+    Raises
+    ------
+    ListenError
+        If the address can't be listened on.
     """
     server = Server(
-        address,
+        (address.host, address.port),
         app,
         numthreads=threads,
         max=threads,
@@ -76,7 +83,11 @@
     )
     server.gateway = _Gateway
     server.shutdown_timeout = 1
-    server.prepare()
+    try:
+        server.prepare()
+    except OSError as error:
+        server.stop()
+        raise ListenError(str(address), key, str(error)) from error
     threading.Thread(target=server.serve, name="accept", daemon=True).start()
     return server
 
@@ -116,9 +127,9 @@
     def start(self) -> None:
         """Start listening for callers."""
         threading.stack_size(THREAD_STACK_BYTES)
-        address = self._settings.node.caller_address
+        node = self._settings.node
         self._server = serve(
-            (address.host, address.port), self._app, self._settings.node.threads, KEEP_ALIVE_TIMEOUT
+            node.caller_address, "caller_address", self._app, node.threads, KEEP_ALIVE_TIMEOUT
         )
 
     def stop(self) -> None:
--- a/celeryrun/front/_operators.py
+++ b/celeryrun/front/_operators.py
@@ -128,7 +128,7 @@
     def start(self) -> None:
         """Start listening."""
         address = self._settings.node.operator_address
-        self._server = serve((address.host, address.port), self._app, THREADS, KEEP_ALIVE_TIMEOUT)
+        self._server = serve(address, "operator_address", self._app, THREADS, KEEP_ALIVE_TIMEOUT)
 
     def stop(self) -> None:
         """Stop listening."""
--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -96,8 +96,8 @@
     async def start(self) -> None:
         """Start all services and open the listeners."""
         self.kernel.start()
-        await self.kernel.find("pages").listen()
-        await self.kernel.find("callers").listen()
+        for name in ("scheduler", "pages", "callers"):
+            await self.kernel.find(name).listen()
 
     def is_ready(self) -> bool:
         """Return whether the node can serve requests now."""
--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 from celeryrun.catalog import CallerLimits
 from celeryrun.exception import Refusal
 from celeryrun.gateway._discovery import Discovery
+from celeryrun.gateway._listen import listen
 from celeryrun.gateway._metrics import GatewayMetrics
 from celeryrun.gateway._relay import Relay
 from celeryrun.gateway._request_log import RequestLog
 from celeryrun.kernel import Kernel
 from celeryrun.platform import READY_PATH
-from celeryrun.settings import Address, GatewaySettings
+from celeryrun.settings import GatewaySettings
 from celeryrun.transport import ByteBudget, CallerConnection, ReceivedRequest, format_head
 
 __all__ = ["CallerListener", "PageListener"]
 
-LISTEN_BACKLOG = 512  # connections waiting to be accepted; clients connect in bursts
 READY_AGE_FRACTION = 0.8  # of revocation_lag; with an older configuration all keys are soon refused
 BODY_MEMORY_FRACTION = 0.2  # of memory; a body is held as chunks, joined, and once more while sent
 RESERVED_DESCRIPTORS = 200  # for files, and for connections to the store and between nodes
@@ -67,7 +66,8 @@
 
     async def listen(self) -> None:
         """Start accepting callers."""
-        self._server = await _listen(self._settings.node.caller_address, self._connect)
+        address = self._settings.node.caller_address
+        self._server = await listen(address, "caller_address", self._connect)
 
     def stop(self) -> None:
         """Stop accepting callers and abort the open connections."""
@@ -137,8 +137,8 @@
     async def listen(self) -> None:
         """Start listening on both addresses."""
         node = self._settings.node
-        for address in (node.readiness_address, node.metrics_address):
-            self._servers.append(await _listen(address, self._connect))
+        for key in ("readiness_address", "metrics_address"):
+            self._servers.append(await listen(getattr(node, key), key, self._connect))
 
     def stop(self) -> None:
         """Stop listening."""
@@ -178,8 +178,3 @@
     ]
     reason = b"OK" if status == 200 else b"Service Unavailable"
     connection.write(format_head(b"HTTP/1.1 %d %b" % (status, reason), headers) + body)
-
-
-async def _listen(address: Address, connect: Callable[[], asyncio.Protocol]) -> asyncio.Server:
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(connect, address.host, address.port, backlog=LISTEN_BACKLOG)
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -20,6 +20,7 @@
     Link,
     Message,
 )
+from celeryrun.gateway._listen import listen
 from celeryrun.gateway._members import Members
 from celeryrun.gateway._topic_follower import TopicFollower
 from celeryrun.kernel import Kernel, now
@@ -129,15 +130,20 @@
         )
 
     def start(self) -> None:
-        """Start listening for nodes and planning."""
+        """Start planning; ``listen`` opens the listener."""
         for topic, follower in enumerate(self.followers):
             follower.on_page = partial(self._send_feed, topic)
             follower.count_readers = self._count_store_readers
         loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(self._listen()),
-            loop.create_task(self._run()),
-        ]
+        self._tasks = [loop.create_task(self._run())]
+
+    async def listen(self) -> None:
+        """Start accepting links of other nodes."""
+        self._server = await listen(
+            self._settings.node.peer_address,
+            "peer_address",
+            lambda: Link(self._on_message, self._on_closed),
+        )
 
     def stop(self) -> None:
         """Stop listening and close all links."""
@@ -254,13 +260,6 @@
         elif node in self._links_by_node:
             self._links_by_node[node].send(reply)
 
-    async def _listen(self) -> None:
-        loop = asyncio.get_running_loop()
-        address = self._settings.node.peer_address
-        self._server = await loop.create_server(
-            lambda: Link(self._on_message, self._on_closed), address.host, address.port
-        )
-
     async def _run(self) -> None:
         swept_at = now()
         while True:
--- a/celeryrun/node/_node.py
+++ b/celeryrun/node/_node.py
@@ -74,7 +74,12 @@
         """Start the services, serve requests until drained, and stop."""
         # A request runs in short steps on many threads; a long turn of one thread delays the rest.
         sys.setswitchinterval(SWITCH_INTERVAL)
-        self.kernel.start()
+        try:
+            self.kernel.start()
+        except BaseException:
+            # A service's threads would keep the process alive.
+            self.kernel.stop()
+            raise
         log.info("node {} is serving", self._settings.node.name)
         self._draining.wait()
         self._finish()
--- a/celeryrun/wire/_peers.py
+++ b/celeryrun/wire/_peers.py
@@ -13,6 +13,7 @@
 import logbook
 import pynng
 
+from celeryrun.exception import ListenError
 from celeryrun.settings import Settings
 from celeryrun.wire._envelope import Envelope, ForeignMessageError, Sealer
 from celeryrun.wire._messages import Ack, KeeperHeartbeat, PingAck
@@ -168,13 +169,23 @@
         self._handlers_by_type[message_type] = handler
 
     def start(self) -> None:
-        """Listen for peers and start delivering messages."""
+        """Listen for peers and start delivering messages.
+
+        Raises
+        ------
+        ListenError
+            If the address can't be listened on.
+        """
         self._inbox = pynng.Pull0(
-            listen=f"tcp://{self.address}",
             recv_timeout=POLL_INTERVAL_MS,
             recv_buffer_size=INBOX_MESSAGES,
             recv_max_size=MAX_MESSAGE_BYTES,
         )
+        try:
+            self._inbox.listen(f"tcp://{self.address}")
+        except pynng.NNGException as error:
+            self._inbox.close()
+            raise ListenError(self.address, "peer_address", str(error)) from error
         for loop in (self._receive, self._deliver_local, self._maintain_links):
             thread = threading.Thread(target=loop, name=f"peers{loop.__name__}", daemon=True)
             self._threads.append(thread)
--- a/celeryrun/wire/tests/test_peers.py
+++ b/celeryrun/wire/tests/test_peers.py
@@ -8,8 +8,8 @@
 import pytest
 
 from celeryrun.wire import ConfigurationPull, Envelope, Peers, Sealer
-from standins.fleet import free_ports
 from standins.forwarder import Forwarder
+from standins.ports import lease_ports
 
 KEY = "0123456789abcdef"
 TIMEOUT = 20.0  # s
@@ -19,7 +19,7 @@
     """Peers service that records the versions in the pulls that it receives."""
 
     def __init__(self, name):
-        (port,) = free_ports(1)
+        (port,) = lease_ports(1)
         self.port = port
         self.versions = []
         self.received = threading.Condition()
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -7,7 +7,8 @@
 import sys
 from pathlib import Path
 
-from standins.site import format_settings, free_ports
+from standins.ports import lease_ports
+from standins.site import format_settings
 
 __all__ = ["Node"]
 
@@ -27,7 +28,7 @@
 
     def __init__(self, name: str, folder: Path, store_port: int) -> None:
         self.name = name
-        self.ports = free_ports(4)
+        self.ports = lease_ports(4)
         self.log = folder / f"{name}.log"
         self.exit_timed_out = False
         self._path = folder / f"{name}.ini"
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,7 +4,6 @@
 
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -18,32 +17,12 @@
 import urllib3
 
 from celeryrun.configuration import hash_key
+from standins.ports import lease_ports
 
-__all__ = ["Fleet", "FleetConfig", "free_ports"]
+__all__ = ["Fleet", "FleetConfig"]
 
 PEER_KEY = "stand-in-peer-key-0123456789"
 START_TIMEOUT = 30.0  # s
-PORT_RANGE = (10_000, 32_000)
-
-
-def free_ports(count: int) -> list[int]:
-    """Return free ports outside the ephemeral range, whose ports clients may take at any time."""
-    rng = random.SystemRandom()
-    ports: list[int] = []
-    while len(ports) < count:
-        port = rng.randrange(*PORT_RANGE)
-        if port not in ports and _is_free(port):
-            ports.append(port)
-    return ports
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
 
 
 @dataclass(slots=True)
@@ -154,7 +133,7 @@
             self.add_target(name, "warehouse", number)
 
     def add_standin(self, name: str, module: str, arguments: list[str]) -> None:
-        (port,) = free_ports(1)
+        (port,) = lease_ports(1)
         self.port_by_name[name] = port
         common = ["-m", module, "--port", str(port), "--name", name]
         common += ["--record", str(self.folder / f"{name}.record")]
@@ -175,7 +154,7 @@
 
     def add_node(self, name: str) -> None:
         """Write the settings of a node, add it to the list of VMs, and start it."""
-        caller_port, operator_port, peer_port = free_ports(3)
+        caller_port, operator_port, peer_port = lease_ports(3)
         zone = f"zone-{len(self.operator_port_by_name) % self.config.zones}"
         sections = {
             "node": {
--- a/standins/site.py
+++ b/standins/site.py
@@ -5,16 +5,15 @@
 import asyncio
 import json
 import os
-import socket
 import tempfile
 from dataclasses import dataclass, field
-from pathlib import Path
 
 import httptools
 
 from celeryrun.gateway import Gateway
 from celeryrun.gateway._events import EventLog
 from celeryrun.settings import parse_gateway_settings
+from standins.ports import lease_ports
 from standins.runner import RunnerStandIn
 from standins.store import HOST, StoreStandIn
 
@@ -204,7 +203,7 @@
 
     async def add_gateway(self, name):
         """Start and return another gateway."""
-        ports = free_ports(4)
+        ports = lease_ports(4)
         text = format_settings(name, ports, self.store.port, self.bounds, self.node)
         settings = parse_gateway_settings(text)
         events = EventLog(name, os.dup(self.log_file.fileno()))
@@ -279,17 +278,3 @@
 def run(scenario):
     """Run the coroutine of an asynchronous test."""
     asyncio.run(scenario)
-
-
-def free_ports(count):
-    """Return free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
-ROOT = Path(__file__).parents[1]
