transport: a second response in the same segment is not part of the first; framing is bounded

Cause: a target may send a second answer right behind the first. When both arrive in one read, the parser reports the body of the second after the end of the first, and Exchange appended it: the caller got a 200 with a longer body than its own, or a stream with a foreign end (MIXED). Slow links and busy nodes make it likely, as segments then wait for the reader. And a head, trailers, interim responses or chunk extensions without end were collected for as long as they came.

Change: body data after the end of the response is dropped; 32 KiB in a row without a byte of the body end the exchange as malformed and close the connection.

--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -11,6 +11,7 @@
     Site,
     build_config,
     build_tenant,
+    read_response,
     run,
 )
 
@@ -203,6 +204,28 @@
         self.release = client.release
 
 
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [("/calls/a", b"app-0:a1"), ("/bookings/a", b"app-0:a1"), ("/drafts/a", b"piece 6\n\n")],
+)
+def test_second_response_of_a_target_reaches_no_caller(path, expected):
+    async def scenario():
+        async with Site(apps=1, models=1) as site:
+            for target in (*site.apps, *site.models):
+                target.faults["second"] = 1
+            reader, writer = await site.connect()
+            writer.write(site.format_request(path))
+            response = await read_response(reader)
+            assert response.complete
+            assert response.body.endswith(expected)
+            assert b"second" not in response.body
+            writer.write(site.format_request(path))
+            assert (await read_response(reader)).status == 200
+            writer.close()
+
+    run(scenario())
+
+
 def test_response_to_head_has_no_body():
     async def scenario():
         async with Site(apps=1) as site:
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -11,6 +11,7 @@
 __all__ = ["Exchange", "TargetFailedError", "accepts_connections", "open_exchange"]
 
 MAX_BUFFERED_BYTES = 65_536  # of a response that a slow caller has not read; then reading pauses
+MAX_FRAMING_BYTES = 32_768  # received in a row without a byte of the body: head, trailers
 
 
 class TargetFailedError(Exception):
@@ -44,6 +45,7 @@
         "_changed",
         "_chunks",
         "_failure",
+        "_framing_bytes",
         "_parser",
         "_transport",
         "_writable",
@@ -58,6 +60,7 @@
         self._parser.end_callback = self._on_end
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
+        self._framing_bytes = 0
         self._failure: TargetFailedError | None = None
         self._changed = asyncio.Event()
         self._writable = asyncio.Event()
@@ -72,15 +75,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes after the end of the response are ignored."""
-        if self.complete:
-            return
-        if self._failure is not None:
-            return
+        for start in range(0, len(data), MAX_FRAMING_BYTES):
+            if self.complete or self._failure is not None:
+                return
+            self._feed(data[start : start + MAX_FRAMING_BYTES])
+
+    def _feed(self, data: bytes) -> None:
+        self._framing_bytes += len(data)
         try:
             self._parser.feed(data)
         except MalformedMessageError:
-            if not self.complete:
-                self._fail("malformed")
+            self._fail("malformed")
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._fail("malformed")
+        if self._failure is not None:
+            # What follows belongs to no response.
+            self._transport.abort()
 
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the end of the connection."""
@@ -160,6 +170,10 @@
         self._changed.set()
 
     def _on_body(self, data: bytes) -> None:
+        if self.complete:
+            # A second response follows in the same segment.
+            return
+        self._framing_bytes = 0
         self._chunks.append(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._transport.is_closing():
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -10,6 +10,7 @@
 - ``unsealed``: the response has no seal.
 - ``unpromised``: 503 without the statement that the request was not executed.
 - ``hang``: no response.
+- ``second``: the response is followed at once by a plain one under another id.
 - ``stall``: a stream goes silent after two events.
 """
 
@@ -180,6 +181,9 @@
         else:
             body = f"{self.id}:{recorded.attempt_id}".encode()
             send_response(connection, 200, body, recorded.method == b"HEAD", **common_headers)
+        if self._consume_fault("second"):
+            common_headers["Celeryrun_Attempt_Id"] = "another"
+            send_response(connection, 200, b"second response", **common_headers)
 
     async def _send_stream(
         self, connection: CallerConnection, recorded: RecordedRequest, headers: dict[str, str]
--- a/standins/site.py
+++ b/standins/site.py
@@ -7,6 +7,7 @@
 import os
 import tempfile
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import httptools
 
@@ -17,6 +18,8 @@
 from standins.runner import RunnerStandIn
 from standins.store import HOST, StoreStandIn
 
+ROOT = Path(__file__).parents[1]
+
 SETTINGS = """
 [node]
 name = {name}
