gateway: check permissions again right before a request is sent; streams progress by events

Cause: key, target and deadline were checked before the connection to a target was made. A process suspended in between sent the request with a key whose proof had run out, to a target that had left, or after its deadline. The check of a queued request looked whether its key exists, not whose it is, so a key given to another workspace ran under the former one's name. The silence of a stream ended with any byte, so one that sends a comment now and then was never continued elsewhere; a broken stream whose events have no ids was started again within one response; an event without end was collected for as long as it came.

Change: the checks are repeated after the connection is made; the key must still be the same workspace's; only whole events end the silence; a stream without ids is not continued; an event over 256 KiB is malformed; failed connects count in a row.

--- a/celeryrun/gateway/_admission.py
+++ b/celeryrun/gateway/_admission.py
@@ -88,7 +88,8 @@
     """Check a queued request again before it is sent; return None if it is still allowed."""
     if admission.workspace is PUBLIC:
         return None
-    if key not in catalog.workspaces_by_key:
+    workspace = catalog.workspaces_by_key.get(key) if key is not None else None
+    if workspace is None or workspace.name != admission.workspace.name:
         return NO_KEY
     return NOT_READY if freshness.age > freshness.max_key_age else None
 
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -157,26 +157,35 @@
             refusal = self._recheck_admission(state)
             if refusal is not None or target is None or not target.ready:
                 self._scheduler_client.release(reply, UNUSED)
-                state.excluded_targets.append(reply.target)
-                if refusal is not None:
-                    self._refuse_queued(connection, state, response_relay, refusal)
+                if self._withdraw(connection, state, response_relay, reply.target, refusal):
                     return
                 continue
             if await self._try_target(connection, state, response_relay, reply, target):
                 return
 
-    def _refuse_queued(
+    def _withdraw(
         self,
         connection: CallerConnection,
         state: RequestState,
         response_relay: ResponseRelay,
-        refusal: Refusal,
-    ) -> None:
-        """Refuse a queued request that is no longer allowed, unless a target already had it."""
+        target_id: str,
+        refusal: Refusal | None,
+    ) -> bool:
+        """Give up a target, or a request that is refused since it is no longer allowed.
+
+        Returns
+        -------
+        bool
+            Whether the caller has a final response.
+        """
+        state.excluded_targets.append(target_id)
+        if refusal is None:
+            return False
         if state.attempts:
             self._fail(connection, state, response_relay)
         else:
             self._refuse(connection, state, refusal, "dispatch")
+        return True
 
     async def _acquire_slot(self, state: RequestState) -> Grant | Denial:
         reply = await self._scheduler_client.acquire(build_slot_request(state, now()))
@@ -196,10 +205,20 @@
         return reply
 
     def _recheck_admission(self, state: RequestState) -> Refusal | None:
+        """Check a request again that has waited; return None if it may still be sent."""
         catalog = self._discovery.catalog
         assert catalog is not None
         return recheck_admission(catalog, state.admission, state.request.api_key, self._freshness())
 
+    def _is_ready(self, target: Target) -> bool:
+        """Return whether the newest list has this run of a target as ready, at its address."""
+        listed = self._discovery.targets_by_id.get(target.id)
+        return (
+            listed is not None
+            and listed.ready
+            and (listed.host, listed.port, listed.born) == (target.host, target.port, target.born)
+        )
+
     async def _try_target(
         self,
         connection: CallerConnection,
@@ -218,6 +237,15 @@
             except TargetFailedError:
                 outcome = UNREACHABLE
                 return self._on_unreachable(connection, state, response_relay, target)
+            state.failed_connects = 0
+            # The process may have been suspended since the checks before the connection.
+            refusal = self._recheck_admission(state)
+            if refusal is not None or not self._is_ready(target):
+                outcome = UNUSED
+                return self._withdraw(connection, state, response_relay, target.id, refusal)
+            if now() >= state.respond_by:
+                outcome = UNUSED
+                raise TimeoutError
             state.attempts += 1
             await exchange.send(
                 format_request(
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from celeryrun.catalog import Route
-from celeryrun.gateway._stream import EventSplitter
+from celeryrun.gateway._stream import EventSplitter, EventTooLargeError
 from celeryrun.kernel import now
 from celeryrun.platform import CallerRequest, TargetResponse, read_response, response_headers
 from celeryrun.transport import (
@@ -115,7 +115,10 @@
 
     def can_continue(self) -> bool:
         """Return whether another target may continue the response."""
-        return not self._connection.response_started or self._route.kind.resumable
+        if not self._connection.response_started:
+            return True
+        # Without an id, a target would start the stream again.
+        return self._route.kind.resumable and (bool(self.last_id) or not self._splitter.line_count)
 
     def send_held(self) -> bool:
         """Send the response that is held back; return whether there was one."""
@@ -135,7 +138,8 @@
         on_first_byte : callable
             Called when the response body begins.
         silence_timeout : float or None
-            Seconds that the target may be silent, None for no limit.
+            Seconds that the target may be silent, None for no limit. Bytes that complete no event
+            do not end the silence of a stream.
         """
         try:
             async with asyncio.timeout(silence_timeout):
@@ -154,6 +158,8 @@
         except TargetFailedError as error:
             self.all_rejected = False
             return Broken(error.kind)
+        except EventTooLargeError:
+            return Broken("malformed")
         except TimeoutError:
             self.all_rejected = False
             return Broken("silent")
@@ -207,8 +213,12 @@
     ) -> Finished | Broken:
         self._splitter.pop_partial()
         is_first = True
+        last_progress, line_count = now(), self._splitter.line_count
         while True:
-            chunk = await self._read(exchange, silence_timeout)
+            remaining = None
+            if silence_timeout is not None:
+                remaining = last_progress + silence_timeout - now()
+            chunk = await self._read(exchange, remaining)
             if not chunk:
                 break
             whole_events = self._splitter.feed(chunk)
@@ -223,6 +233,8 @@
             self._connection.write(format_chunk(whole_events))
             self._record_event()
             await self._connection.drain()
+            if self._splitter.line_count > line_count:
+                last_progress, line_count = now(), self._splitter.line_count
         if self._splitter.has_partial():
             partial_event = self._splitter.pop_partial()
             if self._route.kind.resumable:
--- a/celeryrun/gateway/_stream.py
+++ b/celeryrun/gateway/_stream.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["EventSplitter"]
+__all__ = ["EventSplitter", "EventTooLargeError"]
+
+MAX_EVENT_BYTES = 262_144  # of an event that is held back until it is whole
+
+
+class EventTooLargeError(Exception):
+    """An event has no end within the limit; a target may send such bytes without end."""
 
 
 class EventSplitter:
@@ -13,7 +19,9 @@
     last_id : bytes
         Id of the last whole event.
     count : int
-        Number of whole events that have an id.
+        Number of whole events with an id.
+    line_count : int
+        Number of lines of whole events, without comments.
 
     Examples
     --------
@@ -26,22 +34,33 @@
     b'id: 2\\ndata: b\\n\\n'
     """
 
-    __slots__ = ("_partial", "count", "last_id")
+    __slots__ = ("_partial", "count", "last_id", "line_count")
 
     def __init__(self) -> None:
         self._partial = b""
         self.last_id = b""
         self.count = 0
+        self.line_count = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raises
+        ------
+        EventTooLargeError
+            If an event does not end within `MAX_EVENT_BYTES`.
+        """
         data = self._partial + data
         end = max(_find_end(data, b"\n\n"), _find_end(data, b"\r\n\r\n"))
         whole_events, self._partial = data[:end], data[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise EventTooLargeError
         for line in whole_events.split(b"\n"):
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip()
                 self.count += 1
+            if line.rstrip(b"\r") and not line.startswith(b":"):
+                self.line_count += 1
         return whole_events
 
     def has_partial(self) -> bool:
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -157,6 +157,51 @@
     run(scenario())
 
 
+def test_stream_that_sends_only_comments_continues_on_another_target():
+    async def scenario():
+        async with Site() as site:
+            site.models[0].faults["drip"] = 1
+            for _ in range(2):
+                response = await site.send_request("/chats/a", deadline=8000)
+                assert response.complete
+                assert response.event_ids == [1, 2, 3, 4, 5, 6]
+            assert any(
+                b"last-event-id" in request.headers for request in site.models[1].executed_requests
+            )
+
+    run(scenario())
+
+
+def test_broken_stream_without_ids_is_not_started_again():
+    async def scenario():
+        async with Site() as site:
+            for model in site.models:
+                model.faults.update({"no-ids": 9, "cut": 1})
+            response = await site.send_request("/chats/a")
+            assert not response.complete
+            assert response.body.count(b"piece 1\n") == 1
+            assert sum(len(model.executed_requests) for model in site.models) == 1
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(("path", "seconds"), [("/drafts/a", 3.0), ("/calls/a", 3.0)])
+def test_body_without_end_is_broken_off(path, seconds):
+    """An endless event ends the response at once, an endless plain body at the deadline."""
+
+    async def scenario():
+        async with Site(apps=1, models=1) as site:
+            for target in (*site.apps, *site.models):
+                target.faults["endless"] = 1
+            async with asyncio.timeout(seconds):
+                response = await site.send_request(path, deadline=1500)
+            assert not response.complete
+            await site.wait_until(lambda: not any(t.running for t in (*site.apps, *site.models)))
+            assert (await site.send_request(path)).complete
+
+    run(scenario())
+
+
 def test_broken_stream_without_resumption_is_incomplete():
     async def scenario():
         async with Site() as site:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -12,6 +12,9 @@
 - ``hang``: no response.
 - ``second``: the response is followed at once by a plain one under another id.
 - ``stall``: a stream goes silent after two events.
+- ``drip``: a stream sends only comments after two events.
+- ``no-ids``: the events of a stream have no ids.
+- ``endless``: an event of a stream, or a plain body, has no end until the caller closes.
 """
 
 from __future__ import annotations
@@ -178,6 +181,9 @@
             send_response(connection, 500, b"failed", **common_headers)
         elif self.events:
             await self._send_stream(connection, recorded, common_headers)
+        elif self._consume_fault("endless"):
+            _send_chunked_head(connection, common_headers)
+            await self._send_without_end(connection)
         else:
             body = f"{self.id}:{recorded.attempt_id}".encode()
             send_response(connection, 200, body, recorded.method == b"HEAD", **common_headers)
@@ -185,19 +191,29 @@
             common_headers["Celeryrun_Attempt_Id"] = "another"
             send_response(connection, 200, b"second response", **common_headers)
 
+    async def _send_without_end(self, connection: CallerConnection) -> None:
+        """Send chunks until cancelled, as the caller closes the connection."""
+        while True:
+            connection.write(format_chunk(b"x" * 4096))
+            await connection.drain()
+            await asyncio.sleep(0)
+
     async def _send_stream(
         self, connection: CallerConnection, recorded: RecordedRequest, headers: dict[str, str]
     ) -> None:
-        fields = [
-            (name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()
-        ]
-        fields += [(b"Content-Type", b"text/event-stream"), (b"Transfer-Encoding", b"chunked")]
-        connection.write(format_head(b"HTTP/1.1 200 OK", fields))
+        _send_chunked_head(connection, {**headers, "Content_Type": "text/event-stream"})
         last_event_id = int(recorded.headers.get(b"last-event-id", b"0"))
         for event_id in range(last_event_id + 1, self.events + 1):
             if event_id == last_event_id + 3 and self._consume_fault("stall"):
                 await asyncio.sleep(3600)
+            while event_id == last_event_id + 3 and self.faults["drip"]:
+                connection.write(format_chunk(b": wait\n\n"))
+                await asyncio.sleep(self.work)
+            if event_id == last_event_id + 3 and self._consume_fault("endless"):
+                await self._send_without_end(connection)
             event = f"id: {event_id}\ndata: piece {event_id}\n\n".encode()
+            if self.faults["no-ids"]:
+                event = event.partition(b"\n")[2]
             if event_id > last_event_id + 2 and self._consume_fault("cut"):
                 connection.write(format_chunk(event[:8]))
                 await asyncio.sleep(self.work)
@@ -206,3 +222,9 @@
             connection.write(format_chunk(event))
             await asyncio.sleep(self.work)
         connection.write(LAST_CHUNK)
+
+
+def _send_chunked_head(connection: CallerConnection, headers: dict[str, str]) -> None:
+    fields = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
+    fields.append((b"Transfer-Encoding", b"chunked"))
+    connection.write(format_head(b"HTTP/1.1 200 OK", fields))
