scheduling: drop a node's prompts, forget unused quotas, refund only charges, apply changed windows

Cause, seen by reading: the prompts of a node that left stayed in its targets' expected prefill, so later first bytes were predicted late; quotas of workspaces that left were kept for good; a denied request of a workspace without a limit was refunded to the bucket of its former limit; changed limits kept the old length of the retry window.

Change: drop_node removes grants as a release does; quotas unused for an hour are forgotten; refunds follow the conditions of charges; both sliding sums take the new window.

Measured: the four new tests fail on the old code (signatures adapted), all 55 pass now.

--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -282,7 +282,7 @@
             self._process_unlisted_nodes(time)
             if time - swept_at > SWEEP_INTERVAL:
                 swept_at = time
-                self.scheduler.expire_grants(time)
+                self.scheduler.expire(time)
                 self.scheduler.forget_targets(set(self._discovery.targets_by_id))
 
     def _has_work(self) -> bool:
@@ -372,7 +372,7 @@
         if not link.node or self._links_by_node.get(link.node) is not link:
             return
         del self._links_by_node[link.node]
-        pools = self.scheduler.drop_node(link.node)
+        pools = self.scheduler.drop_node(link.node, now())
         self._events.emit("node-left", peer=link.node)
         for pool in pools:
             self._plan(pool)
--- a/celeryrun/scheduling/_limits.py
+++ b/celeryrun/scheduling/_limits.py
@@ -16,6 +16,7 @@
 # Fraction of the tolerance by which a bucket may be overdrawn while all usage in the window is
 # known, since a meter outside the scheduler may count the same requests in another order.
 OVERDRAFT_FRACTION = 0.4
+QUOTA_RETENTION = 3600.0  # s for which the quota of a workspace without requests is kept
 # One scheduler and two successors within a window use nine tenths of the tolerance, which is
 # 0.4 + 2 * 0.25; nodes that restart in turn do not change schedulers faster. The last tenth covers
 # delayed messages.
@@ -62,6 +63,8 @@
         Fraction of the fleet's limits in force; -1 forces an update of the bucket at the next use.
     overdraft : float
         Amount by which the bucket may be overdrawn.
+    last_used : float
+        Time of the last request of the workspace.
     """
 
     bucket: TokenBucket
@@ -71,6 +74,7 @@
     usage_known_from: float
     fleet_share: float = -1.0
     overdraft: float = 0.0
+    last_used: float = 0.0
 
 
 class LimitEnforcer:
@@ -103,10 +107,10 @@
         self._retry_budget_by_pool: dict[str, RetryBudget] = {}
 
     def set_limits(self, limits: FleetLimits) -> None:
-        """Replace the limits; existing retry budgets keep the length of their window."""
+        """Replace the limits."""
         self._limits = limits
         for budget in self._retry_budget_by_pool.values():
-            budget.set_limits(limits.retry_ratio, limits.retry_slack)
+            budget.set_limits(limits.retry_ratio, limits.retry_slack, limits.retry_window)
 
     def mark_usage_unknown(self, now: float) -> None:
         """Lower the quotas' levels, since other schedulers may have admitted requests until now.
@@ -151,11 +155,20 @@
             return 0.0
         return self._quota(slot_request, now).bucket.consume(slot_request.charge, now)
 
-    def refund_quota(self, slot_request: SlotRequest) -> None:
-        """Give back the charge of a slot request that was denied after it was queued."""
+    def refund_quota(self, slot_request: SlotRequest, now: float) -> None:
+        """Give back the charge of a slot request that was denied after it was queued.
+
+        Nothing was charged for a request of a workspace without a limit.
+        """
         quota = self._quota_by_workspace.get(slot_request.workspace)
-        if quota is not None:
-            quota.bucket.refund(slot_request.charge)
+        if quota is not None and slot_request.rate > 0 and slot_request.charge > 0:
+            quota.bucket.refund(slot_request.charge, now)
+
+    def forget_unused(self, now: float) -> None:
+        """Remove the quotas of workspaces without a request for `QUOTA_RETENTION`."""
+        for workspace, quota in list(self._quota_by_workspace.items()):
+            if now - quota.last_used > QUOTA_RETENTION:
+                del self._quota_by_workspace[workspace]
 
     def _quota(self, slot_request: SlotRequest, now: float) -> Quota:
         quota = self._quota_by_workspace.get(slot_request.workspace)
@@ -186,6 +199,7 @@
                 slot_request.burst,
             )
             quota.fleet_share = -1.0
+        quota.last_used = now
         self._apply_fleet_share(quota, now)
         return quota
 
--- a/celeryrun/scheduling/_quota.py
+++ b/celeryrun/scheduling/_quota.py
@@ -32,6 +32,10 @@
         self._steps: deque[list[float]] = deque()
         self._sum = 0.0
 
+    def set_window(self, window: float) -> None:
+        """Change the length of the window."""
+        self._window = window
+
     def add(self, amount: float, now: float) -> None:
         """Add an amount at the current time."""
         if self._steps and now - self._steps[-1][0] < RESOLUTION:
@@ -113,8 +117,9 @@
         self._refill(now)
         self._level = min(self._level, level)
 
-    def refund(self, amount: float) -> None:
+    def refund(self, amount: float, now: float) -> None:
         """Return the amount consumed for a request that did not run."""
+        self._refill(now)
         self._level = min(self._burst, self._level + amount)
 
     def _refill(self, now: float) -> None:
@@ -143,9 +148,14 @@
         self._first_attempts = SlidingSum(window)
         self._retries = SlidingSum(window)
 
-    def set_limits(self, ratio: float, slack: float) -> None:
-        """Change ratio and slack; the window stays."""
+    def set_limits(self, ratio: float, slack: float, window: float) -> None:
+        """Change ratio, slack and the length of the window.
+
+        A longer window counts what the shorter one has not dropped yet.
+        """
         self._ratio, self._slack = ratio, slack
+        self._first_attempts.set_window(window)
+        self._retries.set_window(window)
 
     def record_first_attempt(self, now: float) -> None:
         """Count a first attempt."""
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -275,7 +275,7 @@
         load.add_grant(held_slot.grant_id, active_grant)
         self._load_by_grant_id[held_slot.grant_id] = load
 
-    def drop_node(self, node: str) -> set[str]:
+    def drop_node(self, node: str, now: float) -> set[str]:
         """Remove the queued requests and active grants of a node that has left.
 
         Returns
@@ -291,13 +291,14 @@
         for load in self.loads_by_target.values():
             for grant_id, active_grant in list(load.active_grants_by_id.items()):
                 if active_grant.node == node:
-                    del load.active_grants_by_id[grant_id]
+                    load.remove_grant(grant_id, now)
                     self._load_by_grant_id.pop(grant_id, None)
                     pools.add(active_grant.pool)
         return pools
 
-    def expire_grants(self, now: float) -> None:
-        """Remove grants that were not released by their deadline."""
+    def expire(self, now: float) -> None:
+        """Remove grants that were not released by their deadline, and quotas long unused."""
+        self._limits.forget_unused(now)
         for load in self.loads_by_target.values():
             for grant_id, active_grant in list(load.active_grants_by_id.items()):
                 if now > active_grant.deadline + GRANT_EXPIRY_DELAY:
@@ -378,7 +379,7 @@
     ) -> tuple[str, Denial]:
         slot_request = queued.slot_request
         del self.queues_by_pool[slot_request.pool][queued.node, slot_request.id]
-        self._limits.refund_quota(slot_request)
+        self._limits.refund_quota(slot_request, now)
         wait = max(MIN_RETRY_AFTER, retry_time - now)
         return queued.node, Denial(slot_request.id, kind, self._add_jitter(wait))
 
--- a/celeryrun/scheduling/tests/test_deployments.py
+++ b/celeryrun/scheduling/tests/test_deployments.py
@@ -140,7 +140,7 @@
         self.node_by_grant_id = {
             grant_id: owner for grant_id, owner in self.node_by_grant_id.items() if owner != node
         }
-        self.scheduler.drop_node(node)
+        self.scheduler.drop_node(node, self.now)
 
     @rule(number=st.integers(0, 30))
     def target_leaves(self, number):
@@ -166,7 +166,7 @@
 
     @rule()
     def expire_grants(self):
-        self.scheduler.expire_grants(self.now)
+        self.scheduler.expire(self.now)
 
     @invariant()
     def slots_are_not_exceeded_and_no_request_is_lost(self):
--- a/celeryrun/scheduling/tests/test_quota.py
+++ b/celeryrun/scheduling/tests/test_quota.py
@@ -7,7 +7,7 @@
 
 from celeryrun.catalog import Pool
 from celeryrun.scheduling import RetryBudget, Scheduler, TokenBucket
-from celeryrun.scheduling.tests.builders import LIMITS, build_slot_request
+from celeryrun.scheduling.tests.builders import LIMITS, build_scheduler, build_slot_request
 
 CONSUMPTIONS = st.lists(st.tuples(st.floats(0, 2), st.floats(1, 200)), max_size=80)
 
@@ -74,6 +74,36 @@
         assert sum(inside) <= limit
 
 
+def test_changed_window_counts_from_then_on():
+    budget = RetryBudget(ratio=0.0, slack=1.0, window=10.0)
+    assert budget.try_retry(0.0)
+    budget.set_limits(0.0, 1.0, window=2.0)
+    assert budget.try_retry(3.0)
+    budget.set_limits(0.0, 1.0, window=30.0)
+    assert not budget.try_retry(20.0)
+
+
+def test_denied_request_without_a_limit_gives_nothing_back():
+    """A workspace's limit was lifted and set again while its bucket was empty."""
+    limited = {"charge": 100.0, "rate": 1.0, "burst": 100.0}
+    scheduler = build_scheduler(no_prior_usage=True)
+    assert scheduler.submit("n", build_slot_request(1, **limited), 0.0) is None
+    scheduler.submit("n", build_slot_request(2, charge=100.0, patience=0.1), 0.0)
+    _, denials = scheduler.plan("model", 1.0)
+    assert [denial.slot_request_id for _, denial in denials] == [2]
+    assert scheduler.submit("n", build_slot_request(3, **limited), 1.0).kind == "quota"
+
+
+def test_quotas_of_workspaces_that_left_are_forgotten():
+    scheduler = build_scheduler()
+    quota = {"charge": 1.0, "rate": 1.0, "burst": 100.0}
+    for number in range(5):
+        scheduler.submit("n", build_slot_request(number, workspace=f"w{number}", **quota), 0.0)
+    scheduler.submit("n", build_slot_request(9, workspace="w0", **quota), 3000.0)
+    scheduler.expire(4000.0)
+    assert list(scheduler._limits._quota_by_workspace) == ["w0"]
+
+
 def test_request_slightly_over_the_quota_is_admitted_within_the_tolerance():
     limits = dataclasses.replace(LIMITS, quota_slack=100.0)
     scheduler = Scheduler(limits, lambda name: [], lambda name: Pool(name), no_prior_usage=True)
--- a/celeryrun/scheduling/tests/test_scheduler.py
+++ b/celeryrun/scheduling/tests/test_scheduler.py
@@ -206,11 +206,22 @@
     scheduler.submit("gone", build_slot_request(1), 0.0)
     scheduler.submit("gone", build_slot_request(2), 0.0)
     grant_all(scheduler, 0.0)
-    assert scheduler.drop_node("gone") == {"model"}
+    assert scheduler.drop_node("gone", 0.1) == {"model"}
     scheduler.submit("n", build_slot_request(1), 0.1)
     assert [grant.slot_request_id for grant in grant_all(scheduler, 0.1)] == [1]
 
 
+def test_prompts_of_a_node_that_left_are_no_longer_awaited():
+    """The target stops reading them, so its next first byte is not late."""
+    scheduler = build_scheduler(build_target("a", slots=2))
+    scheduler.submit("gone", build_slot_request(1, prompt_tokens=50_000, objective=9.0), 0.0)
+    assert len(grant_all(scheduler, 0.0)) == 1
+    scheduler.drop_node("gone", 0.1)
+    scheduler.submit("n", build_slot_request(2, prompt_tokens=100), 0.1)
+    (grant,) = grant_all(scheduler, 0.1)
+    assert grant.expected_first_byte < 0.1
+
+
 SLOT_REQUESTS = st.lists(
     st.tuples(
         st.integers(0, 2),
