Stopping nodes and gateways reset no connection that waits to be accepted

Cause: closing a listener resets the connections in its accept queue. A node accepted until the queue was empty and closed; under load its thread waits milliseconds for the interpreter between the two, and a caller that connects then has its request reset, with nothing in the node's log. A gateway closed without looking.

Change: a packet filter lets the listener ignore requests for new connections, what waits is accepted, and then it is closed. A caller that comes in between is refused a second later, before it has sent anything.

--- a/celeryrun/front/_server.py
+++ b/celeryrun/front/_server.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from celeryrun.observe import LoggedServer
+from celeryrun.transport import ignore_new_connections
 
 __all__ = ["Server"]
 
@@ -54,11 +55,10 @@
         self.stop()
 
     def _close_listener(self) -> None:
-        # Closing the listener resets connections that the operating system has accepted but the
-        # server has not.
         manager: Any = self._connections  # type: ignore[attr-defined]
         listener = self.socket
         manager._selector.unregister(listener.fileno())
+        ignore_new_connections(listener)
         listener.setblocking(False)
         while (connection := manager._from_server_socket(listener)) is not None:
             self.process_conn(connection)
--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -138,7 +138,7 @@
         callers.draining = True
         self.kernel.find("scheduler-client").leave()
         await asyncio.sleep(min(BALANCER_DELAY, self.settings.bounds.stop_grace / 2))
-        callers.close()
+        await callers.close()
         while now() < deadline:
             callers.close_idle()
             if not callers.connections:
--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -11,15 +11,24 @@
 from celeryrun.gateway._metrics import GatewayMetrics
 from celeryrun.gateway._relay import Relay
 from celeryrun.gateway._request_log import RequestLog
-from celeryrun.kernel import Kernel
+from celeryrun.kernel import Kernel, now
 from celeryrun.platform import READY_PATH
 from celeryrun.settings import GatewaySettings
-from celeryrun.transport import ByteBudget, CallerConnection, ReceivedRequest, format_head
+from celeryrun.transport import (
+    ByteBudget,
+    CallerConnection,
+    ReceivedRequest,
+    format_head,
+    has_unaccepted,
+    ignore_new_connections,
+)
 
 __all__ = ["CallerListener", "PageListener"]
 
 READY_AGE_FRACTION = 0.8  # of revocation_lag; with an older configuration all keys are soon refused
 BODY_MEMORY_FRACTION = 0.2  # of memory; a body is held as chunks, joined, and once more while sent
+MAX_ACCEPT_DELAY = 0.5  # s for which a closing listener still accepts connections
+ACCEPT_POLL_INTERVAL = 0.002  # s
 RESERVED_DESCRIPTORS = 200  # for files, and for connections to the store and between nodes
 DESCRIPTORS_PER_CALLER = 2  # a caller's connection and the one to its target
 NODE_FULL = Refusal(503, "node-full", "send it again; this node has too many connections", 0.5)
@@ -71,14 +80,21 @@
 
     def stop(self) -> None:
         """Stop accepting callers and abort the open connections."""
-        self.close()
+        if self._server is not None:
+            self._server.close()
         for connection in list(self.connections):
             connection.abort()
 
-    def close(self) -> None:
-        """Stop accepting callers."""
-        if self._server is not None:
-            self._server.close()
+    async def close(self) -> None:
+        """Stop accepting callers, after those whose connections wait to be accepted."""
+        if self._server is None:
+            return
+        for listener in self._server.sockets:
+            ignore_new_connections(listener)
+        deadline = now() + MAX_ACCEPT_DELAY
+        while any(map(has_unaccepted, self._server.sockets)) and now() < deadline:
+            await asyncio.sleep(ACCEPT_POLL_INTERVAL)
+        self._server.close()
 
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
--- a/celeryrun/transport/__init__.py
+++ b/celeryrun/transport/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 connections with callers, one asyncio task each, and with targets."""
 
+from celeryrun.transport._accept import has_unaccepted, ignore_new_connections
 from celeryrun.transport._budget import ByteBudget
 from celeryrun.transport._caller import CallerConnection, ReceivedRequest, RequestHandler
 from celeryrun.transport._exchange import (
@@ -37,5 +38,7 @@
     "end_to_end_headers",
     "format_chunk",
     "format_head",
+    "has_unaccepted",
+    "ignore_new_connections",
     "open_exchange",
 ]
