scheduling: quotas in order of arrival again; a denied request's Retry-After grows with the overload

Cause: a workspace over its quota was told to return when the level would suffice for that request alone; the others of the workspace ask for the same amount meanwhile, and its callers, who return once, find it gone.

Change: the wait lasts at least as long as the workspace has asked for too much, as denials of a pool do.

--- a/celeryrun/scheduling/_limits.py
+++ b/celeryrun/scheduling/_limits.py
@@ -1,16 +1,11 @@
-"""Fleet-wide limits: quotas of workspaces and the retry budget of each pool.
-
-Quotas answer the load of a workspace that asks for more than its quota for some seconds, with
-requests of unlike size and urgency. In order of arrival the small ones would take every amount that
-comes in, and a large one would find enough only by luck.
-"""
+"""Fleet-wide limits: quotas of workspaces and the retry budget of each pool."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from celeryrun.scheduling._demand import Demand, Urgency
+from celeryrun.scheduling._demand import Demand
 from celeryrun.scheduling._messages import SlotRequest
 from celeryrun.scheduling._quota import RetryBudget, TokenBucket
 
@@ -22,7 +17,6 @@
 # Fraction of the tolerance by which a bucket may be overdrawn while all usage in the window is
 # known, since a meter outside the scheduler may count the same requests in another order.
 OVERDRAFT_FRACTION = 0.4
-LARGEST_RETENTION = 4.0  # s; about the length of a burst
 QUOTA_RETENTION = 3600.0  # s for which the quota of a workspace without requests is kept
 # One scheduler and two successors within a window use nine tenths of the tolerance, which is
 # 0.4 + 2 * 0.25; nodes that restart in turn do not change schedulers faster. The last tenth covers
@@ -73,9 +67,7 @@
     last_used : float
         Time of the last request of the workspace.
     demand : Demand
-        Recent requests by urgency, as fractions of the quota.
-    largest_by_urgency : dict
-        Amount and time of the largest recent request of each urgency.
+        Duration of the time for which the workspace has asked for more than its quota.
     """
 
     bucket: TokenBucket
@@ -87,27 +79,6 @@
     overdraft: float = 0.0
     last_used: float = 0.0
     demand: Demand = field(default_factory=Demand)
-    largest_by_urgency: dict[Urgency, tuple[float, float]] = field(default_factory=dict)
-
-    def record(self, urgency: Urgency, amount: float, now: float) -> None:
-        """Record a request on arrival."""
-        if self.rate > 0:
-            self.demand.record(urgency, amount / self.rate, now)
-        largest, recorded_at = self.largest_by_urgency.get(urgency, (0.0, now))
-        if amount >= largest or now - recorded_at > LARGEST_RETENTION:
-            self.largest_by_urgency[urgency] = amount, now
-
-    def required(self, urgency: Urgency, now: float) -> float:
-        """Return the amount that must be available before a request is admitted.
-
-        It is that of the largest recent request of the same urgency, so that all sizes have the
-        same chance, and of one of each higher urgency, so that less urgent ones leave room.
-        """
-        return sum(
-            amount
-            for other, (amount, recorded_at) in self.largest_by_urgency.items()
-            if other <= urgency and now - recorded_at <= LARGEST_RETENTION
-        )
 
 
 class LimitEnforcer:
@@ -182,16 +153,16 @@
         Returns
         -------
         float
-            0 if it was charged, else the seconds until the quota suffices.
+            0 if it was charged, else the seconds after which to ask again: until the quota
+            suffices, and at least as long as the workspace has asked for too much.
         """
         if slot_request.rate <= 0 or slot_request.charge <= 0:
             return 0.0
-        quota, urgency = self._quota(slot_request, now), slot_request.urgency
-        quota.record(urgency, slot_request.charge, now)
-        required = quota.required(urgency, now)
-        wait = quota.bucket.consume(slot_request.charge, now, required)
+        quota = self._quota(slot_request, now)
+        wait = quota.bucket.consume(slot_request.charge, now)
         if wait > 0:
-            wait = quota.demand.record_denial(urgency, wait, now)
+            # Others ask for the same amount meanwhile, so that the level alone says too little.
+            wait = quota.demand.record_denial(slot_request.urgency, wait, now)
         return wait
 
     def refund_quota(self, slot_request: SlotRequest, now: float) -> None:
--- a/celeryrun/scheduling/_quota.py
+++ b/celeryrun/scheduling/_quota.py
@@ -95,25 +95,18 @@
         self._rate, self._burst, self._overdraft = rate, burst, overdraft
         self._level = min(self._level, burst)
 
-    def consume(self, amount: float, now: float, required: float = 0.0) -> float:
+    def consume(self, amount: float, now: float) -> float:
         """Consume an amount if the level suffices.
 
         An amount above the burst is consumed once the bucket is full, and leaves a negative level.
 
-        Parameters
-        ----------
-        required : float
-            Level, with the overdraft, that must be reached if it is larger than the amount; a
-            full bucket always suffices.
-
         Returns
         -------
         float
             0 if the amount was consumed, else the seconds until the level suffices.
         """
         self._refill(now)
-        needed = min(max(amount, required) - self._overdraft, self._burst)
-        needed = max(needed, min(amount, self._burst) - self._overdraft)
+        needed = min(amount, self._burst) - self._overdraft
         if self._level >= needed:
             self._level -= amount
             return 0.0
