--- a/celeryrun/cli/tests/test_commands.py
+++ b/celeryrun/cli/tests/test_commands.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 from click.testing import CliRunner
@@ -24,6 +25,8 @@
 from standins.ports import lease_ports
 from standins.site import format_settings
 
+IN_FORCE_LIMIT = 6.0  # s, as promised for a published version on every node
+
 PLANS = "[cajas]\nplan = sales\ntier = 1\nkey_hash = " + hash_key("key-cajas") + "\n"
 USES = "[drafts]\nkind = engine\nplans = sales\n"
 
@@ -143,8 +146,18 @@
     assert re.search(r"^node-1 +zone-1 +\d+ \w+ +yes +3 ", table, re.M)
     assert re.search(r"^pool drafts kept by node-\d; pressure 0.00; waiting ", table, re.M)
     assert re.search(r"^  engine-0 +zone-0 +live +0/\d+ slots", table, re.M)
+    # The tests before publish without waiting; a version is in force everywhere within the limit.
+    deadline = time.monotonic() + IN_FORCE_LIMIT
+    while len(digests := read_digests(settings)) > 1:
+        assert time.monotonic() < deadline, digests
+        time.sleep(0.1)
+
+
+def read_digests(settings):
+    """Return the digests of the configurations in force on all nodes."""
     statuses = json.loads(run("status", settings, "--json").output)
-    assert {item["digest"] for item in statuses.values()} == {statuses["node-0"]["digest"]}
+    assert len(statuses) == 3
+    return {item["digest"] for item in statuses.values()}
 
 
 def test_status_finds_the_nodes_without_the_vm_list(fleet):
--- a/celeryrun/dispatch/tests/test_application.py
+++ b/celeryrun/dispatch/tests/test_application.py
@@ -1,12 +1,13 @@
 """Calls to applications that send malformed, truncated, late or no responses."""
 
 import time
+from contextlib import suppress
 
 import pytest
 
 from celeryrun.dispatch import ApplicationResponse, NotDispatched, UnknownOutcome, call_application
 from celeryrun.tests.builders import build_response
-from standins.scripted import STAY_SILENT, ScriptedTarget, trickle
+from standins.scripted import STAY_SILENT, ScriptedTarget, read_request, trickle
 
 COMPLETE_RESPONSE = build_response(b"fresh", "Request-Id: r-1", "ETag: e", "Server: secret")
 
@@ -74,6 +75,39 @@
         assert time.monotonic() - started < 5
 
 
+class EndlessTarget(ScriptedTarget):
+    """Sends the first step of its script, and then the second until the caller closes."""
+
+    def play_script(self, connection, index, script):
+        first, repeated = script
+        with connection:
+            self.requests[index] = read_request(connection)
+            with suppress(OSError):
+                connection.sendall(first)
+                while not self.closed.is_set():
+                    connection.sendall(repeated * 64)
+
+
+@pytest.mark.parametrize(
+    ("first", "repeated"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 64),
+        (b"HTTP/1.1 200 OK\r\n", b"X: y\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", b"x" * 64),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"10\r\n" + b"x" * 16 + b"\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X: y\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 64),
+    ],
+    ids=["header", "headers", "interim", "chunk extension", "chunks", "trailers", "until close"],
+)
+def test_response_without_end_is_an_unknown_outcome_by_the_deadline(first, repeated):
+    with EndlessTarget([first, repeated]) as target:
+        started = time.monotonic()
+        assert isinstance(call(target, timeout=1.0), UnknownOutcome)
+        assert time.monotonic() - started < 5
+
+
 @pytest.mark.parametrize(
     ("method", "head"),
     [
--- a/celeryrun/gateway/tests/test_permissions.py
+++ b/celeryrun/gateway/tests/test_permissions.py
@@ -111,3 +111,29 @@
             assert not site.apps[0].requests
 
     run(scenario())
+
+
+def test_restarted_gateway_uses_no_key_or_target_that_was_withdrawn():
+    """It has nothing of before, and refuses until it has read the newest of both."""
+
+    async def scenario():
+        async with Site(apps=2) as site:
+            tenants = [build_tenant("cajas", "key-new")]
+            site.store.put("keyed.op", "config", build_config(2, tenants=tenants))
+            site.apps[0].register(None)
+            site.store.faults.add("silent")
+            site.gateways.pop().kernel.stop()
+            restarted = await site.add_gateway("node-0")
+            for key in ("key-cajas", "key-new"):
+                response = await site.send_request("/calls/a", key=key)
+                assert response.status == 503
+                assert float(response.headers["retry-after"]) > 0
+            assert not restarted.is_ready()
+            site.store.faults.clear()
+            await site.wait_until(restarted.is_ready)
+            assert (await site.send_request("/calls/a", key="key-cajas")).status == 401
+            for _ in range(4):
+                assert (await site.send_request("/calls/a", key="key-new")).status == 200
+            assert not site.apps[0].requests
+
+    run(scenario())
