--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -180,6 +180,7 @@
         """
         state.excluded_targets.append(target_id)
         if refusal is None:
+            self._request_log.emit(state, "withdrawn", target=target_id, sent=state.attempts)
             return False
         if state.attempts:
             self._fail(connection, state, response_relay)
--- a/celeryrun/gateway/tests/test_permissions.py
+++ b/celeryrun/gateway/tests/test_permissions.py
@@ -91,6 +91,8 @@
             response = await site.send_request("/bookings/a")
             assert response.status == 200
             assert not next(app for app in site.apps if app.id == left[0]).requests
+            (line,) = site.events("withdrawn")
+            assert (line["target"], line["sent"]) == (left[0], 0)
 
     run(scenario())
 
--- a/celeryrun/scheduling/_limits.py
+++ b/celeryrun/scheduling/_limits.py
@@ -17,10 +17,10 @@
 # Fraction of the tolerance by which a bucket may be overdrawn while all usage in the window is
 # known, since a meter outside the scheduler may count the same requests in another order.
 OVERDRAFT_FRACTION = 0.4
-QUOTA_RETENTION = 3600.0  # s for which the quota of a workspace without requests is kept
 # One scheduler and two successors within a window use nine tenths of the tolerance, which is
 # 0.4 + 2 * 0.25; nodes that restart in turn do not change schedulers faster. The last tenth covers
 # delayed messages.
+QUOTA_RETENTION = 3600.0  # s for which the quota of a workspace without requests is kept
 
 
 @dataclass(frozen=True, slots=True)
