--- a/celeryrun/catalog/_model.py
+++ b/celeryrun/catalog/_model.py
@@ -119,11 +119,6 @@
 
     Parameters
     ----------
-    max_connections : int
-        Limit of the configuration on connections; the gateway does not apply it.
-    slots : int
-        Concurrent requests of one target; 0 means that each target reports its own number. The
-        scheduler uses the reported number in both cases.
     engine : bool
         Whether the targets are inference engines, which read a prompt and then stream events; the
         scheduler predicts their latency from the numbers of tokens and events.
@@ -132,8 +127,6 @@
     """
 
     name: str
-    max_connections: int = 0
-    slots: int = 0
     engine: bool = False
     tokens_per_event: int = 1
 
--- a/celeryrun/configuration/_service.py
+++ b/celeryrun/configuration/_service.py
@@ -7,6 +7,7 @@
 import time
 
 import logbook
+import msgspec
 
 from celeryrun.configuration._log_follower import LogFollower, ReadResult
 from celeryrun.configuration._model import (
@@ -263,7 +264,13 @@
         self._signal_change(old_version)
 
     def _on_state(self, sender: str, message: ConfigurationState) -> None:
-        snapshot = decode_record(message.body)
+        try:
+            snapshot = decode_record(message.body)
+        except msgspec.MsgspecError as error:
+            log.warning(
+                "{} sent a snapshot that can't be read ({}); update that node", sender, error
+            )
+            return
         if not isinstance(snapshot, Snapshot):
             return
         old_version = self.current.version
--- a/celeryrun/dispatch/_engine.py
+++ b/celeryrun/dispatch/_engine.py
@@ -99,7 +99,7 @@
         "_failures",
         "_next_index",
         "_started_at",
-        "_text_length",
+        "_text_bytes",
         "_was_reached",
         "resume_count",
         "stream_id",
@@ -121,7 +121,7 @@
         self._next_index = 0
         self._was_reached = False
         self._event_timeout = EVENT_TIMEOUT
-        self._text_length = 0
+        self._text_bytes = 0
         self._started_at = 0.0
 
     @property
@@ -233,7 +233,7 @@
             if event.done:
                 return Usage(event.prompt_tokens, event.cached_tokens, event.completion_tokens)
             token = self._accept_token(event)
-            if self._text_length > MAX_RESPONSE_BYTES:
+            if self._text_bytes > MAX_RESPONSE_BYTES:
                 return UnknownOutcome(f"the answer is larger than {MAX_RESPONSE_BYTES} bytes")
             yield token
         return _StreamBroken("the stream ended early")
@@ -244,7 +244,7 @@
         self._next_index += 1
         self._failures = 0
         self._event_timeout = EVENT_TIMEOUT
-        self._text_length += len(event.text)
+        self._text_bytes += len(event.text.encode())
         return Token(event.index, event.text)
 
 
--- a/celeryrun/dispatch/tests/test_engine.py
+++ b/celeryrun/dispatch/tests/test_engine.py
@@ -1,5 +1,6 @@
 """Engine streams that break, repeat or mix up events, or time out."""
 
+import json
 import threading
 import time
 
@@ -29,6 +30,14 @@
     return build_events("s", *indexes, end=3)
 
 
+def test_limit_of_a_stream_counts_bytes_rather_than_characters(monkeypatch):
+    monkeypatch.setattr(engine, "MAX_RESPONSE_BYTES", 10)
+    event = json.dumps({"id": "s", "index": 0, "text": "\u00f1" * 6}).encode()
+    with ScriptedTarget([build_events("s") + b"data: " + event + b"\n\n", STAY_SILENT]) as target:
+        outcome = list(stream_from(target).events())[-1]
+    assert isinstance(outcome, UnknownOutcome) and "larger than 10 bytes" in outcome.reason
+
+
 BROKEN_SCRIPTS = {
     "ends early": [build_events("s", 0, 1)],
     "cut in an event": [build_events("s", 0)[:-9]],
--- a/celeryrun/platform/_decode.py
+++ b/celeryrun/platform/_decode.py
@@ -52,13 +52,11 @@
 
 
 class _Engine(msgspec.Struct, rename="camel"):
-    slots: int = 0
     stride: int = 1
 
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
-    max_connections: int = 0
     engine: _Engine | None = None
 
 
@@ -139,8 +137,6 @@
     engine = service.engine
     return Pool(
         service.name,
-        service.max_connections,
-        engine.slots if engine is not None else 0,
         engine is not None,
         max(1, engine.stride) if engine is not None else 1,
     )
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -91,11 +91,10 @@
         Host and port of the store.
     """
 
-    __slots__ = ("address", "call_count")
+    __slots__ = ("address",)
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self.call_count = 0
 
     def start(self) -> None:
         """Do nothing, as no task runs between calls."""
@@ -150,10 +149,15 @@
         status, body = await self._call("GET", f"{path}&waitMs={int(wait * 1000)}", wait=wait)
         if status == HTTP_GONE:
             return None
-        if status != HTTP_OK or len(body) < END_AND_FIRST_OFFSET.size:
+        if status != HTTP_OK:
             raise StoreUnavailableError(
                 f"read of {topic} failed with status {status}; wait for the store to recover"
             )
+        if len(body) < END_AND_FIRST_OFFSET.size:
+            raise StoreUnavailableError(
+                f"read of {topic} returned {len(body)} bytes, less than its two offsets; wait for "
+                "the store to recover"
+            )
         end, _ = END_AND_FIRST_OFFSET.unpack_from(body)
         raw_records = list(_split_records(body, END_AND_FIRST_OFFSET.size))
         records = [
@@ -185,7 +189,6 @@
         if method == "POST":
             request_head += f"Content-Length: {len(body)}\r\n"
         request_head += "Connection: close\r\n\r\n"
-        self.call_count += 1
         exchange: Exchange | None = None
         try:
             exchange = await open_exchange(self.address.host, self.address.port, CONNECT_TIMEOUT)
@@ -196,7 +199,10 @@
                 while part := await exchange.read_body():
                     parts.append(part)
         except (TargetFailedError, TimeoutError) as error:
-            raise StoreUnavailableError(f"no response to {path.split('?')[0]} ({error})") from error
+            reason = str(error) or "timeout"
+            raise StoreUnavailableError(
+                f"no response to {path.split('?')[0]} ({reason}); wait for the store to recover"
+            ) from error
         finally:
             if exchange is not None:
                 exchange.close()
--- a/celeryrun/platform/tests/test_store.py
+++ b/celeryrun/platform/tests/test_store.py
@@ -65,6 +65,27 @@
     run_with_store(scenario)
 
 
+def test_error_names_the_timeout_and_the_remedy():
+    async def scenario(stand_in, store):
+        stand_in.faults.add("silent")
+        with pytest.raises(StoreUnavailableError, match=r"\(timeout\); wait for the store"):
+            await store.read("keyed.x", 0, 0.0)
+
+    run_with_store(scenario)
+
+
+def test_short_page_is_not_reported_as_a_failed_status(monkeypatch):
+    async def scenario(stand_in, store):
+        async def call(*arguments, **options):
+            return 200, b"short"
+
+        monkeypatch.setattr(Store, "_call", call)
+        with pytest.raises(StoreUnavailableError, match="returned 5 bytes"):
+            await store.read("keyed.x", 0, 0.0)
+
+    run_with_store(scenario)
+
+
 @pytest.mark.parametrize("fault", ["down", "silent", "busy"])
 def test_call_without_a_usable_response_raises_store_unavailable_error(fault):
     async def scenario(stand_in, store):
--- a/celeryrun/transport/tests/test_caller.py
+++ b/celeryrun/transport/tests/test_caller.py
@@ -64,9 +64,11 @@
             while data.count(b"HTTP/1.1 200") < 3 or not data.endswith(b":a3"):
                 data += await asyncio.wait_for(reader.read(65536), 5)
             attempt_ids = [
-                part.split(b"\r\n")[0] for part in data.split(b"Celeryrun-Attempt-Id: ")[1:]
+                part.split(b"\r\n")[0] for part in data.split(b"celeryrun-attempt-id: ")[1:]
             ]
-            assert attempt_ids == [b"a1", b"a2", b"a3"] or data.lower().count(b"attempt-id: a") == 3
+            assert attempt_ids == [b"a1", b"a2", b"a3"]
+            ends = [data.index(f":a{number}".encode()) for number in (1, 2, 3)]
+            assert ends == sorted(ends)
             writer.close()
 
     run(scenario())
