--- a/celeryrun/scheduling/_demand.py
+++ b/celeryrun/scheduling/_demand.py
@@ -1,10 +1,10 @@
-"""Recent demand on a pool or a quota by urgency, and the duration of overloads."""
+"""Recent demand on a pool by urgency, and the duration of overloads."""
 
 from __future__ import annotations
 
 import math
 
-__all__ = ["Demand", "Urgency"]
+__all__ = ["PoolDemand"]
 
 DECAY_TIME = 2.0  # s, time constant of the decay; bursts rise and end within some seconds
 OVERLOAD_END_DELAY = 1.0  # s without a denial after which an overload counts as ended
@@ -13,15 +13,15 @@
 Urgency = tuple[int, int]
 
 
-class Demand:
-    """Exponentially decaying sums of the work requested of one pool or quota, by urgency.
+class PoolDemand:
+    """Exponentially decaying sums of the work requested of one pool, by urgency.
 
-    Work is counted in seconds of the whole pool, or of the quota's rate, so that a sum over a time
-    window is the fraction of it that is requested.
+    Work is counted in seconds of the whole pool, so that a sum over a time window is the fraction
+    of the pool that is requested.
 
     Examples
     --------
-    >>> demand = Demand()
+    >>> demand = PoolDemand()
     >>> for turn in range(100):
     ...     demand.record((0, 0), 0.05, now=turn / 10)
     >>> round(demand.wait_factor((0, 1), now=9.9), 1)
--- a/celeryrun/scheduling/_limits.py
+++ b/celeryrun/scheduling/_limits.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from celeryrun.scheduling._demand import Demand
 from celeryrun.scheduling._messages import SlotRequest
 from celeryrun.scheduling._quota import RetryBudget, TokenBucket
 
@@ -66,8 +65,6 @@
         Amount by which the bucket may be overdrawn.
     last_used : float
         Time of the last request of the workspace.
-    demand : Demand
-        Duration of the time for which the workspace has asked for more than its quota.
     """
 
     bucket: TokenBucket
@@ -78,7 +75,6 @@
     fleet_share: float = -1.0
     overdraft: float = 0.0
     last_used: float = 0.0
-    demand: Demand = field(default_factory=Demand)
 
 
 class LimitEnforcer:
@@ -153,17 +149,11 @@
         Returns
         -------
         float
-            0 if it was charged, else the seconds after which to ask again: until the quota
-            suffices, and at least as long as the workspace has asked for too much.
+            0 if it was charged, else the seconds until the quota suffices.
         """
         if slot_request.rate <= 0 or slot_request.charge <= 0:
             return 0.0
-        quota = self._quota(slot_request, now)
-        wait = quota.bucket.consume(slot_request.charge, now)
-        if wait > 0:
-            # Others ask for the same amount meanwhile, so that the level alone says too little.
-            wait = quota.demand.record_denial(slot_request.urgency, wait, now)
-        return wait
+        return self._quota(slot_request, now).bucket.consume(slot_request.charge, now)
 
     def refund_quota(self, slot_request: SlotRequest, now: float) -> None:
         """Give back the charge of a slot request that was denied after it was queued.
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from celeryrun.scheduling._demand import Demand
+from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
 from celeryrun.scheduling._load import TargetLoad
 from celeryrun.scheduling._messages import Denial, Grant, SlotRequest
@@ -92,7 +92,7 @@
     targets: dict[str, TargetLoad]
     fleet_share: float
     now: float
-    demand: Demand
+    demand: PoolDemand
     next_free_by_target: dict[str, float] = field(default_factory=dict)
     idle_targets: int = 0
     placed: int = 0
@@ -102,7 +102,7 @@
 
     @classmethod
     def from_loads(
-        cls, targets: dict[str, TargetLoad], fleet_share: float, now: float, demand: Demand
+        cls, targets: dict[str, TargetLoad], fleet_share: float, now: float, demand: PoolDemand
     ) -> PlanningRound:
         """Start a planning round over a pool's targets."""
         planning_round = cls(targets, fleet_share, now, demand)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -10,7 +10,7 @@
 from celeryrun.catalog import Pool, Target
 from celeryrun.scheduling import _messages as messages
 from celeryrun.scheduling._crash_history import CrashHistory
-from celeryrun.scheduling._demand import Demand
+from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
 from celeryrun.scheduling._limits import FleetLimits, LimitEnforcer
 from celeryrun.scheduling._load import ActiveGrant, TargetLoad
@@ -92,7 +92,7 @@
         self._grant_ids = itertools.count(self._random.getrandbits(31) << 32 | 1)
         self._crash_history = CrashHistory(CRASH_RETENTION)
         self._load_by_grant_id: dict[int, TargetLoad] = {}
-        self._demand_by_pool: defaultdict[str, Demand] = defaultdict(Demand)
+        self._demand_by_pool: defaultdict[str, PoolDemand] = defaultdict(PoolDemand)
         self._fair_shares_by_pool: defaultdict[str, FairShares] = defaultdict(FairShares)
         self.loads_by_target: dict[str, TargetLoad] = {}
         self.queues_by_pool: dict[str, dict[tuple[str, int], QueuedRequest]] = {}
