--- a/celeryrun/cli/_explain.py
+++ b/celeryrun/cli/_explain.py
@@ -11,7 +11,7 @@
 
 from celeryrun.exception import NoResponseError
 
-__all__ = ["explain", "explain_request"]
+__all__ = ["decode_event", "explain", "explain_request"]
 
 OMITTED_KEYS = frozenset({"time", "node", "event", "request"})
 
@@ -34,7 +34,7 @@
     """
     events = []
     for line in lines:
-        event = _decode(line)
+        event = decode_event(line)
         if event is not None and event.get("request") == request:
             fields = " ".join(
                 f"{name}={value}"
@@ -46,7 +46,8 @@
     return sorted(events)
 
 
-def _decode(line: str) -> dict[str, Any] | None:
+def decode_event(line: str) -> dict[str, Any] | None:
+    """Return the log event in a line, or None if there is none."""
     start = line.find("{")
     if start < 0:
         return None
--- a/celeryrun/cli/_main.py
+++ b/celeryrun/cli/_main.py
@@ -14,6 +14,7 @@
 MODULE_BY_COMMAND = {
     "check": "_commands",
     "completion": "_commands",
+    "crashes": "_crashes",
     "drain": "_commands",
     "explain": "_explain",
     "gateway": "_gateway",
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -19,7 +19,15 @@
     memory.
     """
 
-    __slots__ = ("_labels", "_registry", "answers", "first_byte", "refusals", "whole_answer")
+    __slots__ = (
+        "_labels",
+        "_registry",
+        "answers",
+        "first_byte",
+        "refusals",
+        "target_crashes",
+        "whole_answer",
+    )
 
     def __init__(self) -> None:
         self._labels = WorkspaceLabels()
@@ -41,6 +49,12 @@
             "celeryrun_refusals", "Requests not served", ("kind",), registry=self._registry
         )
 
+        self.target_crashes = Counter(
+            "celeryrun_target_crashes",
+            "Requests in flight on a target when it crashed",
+            registry=self._registry,
+        )
+
     def start(self) -> None:
         """Do nothing; the service has no task."""
 
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -199,6 +199,7 @@
                 tier=state.admission.tier,
                 prompt=state.request.prompt_tokens,
                 fingerprint=state.fingerprint,
+                parts=state.logged_parts,
                 waited=round(now() - state.arrived_at, 4),
                 expected=round(reply.expected_first_byte, 4),
                 sent=state.attempts,
@@ -264,7 +265,7 @@
                 ),
                 silence_timeout=silence_timeout(state, grant.expected_first_byte),
             )
-            outcome = await self._classify_result(state, result, target)
+            outcome = await self._classify_result(state, result, target, response_relay.events)
             return self._finish_attempt(connection, state, response_relay, result, target)
         finally:
             if exchange is not None:
@@ -272,7 +273,11 @@
             self._scheduler_client.release(grant, outcome, now() - began, response_relay.events)
 
     async def _classify_result(
-        self, state: RequestState, result: Finished | Broken | Rejected, target: Target
+        self,
+        state: RequestState,
+        result: Finished | Broken | Rejected,
+        target: Target,
+        events: int,
     ) -> str:
         """Return the outcome of an attempt that is reported to the scheduler."""
         match result:
@@ -283,7 +288,15 @@
             case Broken(kind="reset" | "closed") if not await accepts_connections(
                 target.host, target.port, PROBE_TIMEOUT
             ):
-                self._request_log.emit(state, "target-down", target=target.id)
+                self._request_log.emit(
+                    state,
+                    "target-down",
+                    target=target.id,
+                    fingerprint=state.fingerprint,
+                    parts=state.logged_parts,
+                    events=events,
+                )
+                self._metrics.target_crashes.inc()
                 return CRASHED
         return FAILED
 
--- a/celeryrun/gateway/_request_log.py
+++ b/celeryrun/gateway/_request_log.py
@@ -59,6 +59,7 @@
                 "workspace": state.admission.workspace.name,
                 "waited": round(now() - state.arrived_at, 4),
                 "fingerprint": state.fingerprint,
+                "parts": state.logged_parts,
             }
         self._events.emit(
             "refused",
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -39,6 +39,7 @@
 SILENCE_TIMEOUT_FACTOR = 5.0  # multiple of the predicted time to the first byte
 MIN_STREAM_SILENCE_TIMEOUT = 1.2  # s without an event before a resumable stream changes target
 PATIENCE_MARGIN = 0.1  # s of a caller's patience reserved for the network and late timers
+MAX_LOGGED_PARTS = 8  # parts of a prompt in a log line
 OUTCOME_UNKNOWN_REMEDY = "find out whether it ran before you send it again"
 OUTCOME_UNKNOWN = Refusal(502, "unknown", OUTCOME_UNKNOWN_REMEDY)
 TIMED_OUT = Refusal(504, "timeout", OUTCOME_UNKNOWN_REMEDY)
@@ -83,6 +84,12 @@
     excluded_targets: list[str] = field(default_factory=list)
     last_event: bytes | None = None
 
+    @property
+    def logged_parts(self) -> list[str] | None:
+        """Ids of the first shared parts of the prompt, as logged; None if it has none."""
+        parts = self.request.shared_prompt_parts[:MAX_LOGGED_PARTS]
+        return [part.decode("latin-1") for part in parts] or None
+
 
 def refusal_for_denial(denial: Denial) -> Refusal:
     """Return the refusal sent to the caller for a denial."""
--- a/celeryrun/platform/_messages.py
+++ b/celeryrun/platform/_messages.py
@@ -42,6 +42,8 @@
         Id of the event after which a stream resumes, empty for its start.
     has_token_counts : bool
         Whether the token usage header is present and valid.
+    shared_prompt_parts : tuple of bytes
+        Ids of the parts of the prompt that other requests may share, in order: all but the last.
     """
 
     id: bytes
@@ -56,6 +58,7 @@
     head: RequestHead
     body: bytes
     has_token_counts: bool = False
+    shared_prompt_parts: tuple[bytes, ...] = ()
 
 
 @dataclass(slots=True)
@@ -109,6 +112,7 @@
         head,
         body,
         has_token_counts,
+        _parse_shared_prompt_parts(head),
     )
 
 
@@ -128,6 +132,12 @@
     return int(parts[0]), int(parts[1]), True
 
 
+def _parse_shared_prompt_parts(head: RequestHead) -> tuple[bytes, ...]:
+    entries = b",".join(head.values(names.PROMPT_PREFIX)).split(b",")[:-1]
+    ids = (entry.partition(b":")[0].strip().lower() for entry in entries)
+    return tuple(dict.fromkeys(id for id in ids if id))
+
+
 def _parse_bearer_token(head: RequestHead) -> str | None:
     scheme, _, token = b"".join(head.values(b"authorization")).partition(b" ")
     if scheme.lower() != b"bearer":
--- a/celeryrun/platform/_names.py
+++ b/celeryrun/platform/_names.py
@@ -8,6 +8,7 @@
     "EXPECT_TARGET",
     "LENGTH_HINT",
     "NOT_EXECUTED",
+    "PROMPT_PREFIX",
     "READY_PATH",
     "RESERVED_HEADERS",
     "RESPONSE_SEAL",
@@ -20,6 +21,7 @@
 EXPECT_TARGET = b"celeryrun-expect-instance"
 LENGTH_HINT = b"celeryrun-length-hint"
 NOT_EXECUTED = b"celeryrun-not-executed"
+PROMPT_PREFIX = b"celeryrun-prompt-prefix"
 RESPONSE_SEAL = b"celeryrun-response-seal"
 TENANT = b"celeryrun-tenant"
 TOKEN_USAGE = b"celeryrun-token-usage"
