Failing tests: requests that share a crashing part of their prompt reach target after target

Three gateways and four targets that crash on one part: 39 and 36 requests with it reach targets later than 3 s after the fifth crash (3 allowed); the crashes go on under the next scheduler (28, then 28 more) and after all gateways restarted (33, then 22 more).

--- a/celeryrun/cli/_crashes.py
+++ b/celeryrun/cli/_crashes.py
@@ -14,6 +14,8 @@
 
 __all__ = ["TraitCrashes", "count_crashes", "crashes"]
 
+SECOND_LENGTH = len("2026-01-01T00:00:00")
+
 
 @dataclass(slots=True)
 class TraitCrashes:
@@ -23,14 +25,14 @@
     ----------
     trait : str
         Id of the part, or fingerprint of the request.
-    targets : set of str
-        Targets that crashed.
+    crashes : set of (str, str)
+        Target and second of each crash.
     answered : int
         Requests with it that were answered with 200 since the first crash.
     """
 
     trait: str
-    targets: set[str] = field(default_factory=set)
+    crashes: set[tuple[str, str]] = field(default_factory=set)
     answered: int = 0
     refused: int = 0
 
@@ -47,8 +49,8 @@
     --------
     >>> down = '{"time":"t1","event":"target-down","request":"x","target":"e-0","parts":["5c1e"]}'
     >>> found, = count_crashes([down])
-    >>> found.trait, found.targets, found.answered
-    ('5c1e', {'e-0'}, 0)
+    >>> found.trait, found.crashes, found.answered
+    ('5c1e', {('e-0', 't1')}, 0)
     """
     events = [event for event in map(decode_event, lines) if event is not None]
     events.sort(key=lambda event: str(event.get("time")))
@@ -62,7 +64,8 @@
         if event.get("event") == "target-down":
             for trait in traits:
                 found = crashes_by_trait.setdefault(trait, TraitCrashes(trait))
-                found.targets.add(str(event.get("target")))
+                second = str(event.get("time"))[:SECOND_LENGTH]
+                found.crashes.add((str(event.get("target")), second))
         known = [crashes_by_trait[trait] for trait in traits if trait in crashes_by_trait]
         match event.get("event"):
             case "placed":
@@ -75,7 +78,7 @@
                 for trait_crashes in known:
                     trait_crashes.refused += 1
     return sorted(
-        crashes_by_trait.values(), key=lambda found: (-len(found.targets), found.answered)
+        crashes_by_trait.values(), key=lambda found: (-len(found.crashes), found.answered)
     )
 
 
@@ -93,4 +96,4 @@
         )
     click.echo("crashes  answered  refused  part or fingerprint")
     for row in rows[:most]:
-        click.echo(f"{len(row.targets):7}  {row.answered:8}  {row.refused:7}  {row.trait}")
+        click.echo(f"{len(row.crashes):7}  {row.answered:8}  {row.refused:7}  {row.trait}")
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -56,6 +56,12 @@
     executed: bool = False
     arrived_at: float = field(default_factory=now)
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Ids of all parts of the prompt but the last."""
+        entries = self.headers.get(b"celeryrun-prompt-prefix", b"").decode().split(",")
+        return [entry.partition(":")[0] for entry in entries[:-1]]
+
 
 class RunnerStandIn:
     """Runner of one service, registered in the store.
@@ -71,6 +77,12 @@
     ----------
     registered_port : int
         Port in the store's entry, such as that of a proxy; 0 for the runner's own port.
+    crashing_parts : set of str
+        Shared parts of prompts on which the runner crashes as it begins to write.
+    crashes : list of float
+        Times of the crashes caused by them.
+    restart_delay : float
+        Seconds after such a crash in which the runner is down.
     """
 
     def __init__(
@@ -96,6 +108,11 @@
         self.port = 0
         self.registered_port = 0
         self.connections: set[CallerConnection] = set()
+        self.crashing_parts: set[str] = set()
+        self.crashes: list[float] = []
+        self.restart_delay = 0.4
+        self._born = 1
+        self._restart_task: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
 
     @property
@@ -110,6 +127,8 @@
 
     def stop(self) -> None:
         """Stop accepting connections without removing the store's entry, as after a crash."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
         if self._server is not None:
             self._server.close()
 
@@ -119,6 +138,17 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def _crash_and_restart(self) -> None:
+        self.crashes.append(now())
+        self.crash()
+        self._restart_task = asyncio.get_running_loop().create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self.restart_delay)
+        self._born += 1
+        self._restart_task = None
+        await self.start()
+
     def register(self, state: str | None) -> None:
         """Write the entry with a state to the store; None removes the entry."""
         entry = {
@@ -130,7 +160,7 @@
             "state": state,
             "coldRemainingMs": 0,
             "sequence": len(self.requests),
-            "born": 1,
+            "born": self._born,
         }
         self.store.put("keyed.servers", self.id, None if state is None else entry)
 
@@ -168,6 +198,9 @@
         if not self.faults["error"] and self._consume_fault("hang"):
             await asyncio.sleep(3600)
         await asyncio.sleep(self.work)
+        if self.crashing_parts.intersection(recorded.shared_parts):
+            self._crash_and_restart()
+            return
         if self._consume_fault("lost"):
             connection.abort()
             return
