gateway: keep refused parts and requests in the store, for nodes that all restart at once

The scheduler's node writes 'crash.part.HASH' and 'crash.request.FINGERPRINT' to the topic that all nodes follow already, at most 256 records, and deletes them when they are cleared; a starting node reads them with the registry.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -95,6 +95,7 @@
         self._events: EventLog = kernel.find("events")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._crash_tracker.forward = self._forward
+        self._crash_tracker.is_scheduler = self._is_scheduler
         self._name = settings.node.name
         self._current_scheduler = self._name
         self._request_ids = itertools.count(1)
@@ -182,6 +183,9 @@
         elif scheduler in self._links_by_node:
             self._links_by_node[scheduler].send(message)
 
+    def _is_scheduler(self) -> bool:
+        return self._current_scheduler == self._name
+
     def _forward(self, message: CrashReport | TraitsCompleted) -> None:
         """Send news to the scheduler and to the nodes that use this one."""
         if self._current_scheduler in self._links_by_node:
--- a/celeryrun/gateway/_crash_tracker.py
+++ b/celeryrun/gateway/_crash_tracker.py
@@ -2,20 +2,34 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._links import CrashReport, TraitsCompleted
+from celeryrun.gateway._members import Members
 from celeryrun.kernel import Kernel, now
-from celeryrun.scheduling import Crash, CrashHistory, PartAssessment, PartCrashHistory
+from celeryrun.platform import NODES_TOPIC, KeyedRecord, Store, StoreUnavailableError
+from celeryrun.scheduling import (
+    SHARED_CRASH_LIMIT,
+    Crash,
+    CrashHistory,
+    PartAssessment,
+    PartCrashHistory,
+)
 
 __all__ = ["CrashTracker", "hash_part"]
 
 CRASH_RETENTION = 120.0  # s for which a crash counts for a request that its caller sends again
 MAX_PARTS = 512  # parts of one prompt that are reported with a crash
 MAX_COMPLETED_PARTS = 4096  # latest parts with which requests of this node have completed
+MAX_RECORDS = 256  # causes of crashes kept in the store; the oldest are deleted
+STORE_INTERVAL = 0.1  # s between writes
+STORE_RETRY_DELAY = 0.5  # s after a failed write
+PART_PREFIX = "crash.part."  # of a key, followed by the hash of the part in hexadecimal
+REQUEST_PREFIX = "crash.request."  # followed by the fingerprint
 MAX_REPORTS = 256  # crashes told to a node that joins
 
 
@@ -34,7 +48,8 @@
     """Service that knows which requests and which parts of prompts crash targets.
 
     A node reports crashes and completions to its scheduler, which passes news on to all other
-    nodes, so that every node can decide, and any of them can be the next scheduler.
+    nodes, so that every node can decide, and any of them can be the next scheduler. The scheduler
+    also keeps what is refused in the store, from which restarted nodes read it.
 
     Attributes
     ----------
@@ -44,11 +59,31 @@
         Crashes by part of a prompt.
     forward : callable
         Sends a message to this node's scheduler and to the nodes that use this one.
+    is_scheduler : callable
+        Returns whether this node is its own scheduler.
     """
 
-    __slots__ = ("_completed_parts", "_events", "forward", "parts", "requests")
+    __slots__ = (
+        "_completed_parts",
+        "_events",
+        "_stored_by_key",
+        "_store",
+        "_task",
+        "_unwritten_by_key",
+        "forward",
+        "is_scheduler",
+        "parts",
+        "requests",
+    )
 
     def __init__(self, kernel: Kernel) -> None:
+        members: Members = kernel.find("members")
+        members.on_other_record = self._apply_record
+        self._store: Store = kernel.find("store")
+        self._stored_by_key: OrderedDict[str, int] = OrderedDict()
+        self._unwritten_by_key: dict[str, int] = {}
+        self._task: asyncio.Task[None] | None = None
+        self.is_scheduler: Callable[[], bool] = lambda: False
         self._events: EventLog = kernel.find("events")
         self._completed_parts: OrderedDict[int, None] = OrderedDict()
         self.requests = CrashHistory(CRASH_RETENTION)
@@ -56,10 +91,12 @@
         self.forward: Callable[[CrashReport | TraitsCompleted], None] = lambda message: None
 
     def start(self) -> None:
-        """Do nothing; the service has no task."""
+        """Do nothing; a task runs only while there is something to write."""
 
     def stop(self) -> None:
-        """Do nothing; the service has nothing to close."""
+        """Stop writing to the store."""
+        if self._task is not None:
+            self._task.cancel()
 
     def assess(self, parts: Iterable[bytes]) -> PartAssessment:
         """Decide whether a request with these parts of a prompt may run."""
@@ -115,6 +152,8 @@
                 target=getattr(message, "target", None),
                 fingerprint=message.fingerprint,
             )
+        if is_news and self.is_scheduler():
+            self._save(message)
         return is_news
 
     def reports(self) -> Iterator[CrashReport]:
@@ -130,3 +169,71 @@
             )
         for fingerprint, crash in self.requests.crashes(time)[-MAX_REPORTS:]:
             yield CrashReport(fingerprint, crash.target, time - crash.time)
+
+    def _save(self, message: CrashReport | TraitsCompleted) -> None:
+        """Bring the store's records of the parts and the request of a message up to date."""
+        crashes_by_key = {
+            f"{PART_PREFIX}{part:x}": self.parts.crash_count(part) for part in message.parts
+        }
+        assessment = self.requests.assess(message.fingerprint, now())
+        crashes_by_key[f"{REQUEST_PREFIX}{message.fingerprint:x}"] = (
+            assessment.crashes if assessment.refused else 0
+        )
+        # A confirmed cause clears parts that are not in the message.
+        for key in self._stored_by_key:
+            if key.startswith(PART_PREFIX):
+                part = int(key.removeprefix(PART_PREFIX), 16)
+                crashes_by_key.setdefault(key, self.parts.crash_count(part))
+        for key, crashes in crashes_by_key.items():
+            if crashes != self._stored_by_key.get(key, 0):
+                self._write(key, crashes)
+        while len(self._stored_by_key) > MAX_RECORDS:
+            self._write(next(iter(self._stored_by_key)), 0)
+
+    def _write(self, key: str, crashes: int) -> None:
+        """Write a number of crashes to the store in the background; 0 deletes the key."""
+        self._stored_by_key.pop(key, None)
+        if crashes:
+            self._stored_by_key[key] = crashes
+        self._unwritten_by_key[key] = crashes
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._write_all())
+
+    async def _write_all(self) -> None:
+        while self._unwritten_by_key:
+            key, crashes = next(iter(self._unwritten_by_key.items()))
+            try:
+                await self._store.put(NODES_TOPIC, key, b"%d" % crashes if crashes else b"")
+            except StoreUnavailableError as error:
+                self._events.emit("crash-not-stored", why=str(error))
+                await asyncio.sleep(STORE_RETRY_DELAY)
+                continue
+            if self._unwritten_by_key.get(key) == crashes:
+                del self._unwritten_by_key[key]
+            await asyncio.sleep(STORE_INTERVAL)
+
+    def _apply_record(self, record: KeyedRecord) -> None:
+        """Refuse what an earlier process refused; other records are ignored."""
+        for prefix in (PART_PREFIX, REQUEST_PREFIX):
+            if not record.key.startswith(prefix):
+                continue
+            self._stored_by_key.pop(record.key, None)
+            if record.value is None:
+                return
+            try:
+                trait = int(record.key.removeprefix(prefix), 16)
+                crashes = int(record.value)
+            except ValueError as error:
+                self._events.emit("crash-unreadable", why=str(error))
+                return
+            self._stored_by_key[record.key] = crashes
+            while len(self._stored_by_key) > 2 * MAX_RECORDS:
+                self._stored_by_key.popitem(last=False)
+            self._restore(prefix, trait, crashes)
+
+    def _restore(self, prefix: str, trait: int, crashes: int) -> None:
+        if prefix == PART_PREFIX:
+            self.parts.restore(trait, crashes, now())
+        elif trait not in self.requests:
+            for number in range(min(crashes, SHARED_CRASH_LIMIT)):
+                self.requests.record_crash(trait, f"restored-{number}", now())
--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -10,7 +10,7 @@
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._topic_follower import TopicFollower
 from celeryrun.kernel import Kernel, rank
-from celeryrun.platform import NODES_TOPIC, KeyedPage, Store, StoreUnavailableError
+from celeryrun.platform import NODES_TOPIC, KeyedPage, KeyedRecord, Store, StoreUnavailableError
 from celeryrun.settings import Address, GatewaySettings
 
 __all__ = ["Members"]
@@ -36,6 +36,8 @@
         Peer address of each node, including this one once it is registered.
     follower : TopicFollower
         Follower of the registry.
+    on_other_record : callable
+        Called with each record of the topic that is no node's.
     speed_by_node : dict
         Processor speed of each node, in cores.
     """
@@ -48,6 +50,7 @@
         "address_by_node",
         "follower",
         "on_change",
+        "on_other_record",
         "speed_by_node",
     )
 
@@ -62,6 +65,7 @@
         self.address_by_node: dict[str, Address] = {}
         self.speed_by_node: dict[str, float] = {}
         self.on_change: Callable[[], None] = lambda: None
+        self.on_other_record: Callable[[KeyedRecord], None] = lambda record: None
 
     def start(self) -> None:
         """Start the follower and the registration."""
@@ -101,6 +105,7 @@
     def _apply_page(self, page: KeyedPage) -> None:
         for record in page.records:
             if not record.key.startswith(KEY_PREFIX):
+                self.on_other_record(record)
                 continue
             name = record.key.removeprefix(KEY_PREFIX)
             if record.value is None:
--- a/celeryrun/scheduling/__init__.py
+++ b/celeryrun/scheduling/__init__.py
@@ -1,6 +1,11 @@
 """Admission, ordering and placement of slot requests, and the messages that carry them."""
 
-from celeryrun.scheduling._crash_history import Crash, CrashAssessment, CrashHistory
+from celeryrun.scheduling._crash_history import (
+    SHARED_CRASH_LIMIT,
+    Crash,
+    CrashAssessment,
+    CrashHistory,
+)
 from celeryrun.scheduling._limits import FleetLimits
 from celeryrun.scheduling._load import ActiveGrant, TargetLoad
 from celeryrun.scheduling._messages import (
@@ -30,6 +35,7 @@
     "CRASHED",
     "FAILED",
     "REJECTED",
+    "SHARED_CRASH_LIMIT",
     "UNREACHABLE",
     "UNUSED",
     "ActiveGrant",
--- a/celeryrun/scheduling/_crash_history.py
+++ b/celeryrun/scheduling/_crash_history.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
-__all__ = ["Crash", "CrashAssessment", "CrashHistory"]
+__all__ = ["SHARED_CRASH_LIMIT", "Crash", "CrashAssessment", "CrashHistory"]
 
 SAME_CRASH_WINDOW = 1.0  # s within which reports about one target mean the same crash
 UNSHARED_CRASH_LIMIT = 2  # crashes; refused if no other request shares number and last crash
