gateway: a response cut with its connection does not look complete

Callers could get a stream that ended inside an event as a whole one, and half a body of a target that had crashed: a response with neither length nor chunks was taken as complete at the end of its connection, and the partial event of a stream that may not be resumed was sent with a proper end. Cause: an end of the connection was taken for an end of the response. It also counted as a completion, which clears a request and its parts of earlier crashes.

A stream that ends inside an event is broken off on every route; where only the close marks the end, the target must still accept connections, unless it was leaving anyway.

--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -280,6 +280,7 @@
                     grant, now() - began
                 ),
                 silence_timeout=silence_timeout(state, grant.expected_first_byte),
+                has_survived=lambda: self._has_survived(target),
             )
             outcome = await self._classify_result(state, result, target, response_relay.events)
             self._report_suspects(state, target, outcome, began)
@@ -302,7 +303,7 @@
                 return FAILED if failed else COMPLETE
             case Rejected():
                 return REJECTED
-            case Broken(kind="reset" | "closed") if not await accepts_connections(
+            case Broken(kind="reset" | "closed" | "cut") if not await accepts_connections(
                 target.host, target.port, PROBE_TIMEOUT
             ):
                 self._request_log.emit(
@@ -317,6 +318,12 @@
                 return CRASHED
         return FAILED
 
+    async def _has_survived(self, target: Target) -> bool:
+        """Return whether a target still accepts connections, or was to leave anyway."""
+        return not self._is_ready(target) or await accepts_connections(
+            target.host, target.port, PROBE_TIMEOUT
+        )
+
     def _report_suspects(
         self, state: RequestState, target: Target, outcome: str, began: float
     ) -> None:
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from celeryrun.catalog import Route
@@ -80,6 +80,7 @@
     __slots__ = (
         "_connection",
         "_held_response",
+        "_is_chunked",
         "_last_event_at",
         "_request",
         "_route",
@@ -97,6 +98,7 @@
         self._route = route
         self._splitter = EventSplitter()
         self._held_response: bytes | None = None
+        self._is_chunked = False
         self._last_event_at = 0.0
         self.events = 0
         self.longest_pause = 0.0
@@ -129,7 +131,11 @@
         return True
 
     async def relay(
-        self, exchange: Exchange, on_first_byte: Callable[[], None], silence_timeout: float | None
+        self,
+        exchange: Exchange,
+        on_first_byte: Callable[[], None],
+        silence_timeout: float | None,
+        has_survived: Callable[[], Awaitable[bool]],
     ) -> Finished | Broken | Rejected:
         """Read a target's response and send it to the caller, or hold it back.
 
@@ -140,6 +146,9 @@
         silence_timeout : float or None
             Seconds that the target may be silent, None for no limit. Bytes that complete no event
             do not end the silence of a stream.
+        has_survived : callable
+            Returns whether the target is still up. A response that only the end of its connection
+            delimits may have been cut by a crash.
         """
         try:
             async with asyncio.timeout(silence_timeout):
@@ -153,8 +162,17 @@
             if head.status < MIN_FAILURE_STATUS and not response.sealed:
                 return Broken("unsealed")
             if self._route.kind.stream and head.status == 200:
-                return await self._relay_stream(exchange, head, on_first_byte, silence_timeout)
-            return await self._relay_buffered(exchange, response, on_first_byte, silence_timeout)
+                body = self._relay_stream(exchange, head, on_first_byte, silence_timeout)
+            else:
+                body = self._relay_buffered(exchange, response, on_first_byte, silence_timeout)
+            result = await body
+            if isinstance(result, Broken):
+                return result
+            if exchange.ended_by_close and not await has_survived():
+                self._held_response = None
+                return Broken("closed")
+            self._end_response()
+            return result
         except TargetFailedError as error:
             self.all_rejected = False
             return Broken(error.kind)
@@ -201,7 +219,6 @@
             self._connection.write(format_chunk(body))
             await self._connection.drain()
             body = await exchange.read_body()
-        self._connection.write(LAST_CHUNK)
         return Finished(head.status, head.status >= MIN_FAILURE_STATUS, is_held=False)
 
     async def _relay_stream(
@@ -236,17 +253,17 @@
             if self._splitter.line_count > line_count:
                 last_progress, line_count = now(), self._splitter.line_count
         if self._splitter.has_partial():
-            partial_event = self._splitter.pop_partial()
-            if self._route.kind.resumable:
-                return Broken("cut")
-            if not self._connection.response_started:
-                self._start_chunked_response(head)
-            self._connection.write(format_chunk(partial_event))
+            self._splitter.pop_partial()
+            return Broken("cut")
         if not self._connection.response_started:
             self._start_chunked_response(head)
-        self._connection.write(LAST_CHUNK)
         return Finished(head.status, False, is_held=False)
 
+    def _end_response(self) -> None:
+        """End the chunked response, if there is one."""
+        if self._is_chunked:
+            self._connection.write(LAST_CHUNK)
+
     def _record_event(self) -> None:
         time = now()
         if self.events:
@@ -263,6 +280,7 @@
             return await exchange.read_body()
 
     def _start_chunked_response(self, head: ResponseHead) -> None:
+        self._is_chunked = True
         # An earlier target's held failure must not follow this response.
         self._held_response = None
         self.status = head.status
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -202,6 +202,48 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("path", ["/calls/a", "/bookings/a", "/drafts/a", "/chats/a"])
+def test_response_that_ends_with_its_connection_is_relayed_whole(path):
+    async def scenario():
+        async with Site() as site:
+            for target in (*site.apps, *site.models):
+                target.faults["unframed"] = 1
+            response = await site.send_request(path)
+            assert response.status == 200 and response.complete
+            assert response.event_ids == [1, 2, 3, 4, 5, 6] or b":a1" in response.body
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("fault", "path"),
+    [
+        ("ends-inside", "/drafts/a"),
+        ("ends-inside", "/chats/a"),
+        ("dies-between", "/bookings/a"),
+        ("dies-between", "/drafts/a"),
+        ("dies-between", "/chats/a"),
+    ],
+)
+def test_response_cut_with_its_connection_does_not_look_complete(fault, path):
+    async def scenario():
+        async with Site() as site:
+            # Shared faults: only the first target used is cut.
+            faults = Counter({fault: 1})
+            for target in (*site.apps, *site.models):
+                target.faults = faults
+            response = await site.send_request(path)
+            if path == "/chats/a":
+                assert response.event_ids == [1, 2, 3, 4, 5, 6] and response.complete
+            else:
+                assert response.status in (0, 200, 502)
+                assert not (response.status == 200 and response.complete)
+            if fault == "dies-between":
+                assert site.events("target-down")
+
+    run(scenario())
+
+
 def test_broken_stream_without_resumption_is_incomplete():
     async def scenario():
         async with Site() as site:
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -38,6 +38,8 @@
         Head of the response, None until it is received.
     complete : bool
         Whether the response is received to its end.
+    ended_by_close : bool
+        Whether only the end of the connection marks that end.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "_transport",
         "_writable",
         "complete",
+        "ended_by_close",
         "head",
     )
 
@@ -68,6 +71,7 @@
         self._transport: Any = None
         self.head: ResponseHead | None = None
         self.complete = False
+        self.ended_by_close = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
@@ -95,12 +99,9 @@
     def eof_received(self) -> bool:
         """Complete a response whose body is delimited by the end of the connection."""
         head = self.head
-        if (
-            head is not None
-            and not head.chunked
-            and head.content_length is None
-            and not self.complete
-        ):
+        is_unframed = head is not None and not head.chunked and head.content_length is None
+        if is_unframed and not self.complete:
+            self.ended_by_close = True
             self._on_end()
         self._fail("closed")
         return False
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -5,6 +5,9 @@
 - ``lost``: the request is executed, then the connection is reset.
 - ``rejected``: 503 with the statement that the request was not executed.
 - ``error``: 500 after execution.
+- ``unframed``: the response has neither a length nor chunks and ends with its connection.
+- ``ends-inside``: as ``unframed``, and a stream ends inside an event.
+- ``dies-between``: as ``unframed``, and the runner crashes between two events or after half a body.
 - ``cut``: a stream ends in the middle of an event.
 - ``foreign``: the response carries the id of another attempt.
 - ``unsealed``: the response has no seal.
@@ -35,6 +38,8 @@
 
 __all__ = ["RecordedRequest", "RunnerStandIn"]
 
+UNFRAMED_FAULTS = ("unframed", "ends-inside", "dies-between")
+
 
 @dataclass
 class RecordedRequest:
@@ -212,6 +217,8 @@
             send_response(connection, 503, b"busy", **common_headers)
         elif self._consume_fault("error"):
             send_response(connection, 500, b"failed", **common_headers)
+        elif fault := next(filter(self._consume_fault, UNFRAMED_FAULTS), None):
+            await self._send_unframed(connection, recorded, common_headers, fault)
         elif self.events:
             await self._send_stream(connection, recorded, common_headers)
         elif self._consume_fault("endless"):
@@ -224,6 +231,32 @@
             common_headers["Celeryrun_Attempt_Id"] = "another"
             send_response(connection, 200, b"second response", **common_headers)
 
+    async def _send_unframed(
+        self,
+        connection: CallerConnection,
+        recorded: RecordedRequest,
+        headers: dict[str, str],
+        fault: str,
+    ) -> None:
+        """Send a response that ends with its connection, whole or not."""
+        parts = [f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, self.events + 1)]
+        if not self.events:
+            body = f"{self.id}:{recorded.attempt_id}".encode()
+            parts = [body[:3], body[3:]]
+        parts = parts[int(recorded.headers.get(b"last-event-id", b"0")) :]
+        if fault == "ends-inside":
+            parts[-1] = parts[-1][:8]
+        elif fault == "dies-between":
+            del parts[-1]
+        connection.write(format_head(b"HTTP/1.1 200 OK", _format_fields(headers)))
+        for part in parts:
+            connection.write(part)
+            await asyncio.sleep(self.work)
+        if fault == "dies-between":
+            self.stop()
+            self._restart_task = asyncio.get_running_loop().create_task(self._restart())
+        connection.transport.close()
+
     async def _send_without_end(self, connection: CallerConnection) -> None:
         """Send chunks until cancelled, as the caller closes the connection."""
         while True:
@@ -257,7 +290,10 @@
         connection.write(LAST_CHUNK)
 
 
+def _format_fields(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    return [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
+
+
 def _send_chunked_head(connection: CallerConnection, headers: dict[str, str]) -> None:
-    fields = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
-    fields.append((b"Transfer-Encoding", b"chunked"))
+    fields = [*_format_fields(headers), (b"Transfer-Encoding", b"chunked")]
     connection.write(format_head(b"HTTP/1.1 200 OK", fields))
