--- a/standins/runner.py
+++ b/standins/runner.py
@@ -86,6 +86,8 @@
         Shared parts of prompts on which the runner crashes as it begins to write.
     crashes : list of float
         Times of the crashes caused by them.
+    rate_limit : float or None
+        Requests per second that the runner names as its limit in every response.
     restart_delay : float
         Seconds after such a crash in which the runner is down.
     """
@@ -115,6 +117,7 @@
         self.connections: set[CallerConnection] = set()
         self.crashing_parts: set[str] = set()
         self.crashes: list[float] = []
+        self.rate_limit: float | None = None
         self.restart_delay = 0.4
         self._born = 1
         self._restart_task: asyncio.Task[None] | None = None
@@ -186,7 +189,7 @@
             send_response(connection, 421, b"", Celeryrun_Runner_Id=self.id)
             return
         if self._consume_fault("rejected"):
-            send_response(connection, 503, b"", Celeryrun_Not_Executed="1")
+            send_response(connection, 503, b"", Celeryrun_Not_Executed="1", **self._limit_headers())
             return
         recorded.executed = True
         self.running += 1
@@ -199,6 +202,9 @@
         finally:
             self.running -= 1
 
+    def _limit_headers(self) -> dict[str, str]:
+        return {} if self.rate_limit is None else {"Server_Limit": f"{self.rate_limit:g}"}
+
     async def _execute(self, connection: CallerConnection, recorded: RecordedRequest) -> None:
         if not self.faults["error"] and self._consume_fault("hang"):
             await asyncio.sleep(3600)
@@ -210,7 +216,7 @@
             connection.abort()
             return
         attempt_id = "another" if self._consume_fault("foreign") else recorded.attempt_id
-        common_headers = {"Celeryrun_Attempt_Id": attempt_id}
+        common_headers = {"Celeryrun_Attempt_Id": attempt_id, **self._limit_headers()}
         if not self._consume_fault("unsealed"):
             common_headers["Celeryrun_Response_Seal"] = f"seal-{self.id}"
         if self._consume_fault("unpromised"):
