scheduling: ask a limited target for its limit when nothing else sends it requests

Only a response shows the end, and none came. A limited target without a request for 2 s now gets the next one that it can begin in time.

--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -288,6 +288,7 @@
     def __init__(self, client, acquire):
         self.acquire = acquire
         self.report_first_byte = client.report_first_byte
+        self.report_limit = client.report_limit
         self.release = client.release
 
 
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -86,6 +86,9 @@
         Time at which each target's next slot is free.
     idle_targets : int
         Number of targets with a free slot.
+    limits_to_check : set of str
+        Targets that get a request although others would end it sooner, since only a response
+        shows that their limit has ended.
     placed : int
         Number of queued requests for which a placement was searched.
     """
@@ -97,6 +100,7 @@
     rate_limits: TargetRateLimits = field(default_factory=TargetRateLimits)
     next_free_by_target: dict[str, float] = field(default_factory=dict)
     idle_targets: int = 0
+    limits_to_check: set[str] = field(default_factory=set)
     placed: int = 0
     _next_send_by_target: dict[str, float] = field(default_factory=dict)
     _free_times_by_target: dict[str, list[float]] = field(default_factory=dict)
@@ -121,6 +125,8 @@
             next_send = rate_limits.next_send(name, now)
             if name in rate_limits:
                 planning_round._next_send_by_target[name] = next_send
+                if rate_limits.is_check_due(name, now):
+                    planning_round.limits_to_check.add(name)
             if excess < 0:
                 planning_round.next_free_by_target[name] = next_send
                 planning_round.idle_targets += next_send <= now
@@ -233,8 +239,16 @@
             > slot_request.max_pause
         ):
             cost += PAUSE_COST * len(load.active_grants_by_id) * objective
+        placement = Placement(name, start, first_byte, duration)
+        if (
+            name in planning_round.limits_to_check
+            and start <= planning_round.now
+            and start + first_byte <= queued.objective_time
+        ):
+            planning_round.limits_to_check.remove(name)
+            return placement
         if cost < min_cost:
-            min_cost, best = cost, Placement(name, start, first_byte, duration)
+            min_cost, best = cost, placement
     return best
 
 
--- a/celeryrun/scheduling/_rate_limits.py
+++ b/celeryrun/scheduling/_rate_limits.py
@@ -9,6 +9,7 @@
 
 MIN_RATE = 0.25  # requests per second to any target, so that its responses show a changed limit
 BURST_SECONDS = 1.0  # s of its rate that a target may get at once, beside one request
+CHECK_INTERVAL = 2.0  # s without a request after which a target is asked for its limit
 MAX_TARGETS = 4096
 
 
@@ -21,15 +22,18 @@
     rate : float
         Requests per second from all nodes.
     named_at : float
-        Time at which it was last named, in seconds.
+        Time at which a response last named it, in seconds.
     level : float
         Requests that may be sent at ``updated_at``; negative after a burst.
+    sent_at : float
+        Time of the last request of this scheduler's nodes to the target.
     """
 
     rate: float
     named_at: float
     level: float
     updated_at: float
+    sent_at: float = float("-inf")
 
 
 class TargetRateLimits:
@@ -105,6 +109,7 @@
         if limit is not None:
             self._refill(limit, now)
             limit.level -= 1.0
+            limit.sent_at = now
 
     def refund(self, target: str, now: float) -> None:
         """Take back a request that was not sent."""
@@ -126,6 +131,13 @@
         limit = self._limits_by_target.get(target)
         return 0.0 if limit is None else 1.0 / self._rate(limit)
 
+    def is_check_due(self, target: str, now: float) -> bool:
+        """Return whether a target may get a request and has not had one for a while."""
+        limit = self._limits_by_target.get(target)
+        if limit is None or now - max(limit.named_at, limit.sent_at) < CHECK_INTERVAL:
+            return False
+        return self.next_send(target, now) <= now
+
     def mark_usage_unknown(self, now: float) -> None:
         """Begin anew, since other schedulers may have sent requests until now."""
         for limit in self._limits_by_target.values():
--- a/celeryrun/scheduling/tests/test_rate_limits.py
+++ b/celeryrun/scheduling/tests/test_rate_limits.py
@@ -5,7 +5,7 @@
 import pytest
 
 from celeryrun.scheduling import TargetRateLimits
-from celeryrun.scheduling._rate_limits import MAX_TARGETS, MIN_RATE
+from celeryrun.scheduling._rate_limits import CHECK_INTERVAL, MAX_TARGETS, MIN_RATE
 
 WINDOW = 4.0  # s
 STEP = 0.05  # s between planning rounds
@@ -75,6 +75,16 @@
     assert limits.next_send("a", 1.5) == 1.5
 
 
+def test_target_is_asked_for_its_limit_when_it_has_had_no_request():
+    limits = TargetRateLimits()
+    limits.apply("a", 1.0, 0.0, 0.0)
+    assert not limits.is_check_due("a", CHECK_INTERVAL - 0.1)
+    assert limits.is_check_due("a", CHECK_INTERVAL)
+    limits.consume("a", CHECK_INTERVAL)
+    assert not limits.is_check_due("a", CHECK_INTERVAL + 1.0)
+    assert not limits.is_check_due("b", CHECK_INTERVAL)
+
+
 def test_number_of_limited_targets_is_bounded_and_unlisted_ones_are_forgotten():
     limits = TargetRateLimits()
     for number in range(2 * MAX_TARGETS):
