Crashes behind a proxy are recognised, a part that turned bad is refused sooner; the soak plays crashing parts, limits, closes

A new connection must now last 30 ms. Then the limits for a part with which requests had completed were doubled, and it was refused 4 s after the first crash: two crashes more now instead of twice as many.

--- a/celeryrun/node/tests/test_crashing_request.py
+++ b/celeryrun/node/tests/test_crashing_request.py
@@ -60,3 +60,11 @@
     assert "suspect" not in errors
     other_response = send(crash_fleet, 0, {"prompt": "a wholesome draft", "max_tokens": 4})
     assert other_response.status == 200
+
+
+def test_drafts_that_share_a_crashing_beginning_do_not_crash_every_target(crash_fleet):
+    beginning = "poison " + "x" * 600
+    for number in range(6):
+        if count_crashed_engines(crash_fleet) < ENGINE_COUNT:
+            send(crash_fleet, number, {"prompt": f"{beginning} draft {number}", "max_tokens": 4})
+    assert count_crashed_engines(crash_fleet) <= 3
--- a/celeryrun/scheduling/_part_history.py
+++ b/celeryrun/scheduling/_part_history.py
@@ -13,7 +13,7 @@
 MIN_SEPARATION = 0.5  # s; crashes closer together may have one cause, such as a lost VM
 CRASH_LIMIT = 3  # separate crashes of different requests after which a part is refused
 CLOSE_CRASH_LIMIT = 5  # the same for crashes that may be close together, at two moments or more
-COMPLETED_CRASH_FACTOR = 2  # on both limits for a part that requests completed with before
+COMPLETED_CRASHES = 2  # added to both limits for a part that requests completed with before
 PROBE_INTERVAL = 2.0  # s between requests that try a part on probation
 INITIAL_HOLD = 10.0  # s from the last crash until a request with two refused parts may try them
 MAX_HOLD = 3600.0  # s; the hold doubles with each crash of a refused part
@@ -79,7 +79,7 @@
 
     def count(self) -> None:
         """Count the crashes."""
-        factor = COMPLETED_CRASH_FACTOR if self.completed_before else 1
+        added = COMPLETED_CRASHES if self.completed_before else 0
         self.separate, self.last, self.is_refused, self.further = 0, float("-inf"), False, 0
         counted: list[Crash] = []
         fingerprints: set[int] = set()
@@ -95,8 +95,8 @@
                 self.further += self.is_refused
                 self.last = crash.time
             self.is_refused = self.is_refused or (
-                self.separate >= factor * CRASH_LIMIT
-                or (self.separate > 1 and len(counted) >= factor * CLOSE_CRASH_LIMIT)
+                self.separate >= CRASH_LIMIT + added
+                or (self.separate > 1 and len(counted) >= CLOSE_CRASH_LIMIT + added)
             )
 
 
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -11,6 +11,7 @@
 __all__ = ["Exchange", "TargetFailedError", "accepts_connections", "open_exchange"]
 
 MAX_BUFFERED_BYTES = 65_536  # of a response that a slow caller has not read; then reading pauses
+SETTLE_TIME = 0.03  # s, a round trip, that a new connection must last to count as accepted
 MAX_FRAMING_BYTES = 32_768  # received in a row without a byte of the body: head, trailers
 
 
@@ -214,10 +215,21 @@
 
 
 async def accepts_connections(host: str, port: int, timeout: float) -> bool:
-    """Return whether a target accepts a connection within a timeout in seconds."""
+    """Return whether a target accepts a connection within a timeout in seconds, and keeps it.
+
+    A proxy before a target that is down accepts connections and closes them at once.
+    """
     try:
         exchange = await open_exchange(host, port, timeout)
     except TargetFailedError:
         return False
-    exchange.close()
+    try:
+        async with asyncio.timeout(SETTLE_TIME):
+            await exchange.read_head()
+    except TargetFailedError:
+        return False
+    except TimeoutError:
+        return True
+    finally:
+        exchange.close()
     return True
--- a/celeryrun/transport/tests/test_exchange.py
+++ b/celeryrun/transport/tests/test_exchange.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from celeryrun.transport import TargetFailedError, open_exchange
+from celeryrun.transport import TargetFailedError, accepts_connections, open_exchange
 from celeryrun.transport._exchange import MAX_FRAMING_BYTES
 from standins.site import run
 
@@ -119,6 +119,23 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("closes_at_once", [True, False])
+def test_target_that_closes_a_new_connection_at_once_does_not_accept(closes_at_once):
+    async def serve(reader, writer):
+        if not closes_at_once:
+            await reader.read(1)
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        assert await accepts_connections("127.0.0.1", port, 1.0) is not closes_at_once
+        server.close()
+        assert not await accepts_connections("127.0.0.1", port, 1.0)
+
+    run(scenario())
+
+
 def test_many_small_chunks_are_not_mistaken_for_framing_without_end():
     chunks = b"1\r\nx\r\n" * MAX_FRAMING_BYTES
     run(check_body(b"x" * MAX_FRAMING_BYTES, CHUNKED, chunks, b"0\r\n\r\n"))
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -13,9 +13,11 @@
 from soak._checker import SentRequest
 from standins.site import ReceivedResponse
 
-__all__ = ["Caller"]
+__all__ = ["BAD_PART", "Caller"]
 
 PATHS = ("/calls/a", "/bookings/a", "/drafts/a", "/chats/a")
+BAD_PART = "bad"  # part of some prompts that crashes targets during the fault crashing-part
+BAD_SHARE = 0.04  # of the requests to engines
 REQUEST_DEADLINE = 2000  # ms, equal to the timeout of the routes
 RESPONSE_TIMEOUT = 6.0  # s, well beyond any deadline
 REQUEST_DELAY_RANGE = (0.005, 0.06)  # s between two requests of one caller
@@ -83,6 +85,9 @@
             now(),
             body,
         )
+        if request.path.startswith(("/drafts/", "/chats/")):
+            middle = BAD_PART if self._rng.random() < BAD_SHARE else f"s{self._index % 4}"
+            request.parts = ("common", middle, request.attempt_id)
         writer.write(_format_request(request))
         await writer.drain()
         request.sent_at = now()
@@ -120,6 +125,7 @@
         f"Celeryrun-Deadline-Ms: {REQUEST_DEADLINE}",
         "Celeryrun-Token-Usage: 100,30",
         f"Authorization: Bearer {request.key}",
+        f"Celeryrun-Prompt-Prefix: {','.join(f'{part}:30' for part in request.parts)}",
         f"Content-Length: {len(request.body)}",
         "",
         "",
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -9,17 +9,24 @@
 from standins.runner import RecordedRequest
 
 __all__ = [
+    "STABILITY_WINDOW",
     "DrainPeriod",
     "FaultPeriod",
     "SentRequest",
     "Violation",
+    "check_crashing_part",
     "check_drains",
+    "check_limits",
     "check_requests",
 ]
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 FAULT_WINDOW = 4.0  # s after a fault in which requests may be lost, as documented for operators
 DRAIN_LAG = 2.5  # s: the drain lag of the settings and the delay from this process to the node
+STABILITY_WINDOW = 3.0  # s after which nodes must know of a crash or a limit
+KNOWN_AFTER_CRASHES = 5
+MAX_LATER_REQUESTS = 3
+LIMIT_WINDOW = 4.0  # s
 REVOCATION_LAG = 5.0  # s, the revocation lag of the settings
 
 
@@ -49,6 +56,7 @@
     response_body: bytes = b""
     event_ids: list[int] = field(default_factory=list)
     parse_error: str = ""
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -150,6 +158,68 @@
     return violations
 
 
+def check_crashing_part(
+    part: str,
+    crashes: list[float],
+    mended_at: float,
+    recorded_by_target: dict[str, list[RecordedRequest]],
+    unplanned_faults: list[FaultPeriod],
+) -> list[Violation]:
+    """Return a violation if targets still receive a part of prompts that has crashed five.
+
+    Parameters
+    ----------
+    mended_at : float
+        Time from which on the part crashes no target any more.
+    """
+    if len(crashes) < KNOWN_AFTER_CRASHES:
+        return []
+    known_at = sorted(crashes)[KNOWN_AFTER_CRASHES - 1] + STABILITY_WINDOW
+    later = [
+        recorded.attempt_id
+        for recorded_requests in recorded_by_target.values()
+        for recorded in recorded_requests
+        if part in recorded.shared_parts
+        and known_at < recorded.arrived_at < mended_at
+        and not _is_disturbed(recorded.arrived_at, unplanned_faults)
+    ]
+    if len(later) <= MAX_LATER_REQUESTS:
+        return []
+    return [Violation("crashing-part", later[-1], f"{len(later)} requests after {len(crashes)}")]
+
+
+def check_limits(
+    limit_periods: list[tuple[FaultPeriod, float]],
+    recorded_by_target: dict[str, list[RecordedRequest]],
+    unplanned_faults: list[FaultPeriod],
+) -> list[Violation]:
+    """Return a violation for each target that received more than the limit that it named."""
+    violations = []
+    for period, rate in limit_periods:
+        times = [
+            recorded.arrived_at
+            for recorded in recorded_by_target[period.node]
+            if period.start + STABILITY_WINDOW < recorded.arrived_at < period.end
+            and not _is_disturbed(recorded.arrived_at, unplanned_faults)
+        ]
+        most = max((sum(t <= u < t + LIMIT_WINDOW for u in times) for t in times), default=0)
+        if most > 1.5 * rate * LIMIT_WINDOW + 5:
+            text = (
+                f"{period.node} received {most} requests in {LIMIT_WINDOW} s at {rate:g} a second"
+            )
+            violations.append(Violation("limit", "", text))
+    return violations
+
+
+def _is_disturbed(time: float, unplanned_faults: list[FaultPeriod]) -> bool:
+    """Return whether a node was killed or paused shortly before."""
+    return any(
+        fault.start <= time <= fault.end + STABILITY_WINDOW
+        for fault in unplanned_faults
+        if fault.kind in ("kill", "kill-all", "pause")
+    )
+
+
 def _check_executions(
     request: SentRequest,
     deliveries: list[tuple[str, RecordedRequest]],
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -5,7 +5,14 @@
 import random
 from dataclasses import dataclass
 
-__all__ = ["FAULT_KINDS", "PLANNED_KINDS", "Fault", "draw_faults"]
+__all__ = [
+    "FAULT_KINDS",
+    "PLANNED_KINDS",
+    "PLANNED_TARGET_KINDS",
+    "TARGET_KINDS",
+    "Fault",
+    "draw_faults",
+]
 
 INITIAL_DELAY = 1.0  # s before the first fault
 MAX_DURATION = 2.5  # s, of one fault
@@ -31,6 +38,11 @@
     "runner-faults",
 )
 
+# Drawn once for each soak, independently of the others, so that their schedules stay the same.
+PLANNED_TARGET_KINDS = ("runner-limit", "runner-unframed")
+TARGET_KINDS = (*PLANNED_TARGET_KINDS, "crashing-part")
+TARGET_FAULT_DURATION = 8.0  # s
+
 
 @dataclass(frozen=True)
 class Fault:
@@ -66,4 +78,10 @@
         duration = rng.uniform(0.2, MAX_DURATION)
         faults.append(Fault(rng.choice(kinds), start, duration, rng.randrange(1000)))
         start += rng.expovariate(1 / MEAN_INTERVAL)
-    return faults
+    rng = random.Random(f"{seed} targets")
+    kinds = PLANNED_TARGET_KINDS if seed % PLANNED_ONLY_SEEDS == 0 else TARGET_KINDS
+    faults += [
+        Fault(kind, rng.uniform(INITIAL_DELAY, seconds), TARGET_FAULT_DURATION, rng.randrange(1000))
+        for kind in kinds
+    ]
+    return sorted(faults, key=lambda fault: fault.start)
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -9,13 +9,16 @@
 from pathlib import Path
 
 from celeryrun.kernel import now
-from soak._callers import Caller
+from soak._callers import BAD_PART, Caller
 from soak._checker import (
+    STABILITY_WINDOW,
     DrainPeriod,
     FaultPeriod,
     SentRequest,
     Violation,
+    check_crashing_part,
     check_drains,
+    check_limits,
     check_requests,
 )
 from soak._faults import Fault, draw_faults
@@ -82,6 +85,8 @@
         self._drain_periods: list[DrainPeriod] = []
         self._revoked_at: dict[str, float] = {}
         self._configuration_version = 1
+        self._mended_at = float("inf")
+        self._limit_periods: list[tuple[FaultPeriod, float]] = []
         self._unavailable_runners: set[str] = set()
         self._fault_tasks: list[asyncio.Task[None]] = []
 
@@ -186,6 +191,13 @@
                 if runner.id not in self._unavailable_runners:
                     await self._drain_runner(runner, fault.duration)
                 return
+            case "runner-limit":
+                await self._limit_runner(fault)
+                return
+            case "runner-unframed":
+                for each in self.runners:
+                    each.faults["unframed"] += 3
+                return
             case "kill":
                 await node.restart(signal.SIGKILL)
             case "kill-all":
@@ -238,9 +250,28 @@
                 proxy.blocked_directions.clear()
             case "runner-reset":
                 proxy.reset()
+            case "crashing-part":
+                models = [each for each in self.runners if each.events]
+                for each in models:
+                    each.crashing_parts.add(BAD_PART)
+                await asyncio.sleep(fault.duration)
+                for each in models:
+                    each.crashing_parts.clear()
+                self._mended_at = now()
             case "runner-faults":
                 runner.faults[RUNNER_FAULTS[fault.selector % len(RUNNER_FAULTS)]] += 3
 
+    async def _limit_runner(self, fault: Fault) -> None:
+        """Let a runner of the engines name a limit for a while."""
+        models = [each for each in self.runners if each.events]
+        runner = models[fault.selector % len(models)]
+        started_at = now()
+        runner.rate_limit = 1.0 + fault.selector % 4
+        await asyncio.sleep(fault.duration + STABILITY_WINDOW)
+        period = FaultPeriod(fault.kind, started_at, now(), runner.id)
+        self._limit_periods.append((period, runner.rate_limit))
+        runner.rate_limit = None
+
     async def _drain_runner(self, runner: RunnerStandIn, seconds: float) -> None:
         """Register a runner as draining, remove it after `DRAINING_TIME`, and register it again."""
         self._unavailable_runners.add(runner.id)
@@ -266,10 +297,17 @@
             EVENTS_PER_STREAM,
         )
         violations += check_drains(self._drain_periods, recorded_by_target, self._unplanned_faults)
+        crashes = [time for runner in self.runners for time in runner.crashes]
+        violations += check_crashing_part(
+            BAD_PART, crashes, self._mended_at, recorded_by_target, self._unplanned_faults
+        )
+        violations += check_limits(self._limit_periods, recorded_by_target, self._unplanned_faults)
         final_requests = [
             request
             for request in sent_requests
-            if request.sent_at > ended_at - FINAL_PERIOD and request.key not in self._revoked_at
+            if request.sent_at > ended_at - FINAL_PERIOD
+            and request.key not in self._revoked_at
+            and BAD_PART not in request.parts
         ]
         served = sum(request.status == 200 and request.complete for request in final_requests)
         if not final_requests or served < MIN_SERVED_RATIO * len(final_requests):
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -5,7 +5,13 @@
 
 import pytest
 
-from soak._faults import FAULT_KINDS, PLANNED_KINDS, draw_faults
+from soak._faults import (
+    FAULT_KINDS,
+    PLANNED_KINDS,
+    PLANNED_TARGET_KINDS,
+    TARGET_KINDS,
+    draw_faults,
+)
 from soak._proxy import Proxy
 from soak._soak import Soak
 
@@ -21,8 +27,9 @@
 
 def test_every_fault_is_drawn_and_some_seeds_have_planned_faults_only():
     drawn = {fault.kind for seed in range(1, 60) for fault in draw_faults(seed, 20.0)}
-    assert drawn == set(FAULT_KINDS)
-    assert {fault.kind for fault in draw_faults(3, 60.0)} <= set(PLANNED_KINDS)
+    assert drawn == {*FAULT_KINDS, *TARGET_KINDS}
+    planned = {*PLANNED_KINDS, *PLANNED_TARGET_KINDS}
+    assert {fault.kind for fault in draw_faults(3, 60.0)} <= planned
 
 
 def test_proxy_forwards_blocks_one_direction_and_resets():
