--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -218,7 +218,7 @@
 
     def send_to_nodes(self, message: Message, sender: Link | None = None) -> None:
         """Send a message to all connected nodes but its sender."""
-        for link in self._links_by_node.values():
+        for link in list(self._links_by_node.values()):
             if link is not sender:
                 link.send(message)
 
