gateway: a failure of the next target does not end a stream that has begun

Cause: a response that is read whole was held and sent also after events had gone out. Once a response has begun, only further events may follow; anything else breaks it off. The new test failed before (status 500, complete).

--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -168,6 +168,9 @@
                 return Broken("unsealed")
             if self._route.kind.stream and head.status == 200:
                 body = self._relay_stream(exchange, head, on_first_byte, silence_timeout)
+            elif self._connection.response_started:
+                # Only further events can follow those that the caller has.
+                return Broken("malformed")
             else:
                 body = self._relay_buffered(exchange, response, on_first_byte, silence_timeout)
             result = await body
@@ -266,7 +269,7 @@
 
     def _end_response(self) -> None:
         """End the chunked response, if there is one."""
-        if self._is_chunked:
+        if self._is_chunked and self._held_response is None:
             self._connection.write(LAST_CHUNK)
 
     def _record_event(self) -> None:
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -202,6 +202,25 @@
     run(scenario())
 
 
+def test_failure_of_the_next_target_does_not_end_a_stream():
+    async def scenario():
+        async with Site() as site:
+            for model in site.models:
+                model.faults["cut"] = 1
+                model.work = 0.05
+            sent = asyncio.create_task(site.send_request("/chats/a"))
+            await site.wait_until(lambda: any(model.running for model in site.models))
+            for model in site.models:
+                if not model.running:
+                    model.faults.update({"cut": 0, "error": 1})
+            response = await sent
+            assert sum(len(model.executed_requests) for model in site.models) == 2
+            assert response.event_ids and not response.complete
+            assert b"HTTP/1.1" not in response.body and b"failed" not in response.body
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("path", ["/calls/a", "/bookings/a", "/drafts/a", "/chats/a"])
 def test_response_that_ends_with_its_connection_is_relayed_whole(path):
     async def scenario():
