transport: abort a connection that was accepted but not made

A soak ended with an AttributeError as it stopped its stand-in runners; a gateway that stops aborts its connections by the same code. Cause: abort() used the transport before connection_made had set it. It is now closed when it is made. The new test failed with the same error before.

--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -157,6 +157,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the serving task and the idle timeout."""
         self.transport = transport
+        if self._closing:
+            # It was aborted between its acceptance and this call.
+            self.transport.abort()
+            return
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._serve())
         self._set_deadline(self._limits().idle_timeout)
@@ -230,7 +234,8 @@
     def abort(self) -> None:
         """Close at once without flushing, so that a partial response can't look complete."""
         self._closing = True
-        self.transport.abort()
+        if self.transport is not None:
+            self.transport.abort()
 
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is being read, queued or served.
--- a/celeryrun/transport/tests/test_caller.py
+++ b/celeryrun/transport/tests/test_caller.py
@@ -172,3 +172,17 @@
     """A draining node checks every connection, even before `connection_made` sets its transport."""
     connection = CallerConnection(None, CallerLimits, lambda: False, lambda _: None)
     assert connection.close_if_idle() is False
+
+
+def test_connection_aborted_before_it_has_a_transport_is_closed_when_made():
+    class Transport:
+        aborted = False
+
+        def abort(self):
+            self.aborted = True
+
+    connection = CallerConnection(None, CallerLimits, lambda: False, lambda _: None)
+    connection.abort()
+    transport = Transport()
+    connection.connection_made(transport)
+    assert transport.aborted
