Log and export the store's era; the stand-in store can be restored from a copy

Now a node logs store-era once a process and for each later era, exports celeryrun_store_era, celeryrun_topic_era and celeryrun_topic_offset, and names the era where a topic's history is lost. No decision uses it yet.

The stand-in sends Store-Era, answers a read beyond the end with 410 as published, and restores copies; a read that waited across a restore gets none.

--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -64,9 +64,13 @@
             Event log; writes to standard output by default.
         """
         kernel = Kernel()
-        kernel.register("events", events or EventLog(settings.node.name))
-        kernel.register("metrics", GatewayMetrics())
-        kernel.register("store", Store(settings.store.address))
+        event_log = events or EventLog(settings.node.name)
+        metrics = GatewayMetrics()
+        store = Store(settings.store.address)
+        store.era_watchers.append(lambda era: event_log.emit("store-era", era=era))
+        kernel.register("events", event_log)
+        kernel.register("metrics", metrics)
+        kernel.register("store", store)
         kernel.register("discovery", Discovery(kernel, settings))
         kernel.register("members", Members(kernel, settings))
         kernel.register("crash-tracker", CrashTracker(kernel))
@@ -76,6 +80,7 @@
         kernel.register("relay", Relay(kernel, settings))
         kernel.register("callers", CallerListener(kernel, settings))
         kernel.register("pages", PageListener(kernel, settings))
+        metrics.watch_store(store, kernel.find("scheduler").followers)
         return cls(kernel, settings, path)
 
     async def run(self) -> None:
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from collections.abc import Iterable
+from functools import partial
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
 from celeryrun.gateway._admission import Admission
 from celeryrun.gateway._response_relay import ResponseRelay
+from celeryrun.gateway._topic_follower import TopicFollower
 from celeryrun.kernel import now
 from celeryrun.observe import WorkspaceLabels, seconds_histogram
+from celeryrun.platform import Store
 
 __all__ = ["GatewayMetrics"]
 
@@ -22,6 +27,9 @@
     __slots__ = (
         "_labels",
         "_registry",
+        "_store_era",
+        "_topic_era",
+        "_topic_offset",
         "answers",
         "first_byte",
         "refusals",
@@ -55,6 +63,28 @@
             registry=self._registry,
         )
 
+        self._store_era = Gauge(
+            "celeryrun_store_era",
+            "Latest era of the store that this node knows; it rises when a copy is restored",
+            registry=self._registry,
+        )
+        self._topic_era = Gauge(
+            "celeryrun_topic_era", "Era of the records in use", ("topic",), registry=self._registry
+        )
+        self._topic_offset = Gauge(
+            "celeryrun_topic_offset",
+            "Offset after the records in use, within their era",
+            ("topic",),
+            registry=self._registry,
+        )
+
+    def watch_store(self, store: Store, followers: Iterable[TopicFollower]) -> None:
+        """Export the era of the store and how far its topics have been read."""
+        self._store_era.set_function(lambda: store.era)
+        for follower in followers:
+            self._topic_era.labels(follower.topic).set_function(partial(_era_of, follower))
+            self._topic_offset.labels(follower.topic).set_function(partial(_offset_of, follower))
+
     def start(self) -> None:
         """Do nothing; the service has no task."""
 
@@ -74,3 +104,11 @@
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
+
+
+def _era_of(follower: TopicFollower) -> int:
+    return follower.era
+
+
+def _offset_of(follower: TopicFollower) -> int:
+    return follower.position
--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -35,6 +35,10 @@
 
     Attributes
     ----------
+    topic : str
+        Name of the topic.
+    era : int
+        Era of the store from which the last page of its own was read, 0 before the first.
     confirmed_at : float
         Start of the last read that showed the data to be the newest, -inf before the first.
     recovered_at : float
@@ -56,13 +60,14 @@
         "_initial_delay",
         "_store",
         "_task",
-        "_topic",
         "_max_wait",
         "_resumed",
         "count_readers",
+        "era",
         "on_page",
         "confirmed_at",
         "recovered_at",
+        "topic",
     )
 
     def __init__(
@@ -77,7 +82,8 @@
     ) -> None:
         self._store = store
         self._events = events
-        self._topic = topic
+        self.topic = topic
+        self.era = 0
         self._max_wait = max_wait
         self._read_delay = read_delay
         self._apply = apply
@@ -182,7 +188,7 @@
                 continue
             except Exception as error:
                 # No page may stop the follower; it reads the whole topic again.
-                self._events.emit("store-unreadable", topic=self._topic, why=repr(error))
+                self._events.emit("store-unreadable", topic=self.topic, why=repr(error))
                 self._position = None
                 await asyncio.sleep(max_retry_delay(1))
                 continue
@@ -194,21 +200,24 @@
         began = now()
         start = self._position
         if start is None:
-            page = await self._store.read_snapshot(self._topic)
+            page = await self._store.read_snapshot(self.topic)
             self._suspended_until = max(self._suspended_until, now() + self._initial_delay)
         else:
-            changes = await self._store.read(self._topic, start, self._max_wait)
+            changes = await self._store.read(self.topic, start, self._max_wait)
             if changes is None:
-                self._events.emit("store-history-lost", topic=self._topic, offset=start)
+                self._events.emit(
+                    "store-history-lost", topic=self.topic, offset=start, era=self._store.era
+                )
                 self._position = None
                 return
             page = changes
         # A page from another node may have advanced the position meanwhile.
         self._position = max(self.position, page.next_offset)
+        self.era = page.era
         if self._store_lost:
             self._store_lost = False
             self.recovered_at = now()
-            self._events.emit("store-regained", topic=self._topic, age=self.age())
+            self._events.emit("store-regained", topic=self.topic, age=self.age())
         if page.at_end:
             self.confirmed_at = max(self.confirmed_at, began)
             self._confirmed.set()
@@ -219,4 +228,4 @@
     def _on_store_lost(self, reason: str) -> None:
         if not self._store_lost:
             self._store_lost = True
-            self._events.emit("store-lost", topic=self._topic, why=reason, age=self.age())
+            self._events.emit("store-lost", topic=self.topic, why=reason, age=self.age())
--- a/celeryrun/platform/_names.py
+++ b/celeryrun/platform/_names.py
@@ -13,6 +13,7 @@
     "READY_PATH",
     "RESERVED_HEADERS",
     "RESPONSE_SEAL",
+    "STORE_ERA",
     "TENANT",
     "TOKEN_USAGE",
 ]
@@ -25,6 +26,7 @@
 PROMPT_PREFIX = b"celeryrun-prompt-prefix"
 RATE_LIMIT = b"server-limit"
 RESPONSE_SEAL = b"celeryrun-response-seal"
+STORE_ERA = b"store-era"
 TENANT = b"celeryrun-tenant"
 TOKEN_USAGE = b"celeryrun-token-usage"
 READY_PATH = "/celeryrun/readiness"
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -5,12 +5,14 @@
 import asyncio
 import base64
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
 
 from celeryrun.exception import CeleryrunError
+from celeryrun.platform._names import STORE_ERA
 from celeryrun.settings import Address, GatewaySettings
 from celeryrun.transport import Exchange, TargetFailedError, open_exchange
 
@@ -63,12 +65,15 @@
         Whether the records are the latest ones of all keys rather than the changes since an offset.
     at_end : bool
         Whether the read reached the end of the topic.
+    era : int
+        Era of the store in which the records were read.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     is_snapshot: bool
     at_end: bool
+    era: int = 0
 
 
 class _SnapshotItem(msgspec.Struct, rename="camel"):
@@ -89,12 +94,22 @@
     ----------
     address : Address
         Host and port of the store.
+
+    Attributes
+    ----------
+    era : int
+        Number of times that the store was restored from a copy, as far as this process knows; it
+        may begin at any value. 0 before the first response, and if the store sends none.
+    era_watchers : list of callable
+        Called with each later era.
     """
 
-    __slots__ = ("address",)
+    __slots__ = ("address", "era", "era_watchers")
 
     def __init__(self, address: Address) -> None:
         self.address = address
+        self.era = 0
+        self.era_watchers: list[Callable[[int], None]] = []
 
     def start(self) -> None:
         """Do nothing, as no task runs between calls."""
@@ -106,6 +121,13 @@
         """Use the store address of changed settings from the next call on."""
         self.address = settings.store.address
 
+    def advance_era(self, era: int) -> None:
+        """Note an era that the store or another node has named; an earlier one is ignored."""
+        if era > self.era:
+            self.era = era
+            for watcher in self.era_watchers:
+                watcher(era)
+
     async def read_snapshot(self, topic: str) -> KeyedPage:
         """Read the latest record of every key of a topic.
 
@@ -120,7 +142,7 @@
         while True:
             path = f"/celeryrun/log-newest?topic={topic}&part=0"
             path += f"&after={quote(after_key, safe='')}" if after_key else ""
-            status, body = await self._call("GET", path)
+            status, era, body = await self._call("GET", path)
             if status != HTTP_OK:
                 raise StoreUnavailableError(
                     f"read of {topic} failed with status {status}; wait for the store to recover"
@@ -129,7 +151,7 @@
             records += [KeyedRecord(item.key, _decode_snapshot_value(item)) for item in page.items]
             end = page.end if end is None else end
             if not page.more_pages or not page.items:
-                return KeyedPage(tuple(records), end, is_snapshot=True, at_end=True)
+                return KeyedPage(tuple(records), end, is_snapshot=True, at_end=True, era=era)
             after_key = page.items[-1].key
 
     async def read(self, topic: str, start: int, wait: float) -> KeyedPage | None:
@@ -146,7 +168,7 @@
             If the call gets no usable response.
         """
         path = f"/celeryrun/log-read?topic={topic}&part=0&from={start}&maxKb={MAX_READ_KB}"
-        status, body = await self._call("GET", f"{path}&waitMs={int(wait * 1000)}", wait=wait)
+        status, era, body = await self._call("GET", f"{path}&waitMs={int(wait * 1000)}", wait=wait)
         if status == HTTP_GONE:
             return None
         if status != HTTP_OK:
@@ -164,7 +186,9 @@
             record for record in map(_decode_keyed_record, raw_records) if record is not None
         ]
         next_offset = start + len(raw_records)
-        return KeyedPage(tuple(records), next_offset, is_snapshot=False, at_end=next_offset >= end)
+        return KeyedPage(
+            tuple(records), next_offset, is_snapshot=False, at_end=next_offset >= end, era=era
+        )
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a new value of a key.
@@ -176,7 +200,7 @@
         """
         content = bytes([len(key.encode())]) + key.encode() + value
         body = RECORD_LENGTH.pack(len(content)) + content
-        status, _ = await self._call("POST", f"/celeryrun/log-append?topic={topic}&part=0", body)
+        status, _, _ = await self._call("POST", f"/celeryrun/log-append?topic={topic}&part=0", body)
         if status != HTTP_OK:
             raise StoreUnavailableError(
                 f"append to {topic} failed with status {status}; wait for the store to recover"
@@ -184,7 +208,7 @@
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", wait: float = 0.0
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, int, bytes]:
         request_head = f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n"
         if method == "POST":
             request_head += f"Content-Length: {len(body)}\r\n"
@@ -206,7 +230,20 @@
         finally:
             if exchange is not None:
                 exchange.close()
-        return head.status, b"".join(parts)
+        era = _decode_era(head.value(STORE_ERA))
+        self.advance_era(era)
+        return head.status, era, b"".join(parts)
+
+
+def _decode_era(value: bytes | None) -> int:
+    """Return the era of a response, 0 if the store does not send any."""
+    if value is None:
+        return 0
+    if not value.isdigit():
+        raise StoreUnavailableError(
+            f"store returned an unreadable era ({value[:20]!r}); wait for the store to recover"
+        )
+    return int(value)
 
 
 def _decode_snapshot_page(body: bytes) -> _SnapshotPage:
--- a/celeryrun/platform/tests/test_store.py
+++ b/celeryrun/platform/tests/test_store.py
@@ -77,7 +77,7 @@
 def test_short_page_is_not_reported_as_a_failed_status(monkeypatch):
     async def scenario(stand_in, store):
         async def call(*arguments, **options):
-            return 200, b"short"
+            return 200, 0, b"short"
 
         monkeypatch.setattr(Store, "_call", call)
         with pytest.raises(StoreUnavailableError, match="returned 5 bytes"):
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,12 +1,14 @@
 """Stand-in metadata store that speaks the published protocol of a log with keyed topics.
 
-Faults: ``down`` (connections are reset), ``silent`` (no response) and ``busy`` (503).
+Faults: ``down`` (connections are reset), ``silent`` (no response) and ``busy`` (503); besides, the
+store can be restored from a copy.
 """
 
 from __future__ import annotations
 
 import asyncio
 import base64
+import copy
 import json
 import struct
 from dataclasses import dataclass, field
@@ -89,6 +91,8 @@
         Number of further calls that are executed but get no response.
     called_paths : list of str
         Path of each call received.
+    era : int
+        Sent with each response; rises with each restored copy.
     """
 
     def __init__(self) -> None:
@@ -97,6 +101,7 @@
         self.faults: set[str] = set()
         self.lost_responses = 0
         self.called_paths: list[str] = []
+        self.era = 1
         self.port = 0
         self._server: asyncio.Server | None = None
 
@@ -134,6 +139,17 @@
         topic_log.first_offset += len(topic_log.records)
         topic_log.records.clear()
 
+    def take_copy(self) -> dict[str, Topic]:
+        """Return a copy of all topics, from which ``restore`` continues."""
+        return copy.deepcopy(self.topics)
+
+    def restore(self, topics: dict[str, Topic]) -> None:
+        """Go back to a copy, and lose all that was appended since it was taken."""
+        self.topics = copy.deepcopy(topics)
+        self.era += 1
+        self.appended.set()
+        self.appended = asyncio.Event()
+
     async def _serve(self, connection: CallerConnection, request: ReceivedRequest) -> None:
         url = urlsplit(request.head.request_target.decode())
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -144,14 +160,19 @@
         if "silent" in self.faults:
             await asyncio.sleep(3600)
         if "busy" in self.faults:
-            send_response(connection, 503, b"{}")
+            send_response(connection, 503, b"{}", Store_Era=str(self.era))
             return
+        era = self.era
         status, body = await self._handle_call(url.path, query, request.body)
         if self.lost_responses > 0:
             self.lost_responses -= 1
             connection.abort()
             return
-        send_response(connection, status, body)
+        if era != self.era:
+            # The read waited in a process of the store that is gone.
+            connection.abort()
+            return
+        send_response(connection, status, body, Store_Era=str(era))
 
     async def _handle_call(
         self, path: str, query: dict[str, str], body: bytes
@@ -186,13 +207,13 @@
         start = int(query["from"])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query.get("waitMs", "0")) / 1000
-        while start >= topic.end_offset and loop.time() < deadline:
+        while start == topic.end_offset and loop.time() < deadline:
             try:
                 async with asyncio.timeout(deadline - loop.time()):
                     await self.appended.wait()
             except TimeoutError:
                 break
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= topic.end_offset:
             return 410, _json({"first": topic.first_offset})
         records = topic.records[start - topic.first_offset :]
         raw = b"".join(struct.pack(">I", len(record)) + record for record in records)
