gateway: read, forward and confirm topics by era and offset

Callers saw: on nodes that had not noticed an outage of the store, requests went by an old configuration, and routes added since got a 404.

Cause: a position was an offset. After a restore the offsets of the copy are given out again, so a node at offset 4 of the old history passed for further than the scheduler's node at 2 of the new one: it accepted the confirmation that 2 is the end, dropped the forwarded page 2 to 3, and read on from 4, below which other records lie now.

A response of an earlier era is no response.

Class: comparison of sequence numbers without the history that they belong to.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -22,8 +22,9 @@
 )
 from celeryrun.gateway._members import Members
 from celeryrun.gateway._server import Reply, SchedulerServer
+from celeryrun.history import Position
 from celeryrun.kernel import Kernel, now
-from celeryrun.platform import KeyedPage, KeyedRecord
+from celeryrun.platform import Store
 from celeryrun.scheduling import (
     UNUSED,
     Cancel,
@@ -85,6 +86,7 @@
         "_members",
         "_sent_at_by_number",
         "_startup_done",
+        "_store",
         "_started_at",
         "_task",
         "_dialed_at_by_node",
@@ -94,6 +96,7 @@
         self._local_server: SchedulerServer = kernel.find("scheduler")
         self._members: Members = kernel.find("members")
         self._events: EventLog = kernel.find("events")
+        self._store: Store = kernel.find("store")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._crash_tracker.forward = self._forward
         self._crash_tracker.is_scheduler = self._is_scheduler
@@ -395,26 +398,26 @@
         if link.node != self._current_scheduler or sent_at is None:
             return
         interval = self._heartbeat_interval()
-        for follower, (age, position) in zip(
+        for follower, (age, era, offset) in zip(
             self._local_server.followers, heartbeat.freshness, strict=False
         ):
+            self._store.advance_era(era)
             if age < 0:
                 follower.resume_reading()
             else:
-                follower.confirm_fresh(sent_at - age, position, interval)
+                follower.confirm_fresh(sent_at - age, Position(era, offset), interval)
 
     def _apply_feed(self, link: Link, feed: Feed) -> None:
         followers = self._local_server.followers
         if link.node != self._current_scheduler or not 0 <= feed.topic < len(followers):
             return
         try:
-            records = tuple(KeyedRecord(key, value) for key, value in feed.records)
+            page = feed.page
         except ValueError as error:
             self._events.emit("feed-unreadable", peer=link.node, why=str(error))
             return
-        followers[feed.topic].apply_page(
-            feed.start, KeyedPage(records, feed.next_offset, False, False)
-        )
+        followers[feed.topic].apply_page(feed.first, page)
+        self._store.advance_era(feed.era)
 
     def _on_closed(self, link: Link) -> None:
         if self._links_by_node.get(link.node) is not link:
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from celeryrun.history import Position
+from celeryrun.platform import KeyedPage, KeyedRecord
 from celeryrun.scheduling import (
     Cancel,
     Denial,
@@ -34,10 +36,11 @@
     "TraitsCompleted",
 ]
 
-PROTOCOL = 2  # incremented when a message changes meaning; nodes with another value are rejected
+PROTOCOL = 3  # incremented when a message changes meaning; nodes with another value are rejected
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME = 1024 * 1024  # bytes; the largest message lists all slots that a node holds
 MAX_DECOMPRESSED = 4 * 1024 * 1024  # bytes of records in one message, several reads of the store
+SNAPSHOT = -1  # start of a page that holds the newest record of every key
 COMPRESSION_LEVEL = 1  # zlib's fastest; every level shrinks configurations to a tenth
 MAX_WRITE_BUFFER = 4 * 1024 * 1024  # bytes that a peer may leave unread
 
@@ -59,13 +62,13 @@
     ----------
     number : int
         Sequence number, repeated in the reply.
-    freshness : tuple of (float, int)
+    freshness : tuple of (float, int, int)
         Of the scheduler's data, for each topic: the age in seconds, -1 if the scheduler's node
-        has lost the store, and the offset up to which it has read.
+        has lost the store, and the era and offset up to which it has read.
     """
 
     number: int
-    freshness: tuple[tuple[float, int], ...] = ()
+    freshness: tuple[tuple[float, int, int], ...] = ()
 
 
 class Feed(msgspec.Struct, array_like=True, tag=True):
@@ -75,27 +78,41 @@
     ----------
     topic : int
         Index of the topic in ``SchedulerServer.followers``.
+    era : int
+        Era of the store in which they were read.
     start, next_offset : int
-        Offset of the first record, and the offset after the last.
+        Offset of the first record, `SNAPSHOT` for the newest record of every key, and the offset
+        after the last.
     compressed : bytes
         Records, compressed because a configuration of a thousand routes is sent to all nodes over
         one link of low bandwidth.
     """
 
     topic: int
+    era: int
     start: int
     next_offset: int
     compressed: bytes
 
     @classmethod
-    def from_records(cls, topic: int, start: int, next_offset: int, records: Records) -> Feed:
-        """Encode and compress records."""
+    def from_page(cls, topic: int, start: Position | None, page: KeyedPage) -> Feed:
+        """Encode and compress the records of a page."""
+        records = tuple((record.key, record.value) for record in page.records)
         return cls(
-            topic, start, next_offset, zlib.compress(_encoder.encode(records), COMPRESSION_LEVEL)
+            topic,
+            page.end.era,
+            SNAPSHOT if start is None else start.offset,
+            page.end.offset,
+            zlib.compress(_encoder.encode(records), COMPRESSION_LEVEL),
         )
 
     @property
-    def records(self) -> Records:
+    def first(self) -> Position | None:
+        """Position of the first record, None for a snapshot."""
+        return None if self.start == SNAPSHOT else Position(self.era, self.start)
+
+    @property
+    def page(self) -> KeyedPage:
         """Decode the records.
 
         Raises
@@ -103,6 +120,11 @@
         ValueError
             If they are malformed or larger than ``MAX_DECOMPRESSED``.
         """
+        records = tuple(KeyedRecord(key, value) for key, value in self._decode_records())
+        end = Position(self.era, self.next_offset)
+        return KeyedPage(records, end, is_snapshot=self.start == SNAPSHOT, at_end=False)
+
+    def _decode_records(self) -> Records:
         try:
             decompressor = zlib.decompressobj()
             raw = decompressor.decompress(self.compressed, MAX_DECOMPRESSED)
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -107,8 +107,8 @@
 
 
 def _era_of(follower: TopicFollower) -> int:
-    return follower.era
+    return follower.position.era if follower.position is not None else 0
 
 
 def _offset_of(follower: TopicFollower) -> int:
-    return follower.position
+    return follower.position.offset if follower.position is not None else -1
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -27,6 +27,7 @@
 from celeryrun.gateway._listen import listen
 from celeryrun.gateway._members import Members
 from celeryrun.gateway._topic_follower import TopicFollower
+from celeryrun.history import Position
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import KeyedPage
 from celeryrun.scheduling import (
@@ -244,15 +245,12 @@
         for held_slot in held_slots:
             self.scheduler.add_held_slot(node, held_slot, now())
 
-    def _send_feed(self, topic: int, start: int, page: KeyedPage) -> None:
+    def _send_feed(self, topic: int, start: Position | None, page: KeyedPage) -> None:
         """Forward a page to the connected nodes, which read pages that are too large themselves."""
-        records = tuple((record.key, record.value) for record in page.records)
-        if (
-            not self._links_by_node
-            or sum(len(value or b"") for _, value in records) > MAX_FEED_BYTES
-        ):
+        size = sum(len(record.value or b"") for record in page.records)
+        if not self._links_by_node or size > MAX_FEED_BYTES:
             return
-        feed = Feed.from_records(topic, start, page.next_offset, records)
+        feed = Feed.from_page(topic, start, page)
         if len(feed.compressed) > MAX_FRAME // 2:
             return
         for link in self._links_by_node.values():
--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 from collections.abc import Callable
 
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._intervals import max_retry_delay
+from celeryrun.history import Accepted, Position, TopicCursor
 from celeryrun.kernel import now
 from celeryrun.platform import KeyedPage, Store, StoreUnavailableError
 
@@ -16,6 +18,7 @@
 
 INITIAL_RETRY_DELAY = 0.1  # s after the first failed call
 MAX_MISSED_CONFIRMATIONS = 3.5  # heartbeats without a confirmation before a node reads by itself
+MAX_FEED_DELAY = 0.2  # s for which the snapshot of a new era may come from another node
 CONFIRMATION_MARGIN = 0.15  # s by which another node's confirmation may be late
 
 
@@ -37,16 +40,16 @@
     ----------
     topic : str
         Name of the topic.
-    era : int
-        Era of the store from which the last page of its own was read, 0 before the first.
     confirmed_at : float
         Start of the last read that showed the data to be the newest, -inf before the first.
     recovered_at : float
-        Time of the store's first reply after its last outage, -inf before the first.
+        Time of the store's first reply after its last outage, or of the first records after it was
+        restored from a copy, -inf before both.
     count_readers : callable
         Returns how many nodes retry during an outage of the store.
     on_page : callable
-        Called with the start offset and the page of each read by this node.
+        Called with the start and the page of each read by this node that had news; the start of a
+        snapshot is None.
     """
 
     __slots__ = (
@@ -55,7 +58,8 @@
         "_suspended_until",
         "_store_lost",
         "_read_delay",
-        "_position",
+        "_cursor",
+        "_long_read",
         "_confirmed",
         "_initial_delay",
         "_store",
@@ -63,7 +67,6 @@
         "_max_wait",
         "_resumed",
         "count_readers",
-        "era",
         "on_page",
         "confirmed_at",
         "recovered_at",
@@ -83,12 +86,12 @@
         self._store = store
         self._events = events
         self.topic = topic
-        self.era = 0
         self._max_wait = max_wait
         self._read_delay = read_delay
         self._apply = apply
         self._initial_delay = initial_delay
-        self._position: int | None = None
+        self._cursor = TopicCursor()
+        self._long_read: asyncio.Future[KeyedPage | None] | None = None
         self._store_lost = False
         self._suspended_until = float("-inf")
         self._confirmed = asyncio.Event()
@@ -97,10 +100,11 @@
         self.confirmed_at = float("-inf")
         self.recovered_at = float("-inf")
         self.count_readers: Callable[[], int] = lambda: 1
-        self.on_page: Callable[[int, KeyedPage], None] = lambda start, page: None
+        self.on_page: Callable[[Position | None, KeyedPage], None] = lambda start, page: None
 
     def start(self) -> None:
         """Start following the topic."""
+        self._store.era_watchers.append(self.advance_era)
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def stop(self) -> None:
@@ -113,18 +117,25 @@
         return now() - self.confirmed_at
 
     @property
-    def position(self) -> int:
-        """Offset of the next record to read, -1 before the first read."""
-        return -1 if self._position is None else self._position
+    def position(self) -> Position | None:
+        """Position after the last record applied, None before the first read."""
+        return self._cursor.position
 
-    def apply_page(self, start: int, page: KeyedPage) -> None:
-        """Apply a page that another node read, unless records before it are missing."""
-        if self._position is not None and start <= self._position < page.next_offset:
-            self._position = page.next_offset
-            self._apply(page)
+    def advance_era(self, era: int) -> None:
+        """Note a later era of the store; a read that began in an earlier one is abandoned."""
+        if not self._cursor.advance_era(era):
+            return
+        if self._long_read is not None:
+            self._long_read.cancel()
+        self._suspended_until = min(self._suspended_until, now() + MAX_FEED_DELAY)
+        self._resumed.set()
+
+    def apply_page(self, start: Position | None, page: KeyedPage) -> None:
+        """Apply a page that another node read, if it follows what this node has applied."""
+        self._apply_if_accepted(start, page)
 
-    def confirm_fresh(self, read_began: float, position: int, heartbeat_interval: float) -> None:
-        """Apply another node's confirmation that ``position`` was the end of the topic.
+    def confirm_fresh(self, read_began: float, end: Position, heartbeat_interval: float) -> None:
+        """Apply another node's confirmation that ``end`` was the end of the topic.
 
         While confirmations come, this node does not read the topic.
 
@@ -135,7 +146,7 @@
         heartbeat_interval : float
             Seconds between two confirmations.
         """
-        if self.position < position:
+        if not self._cursor.covers(end):
             return
         self.confirmed_at = max(self.confirmed_at, read_began)
         self._confirmed.set()
@@ -156,9 +167,10 @@
         self._suspended_until = float("-inf")
         self._resumed.set()
 
-    def freshness(self) -> tuple[float, int]:
-        """Return the age of the data, -1 during an outage of the store, and its end offset."""
-        return (-1.0 if self._store_lost else self.age()), self.position
+    def freshness(self) -> tuple[float, int, int]:
+        """Return the age of the data, -1 during an outage of the store, its era and its end."""
+        position = self.position or Position(0, 0)
+        return -1.0 if self._store_lost else self.age(), position.era, position.offset
 
     async def wait_fresh(self, max_age: float, timeout: float) -> bool:
         """Wait until the data is at most ``max_age`` seconds old; return whether it is."""
@@ -189,7 +201,7 @@
             except Exception as error:
                 # No page may stop the follower; it reads the whole topic again.
                 self._events.emit("store-unreadable", topic=self.topic, why=repr(error))
-                self._position = None
+                self._cursor.lose_history()
                 await asyncio.sleep(max_retry_delay(1))
                 continue
             retry_delay = INITIAL_RETRY_DELAY
@@ -198,33 +210,68 @@
 
     async def _read_page(self) -> None:
         began = now()
-        start = self._position
+        start = self._cursor.next_read
         if start is None:
             page = await self._store.read_snapshot(self.topic)
             self._suspended_until = max(self._suspended_until, now() + self._initial_delay)
         else:
-            changes = await self._store.read(self.topic, start, self._max_wait)
+            changes = await self._read_changes(start)
             if changes is None:
-                self._events.emit(
-                    "store-history-lost", topic=self.topic, offset=start, era=self._store.era
-                )
-                self._position = None
                 return
             page = changes
-        # A page from another node may have advanced the position meanwhile.
-        self._position = max(self.position, page.next_offset)
-        self.era = page.era
         if self._store_lost:
             self._store_lost = False
             self.recovered_at = now()
             self._events.emit("store-regained", topic=self.topic, age=self.age())
-        if page.at_end:
+        is_news = self._apply_if_accepted(start, page)
+        if page.at_end and self._cursor.covers(page.end):
             self.confirmed_at = max(self.confirmed_at, began)
             self._confirmed.set()
-        self._apply(page)
-        if start is not None and page.records:
+        if is_news and page.records:
             self.on_page(start, page)
 
+    async def _read_changes(self, start: Position) -> KeyedPage | None:
+        """Read the changes from a position on; return None if a snapshot must be read instead."""
+        self._long_read = asyncio.ensure_future(self._store.read(self.topic, start, self._max_wait))
+        try:
+            page = await self._long_read
+        except asyncio.CancelledError:
+            if self._task is None or self._task.cancelling():
+                raise
+            return None
+        finally:
+            self._long_read = None
+        if page is None:
+            self._events.emit(
+                "store-history-lost", topic=self.topic, offset=start.offset, era=start.era
+            )
+            self._cursor.lose_history(start)
+        return page
+
+    def _apply_if_accepted(self, start: Position | None, page: KeyedPage) -> bool:
+        """Apply a page of the store or of another node; return whether it was accepted."""
+        former = self._cursor.position
+        decision = (
+            self._cursor.accept_snapshot(page.end)
+            if start is None
+            else self._cursor.accept_changes(start, page.end)
+        )
+        match decision:
+            case Accepted(restored=True):
+                self.recovered_at = now()
+                self._events.emit(
+                    "topic-restored",
+                    topic=self.topic,
+                    era=page.end.era,
+                    offset=page.end.offset,
+                    former_era=former.era if former is not None else None,
+                    former_offset=former.offset if former is not None else None,
+                )
+                self._apply(dataclasses.replace(page, restored=True))
+            case Accepted():
+                self._apply(page)
+        return isinstance(decision, Accepted)
+
     def _on_store_lost(self, reason: str) -> None:
         if not self._store_lost:
             self._store_lost = True
--- a/celeryrun/gateway/tests/test_peers.py
+++ b/celeryrun/gateway/tests/test_peers.py
@@ -6,6 +6,8 @@
 import pytest
 
 from celeryrun.gateway._links import PROTOCOL, Feed, Heartbeat, Hello, Link
+from celeryrun.history import Position
+from celeryrun.platform import KeyedPage, KeyedRecord
 from celeryrun.scheduling.tests.builders import build_slot_request
 from celeryrun.settings import Address
 from standins.site import Site, run
@@ -86,14 +88,16 @@
 )
 def test_malformed_feed_raises_value_error(compressed):
     with pytest.raises(ValueError, match="records"):
-        _ = Feed(0, 0, 1, compressed).records
+        _ = Feed(0, 1, 0, 1, compressed).page
 
 
 def test_feed_round_trips_records():
-    records = (("a", b"x" * 300_000), ("b", None))
-    feed = Feed.from_records(1, 5, 7, records)
-    assert len(feed.compressed) < 3000
-    assert feed.records == records
+    records = (KeyedRecord("a", b"x" * 300_000), KeyedRecord("b", None))
+    for start in (Position(2, 5), None):
+        page = KeyedPage(records, Position(2, 7), is_snapshot=start is None, at_end=False)
+        feed = Feed.from_page(1, start, page)
+        assert len(feed.compressed) < 3000
+        assert (feed.first, feed.page) == (start, page)
 
 
 def test_nodes_that_start_together_do_not_all_dial_each_other():
--- a/celeryrun/gateway/tests/test_topic_follower.py
+++ b/celeryrun/gateway/tests/test_topic_follower.py
@@ -6,6 +6,7 @@
 
 from celeryrun.gateway import _topic_follower
 from celeryrun.gateway._topic_follower import CONFIRMATION_MARGIN, MAX_MISSED_CONFIRMATIONS
+from celeryrun.history import Position, TopicCursor
 from celeryrun.platform import KeyedPage, KeyedRecord, StoreUnavailableError
 
 MAX_WAIT = 0.9
@@ -33,12 +34,12 @@
 @pytest.fixture
 def follower(clock):
     follower = RecordingFollower()
-    follower._position = 5
+    follower._cursor.accept_snapshot(Position(1, 5))
     return follower
 
 
 def page(next_offset):
-    return KeyedPage((KeyedRecord("key", b"value"),), next_offset, False, False)
+    return KeyedPage((KeyedRecord("key", b"value"),), Position(1, next_offset), False, False)
 
 
 def is_reading(follower, clock):
@@ -46,20 +47,20 @@
 
 
 def test_age_counts_from_earliest_start_of_confirming_read(follower, clock):
-    follower.confirm_fresh(99.2, position=5, heartbeat_interval=HEARTBEAT_INTERVAL)
+    follower.confirm_fresh(99.2, end=Position(1, 5), heartbeat_interval=HEARTBEAT_INTERVAL)
     assert follower.age() == pytest.approx(0.8)
-    follower.confirm_fresh(98.0, position=5, heartbeat_interval=HEARTBEAT_INTERVAL)
+    follower.confirm_fresh(98.0, end=Position(1, 5), heartbeat_interval=HEARTBEAT_INTERVAL)
     assert follower.age() == pytest.approx(0.8)
 
 
 def test_confirmation_beyond_own_position_is_ignored(follower, clock):
-    follower.confirm_fresh(99.9, position=6, heartbeat_interval=HEARTBEAT_INTERVAL)
+    follower.confirm_fresh(99.9, end=Position(1, 6), heartbeat_interval=HEARTBEAT_INTERVAL)
     assert follower.age() == float("inf")
     assert is_reading(follower, clock)
 
 
 def test_reading_resumes_when_confirmations_stop(follower, clock):
-    follower.confirm_fresh(100.0, position=5, heartbeat_interval=HEARTBEAT_INTERVAL)
+    follower.confirm_fresh(100.0, end=Position(1, 5), heartbeat_interval=HEARTBEAT_INTERVAL)
     assert not is_reading(follower, clock)
     clock[0] += CONFIRMATION_LEASE
     assert is_reading(follower, clock)
@@ -68,40 +69,42 @@
 def test_reading_resumes_when_next_confirmation_is_late(follower, clock):
     confirmed_at = clock[0]
     while not is_reading(follower, clock) or clock[0] == confirmed_at:
-        follower.confirm_fresh(confirmed_at, position=5, heartbeat_interval=HEARTBEAT_INTERVAL)
+        follower.confirm_fresh(
+            confirmed_at, end=Position(1, 5), heartbeat_interval=HEARTBEAT_INTERVAL
+        )
         clock[0] += 0.05
         assert clock[0] < confirmed_at + 10
     assert clock[0] - confirmed_at <= MAX_CONFIRMATION_AGE + 0.051
 
 
 def test_reading_resumes_immediately_when_other_node_loses_store(follower, clock):
-    follower.confirm_fresh(100.0, position=5, heartbeat_interval=HEARTBEAT_INTERVAL)
+    follower.confirm_fresh(100.0, end=Position(1, 5), heartbeat_interval=HEARTBEAT_INTERVAL)
     follower.resume_reading()
     assert is_reading(follower, clock)
 
 
 def test_follower_without_store_confirms_nothing(follower, clock):
-    follower.confirm_fresh(100.0, position=5, heartbeat_interval=HEARTBEAT_INTERVAL)
-    assert follower.freshness() == (0.0, 5)
+    follower.confirm_fresh(100.0, end=Position(1, 5), heartbeat_interval=HEARTBEAT_INTERVAL)
+    assert follower.freshness() == (0.0, 1, 5)
     follower._store_lost = True
-    assert follower.freshness() == (-1.0, 5)
+    assert follower.freshness() == (-1.0, 1, 5)
 
 
 def test_pages_are_applied_in_order_without_gaps(follower, clock):
-    follower.apply_page(7, page(8))
-    assert (follower.position, len(follower.pages)) == (5, 0)
-    follower.apply_page(5, page(7))
-    assert (follower.position, len(follower.pages)) == (7, 1)
-    follower.apply_page(5, page(7))
-    assert (follower.position, len(follower.pages)) == (7, 1)
-    follower.apply_page(6, page(9))
-    assert (follower.position, len(follower.pages)) == (9, 2)
+    follower.apply_page(Position(1, 7), page(8))
+    assert (follower.position.offset, len(follower.pages)) == (5, 0)
+    follower.apply_page(Position(1, 5), page(7))
+    assert (follower.position.offset, len(follower.pages)) == (7, 1)
+    follower.apply_page(Position(1, 5), page(7))
+    assert (follower.position.offset, len(follower.pages)) == (7, 1)
+    follower.apply_page(Position(1, 6), page(9))
+    assert (follower.position.offset, len(follower.pages)) == (9, 2)
 
 
 def test_pages_before_first_read_are_ignored(follower, clock):
-    follower._position = None
-    follower.apply_page(0, page(3))
-    assert (follower.position, follower.pages) == (-1, [])
+    follower._cursor = TopicCursor()
+    follower.apply_page(Position(1, 0), page(3))
+    assert (follower.position, follower.pages) == (None, [])
 
 
 def test_retry_delay_grows_with_fleet_size(monkeypatch):
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from celeryrun.exception import CeleryrunError
+from celeryrun.history import Position
 from celeryrun.platform._names import STORE_ERA
 from celeryrun.settings import Address, GatewaySettings
 from celeryrun.transport import Exchange, TargetFailedError, open_exchange
@@ -59,21 +60,21 @@
 
     Parameters
     ----------
-    next_offset : int
-        Offset at which the next read starts.
+    end : Position
+        Position at which the next read starts.
     is_snapshot : bool
         Whether the records are the latest ones of all keys rather than the changes since an offset.
     at_end : bool
         Whether the read reached the end of the topic.
-    era : int
-        Era of the store in which the records were read.
+    restored : bool
+        Whether the records are of a restored copy, which may lack what was applied before.
     """
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
+    end: Position
     is_snapshot: bool
     at_end: bool
-    era: int = 0
+    restored: bool = False
 
 
 class _SnapshotItem(msgspec.Struct, rename="camel"):
@@ -134,10 +135,10 @@
         Raises
         ------
         StoreUnavailableError
-            If a call gets no usable response.
+            If a call gets no usable response, or the store is restored between two pages.
         """
         records: list[KeyedRecord] = []
-        end: int | None = None
+        end: Position | None = None
         after_key = ""
         while True:
             path = f"/celeryrun/log-newest?topic={topic}&part=0"
@@ -149,16 +150,23 @@
                 )
             page = _decode_snapshot_page(body)
             records += [KeyedRecord(item.key, _decode_snapshot_value(item)) for item in page.items]
-            end = page.end if end is None else end
+            end = Position(era, page.end) if end is None else end
+            if era != end.era:
+                raise StoreUnavailableError(
+                    f"the store was restored during a read of {topic}; read it again"
+                )
             if not page.more_pages or not page.items:
-                return KeyedPage(tuple(records), end, is_snapshot=True, at_end=True, era=era)
+                return KeyedPage(tuple(records), end, is_snapshot=True, at_end=True)
             after_key = page.items[-1].key
 
-    async def read(self, topic: str, start: int, wait: float) -> KeyedPage | None:
-        """Read the records from an offset on; return None if the store no longer has all of them.
+    async def read(self, topic: str, start: Position, wait: float) -> KeyedPage | None:
+        """Read the records from a position on; return None if the store no longer has all of them.
 
         Parameters
         ----------
+        start : Position
+            Of an earlier era than that of the page if the store was restored meanwhile; the
+            records of the page then do not follow those before ``start``.
         wait : float
             Seconds that the store may delay the response until there are new records.
 
@@ -167,7 +175,7 @@
         StoreUnavailableError
             If the call gets no usable response.
         """
-        path = f"/celeryrun/log-read?topic={topic}&part=0&from={start}&maxKb={MAX_READ_KB}"
+        path = f"/celeryrun/log-read?topic={topic}&part=0&from={start.offset}&maxKb={MAX_READ_KB}"
         status, era, body = await self._call("GET", f"{path}&waitMs={int(wait * 1000)}", wait=wait)
         if status == HTTP_GONE:
             return None
@@ -185,13 +193,16 @@
         records = [
             record for record in map(_decode_keyed_record, raw_records) if record is not None
         ]
-        next_offset = start + len(raw_records)
+        next_offset = start.offset + len(raw_records)
         return KeyedPage(
-            tuple(records), next_offset, is_snapshot=False, at_end=next_offset >= end, era=era
+            tuple(records),
+            Position(era, next_offset),
+            is_snapshot=False,
+            at_end=next_offset >= end,
         )
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
-        """Append a new value of a key.
+        """Append a new value of a key, which the store may lose when it is restored from a copy.
 
         Raises
         ------
@@ -231,6 +242,11 @@
             if exchange is not None:
                 exchange.close()
         era = _decode_era(head.value(STORE_ERA))
+        if era < self.era:
+            raise StoreUnavailableError(
+                f"response of era {era}, and the store has been restored in era {self.era}; wait "
+                "for the store to recover"
+            )
         self.advance_era(era)
         return head.status, era, b"".join(parts)
 
--- a/celeryrun/platform/tests/test_store.py
+++ b/celeryrun/platform/tests/test_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from celeryrun.history import Position
 from celeryrun.platform import Store, StoreUnavailableError
 from celeryrun.settings import Address
 from standins.store import HOST, StoreStandIn
@@ -29,7 +30,7 @@
         page = await store.read_snapshot("keyed.x")
         assert len(page.records) == 1202
         assert page.is_snapshot
-        assert page.next_offset == 1204
+        assert page.end == Position(1, 1204)
 
     run_with_store(scenario)
 
@@ -37,11 +38,11 @@
 def test_read_returns_changes_and_waits_for_new_ones():
     async def scenario(stand_in, store):
         stand_in.put("keyed.x", "a", b"1")
-        page = await store.read("keyed.x", 0, 0.0)
+        page = await store.read("keyed.x", Position(1, 0), 0.0)
         assert [(record.key, record.value) for record in page.records] == [("a", b"1")]
         assert page.at_end
         asyncio.get_running_loop().call_later(0.05, stand_in.put, "keyed.x", "a", None)
-        page = await store.read("keyed.x", page.next_offset, 2.0)
+        page = await store.read("keyed.x", page.end, 2.0)
         assert [(record.key, record.value) for record in page.records] == [("a", None)]
 
     run_with_store(scenario)
@@ -60,7 +61,7 @@
     async def scenario(stand_in, store):
         stand_in.put("keyed.x", "a", b"1")
         stand_in.drop_history("keyed.x")
-        assert await store.read("keyed.x", 0, 0.0) is None
+        assert await store.read("keyed.x", Position(1, 0), 0.0) is None
 
     run_with_store(scenario)
 
@@ -69,7 +70,7 @@
     async def scenario(stand_in, store):
         stand_in.faults.add("silent")
         with pytest.raises(StoreUnavailableError, match=r"\(timeout\); wait for the store"):
-            await store.read("keyed.x", 0, 0.0)
+            await store.read("keyed.x", Position(1, 0), 0.0)
 
     run_with_store(scenario)
 
@@ -81,7 +82,7 @@
 
         monkeypatch.setattr(Store, "_call", call)
         with pytest.raises(StoreUnavailableError, match="returned 5 bytes"):
-            await store.read("keyed.x", 0, 0.0)
+            await store.read("keyed.x", Position(1, 0), 0.0)
 
     run_with_store(scenario)
 
@@ -90,7 +91,7 @@
 def test_call_without_a_usable_response_raises_store_unavailable_error(fault):
     async def scenario(stand_in, store):
         stand_in.faults.add(fault)
-        for call in (store.read_snapshot("keyed.x"), store.read("keyed.x", 0, 0.2)):
+        for call in (store.read_snapshot("keyed.x"), store.read("keyed.x", Position(1, 0), 0.2)):
             with pytest.raises(StoreUnavailableError):
                 await call
 
