gateway: entries of a restored copy do not bring a target back

Callers saw: requests were sent to a target that had left, since the copy still listed it as ready. Cause: an entry was believed whatever was known of its target; the same class, a copy taken for news. Change: for 2.3 s after a restore, an entry of a run that had been draining or gone is compared by start and heartbeat number with the last one known (catalog/_restored, plain code); a draining run stays draining, and one that was removed is used again only if the store still lists it then, since entries that lapsed are back by then too.

--- a/celeryrun/catalog/__init__.py
+++ b/celeryrun/catalog/__init__.py
@@ -10,14 +10,19 @@
     Target,
     Workspace,
 )
+from celeryrun.catalog._restored import Credible, Doubtful, Outdated, judge_restored_entry
 
 __all__ = [
     "CallerLimits",
     "Catalog",
+    "Credible",
+    "Doubtful",
+    "Outdated",
     "Pool",
     "RequestKind",
     "Route",
     "Split",
     "Target",
     "Workspace",
+    "judge_restored_entry",
 ]
--- a/celeryrun/catalog/_model.py
+++ b/celeryrun/catalog/_model.py
@@ -213,6 +213,8 @@
         Start time in Unix milliseconds, 0 if unknown; distinguishes two runs with the same id.
     ready : bool
         Whether the target accepts new requests.
+    sequence : float
+        Number of heartbeats that this run had written before the entry; orders its entries.
     """
 
     id: str
@@ -223,3 +225,4 @@
     slots: int
     ready: bool
     born: int = 0
+    sequence: float = field(default=0.0, compare=False)
--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -3,8 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-
-from celeryrun.catalog import Catalog, Pool, Target
+from collections import OrderedDict
+
+from celeryrun.catalog import (
+    Catalog,
+    Credible,
+    Doubtful,
+    Outdated,
+    Pool,
+    Target,
+    judge_restored_entry,
+)
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._topic_follower import TopicFollower
 from celeryrun.kernel import Kernel, now
@@ -30,6 +39,7 @@
 MAX_READ_DELAY = 1.0  # s
 INITIAL_READ_DELAY = 1.5  # s; by then a new node usually has a scheduler that reads for it
 RECOVERY_GRACE = 2.3  # s after an outage of the store for which it may lack targets
+MAX_REMOVED_TARGETS = 1024  # latest removed targets that are remembered
 
 
 class Discovery:
@@ -44,7 +54,10 @@
     """
 
     __slots__ = (
+        "_doubts_by_id",
         "_removals_by_id",
+        "_removed_targets_by_id",
+        "_restored_at",
         "_events",
         "_ready_targets_by_pool",
         "catalog",
@@ -66,6 +79,9 @@
         read_delay = min(MAX_READ_DELAY, DRAIN_LAG_DELAY_FRACTION * bounds.drain_lag)
         self._events = events
         self._removals_by_id: dict[str, asyncio.TimerHandle] = {}
+        self._doubts_by_id: dict[str, asyncio.TimerHandle] = {}
+        self._removed_targets_by_id: OrderedDict[str, Target] = OrderedDict()
+        self._restored_at = float("-inf")
         self._ready_targets_by_pool: dict[str, list[Target]] = {}
         self.catalog: Catalog | None = None
         self.targets_by_id: dict[str, Target] = {}
@@ -138,6 +154,8 @@
                 self.catalog = catalog
 
     def _apply_targets(self, page: KeyedPage) -> None:
+        if page.restored:
+            self._restored_at = now()
         for record in page.records:
             self._apply_target(record)
         if page.is_snapshot:
@@ -147,6 +165,8 @@
 
     def _apply_target(self, record: KeyedRecord) -> None:
         id = record.key
+        if id in self._doubts_by_id:
+            self._doubts_by_id.pop(id).cancel()
         if record.value is None:
             if id in self.targets_by_id:
                 self._schedule_removal(id)
@@ -156,12 +176,33 @@
         except UnreadableRecordError as error:
             self._events.emit("target-unreadable", target=id, why=str(error))
             return
+        doubt_ends_in = self._restored_at + RECOVERY_GRACE - now()
+        if doubt_ends_in > 0:
+            known, removed = self.targets_by_id.get(id), self._removed_targets_by_id.get(id)
+            match judge_restored_entry(target, known, removed):
+                case Outdated(reason):
+                    self._events.emit("target-outdated", target=id, why=reason)
+                    return
+                case Doubtful(reason):
+                    self._events.emit("target-outdated", target=id, why=reason)
+                    loop = asyncio.get_running_loop()
+                    self._doubts_by_id[id] = loop.call_later(
+                        doubt_ends_in, self._accept_target, target
+                    )
+                    return
+                case Credible():
+                    pass
+        self._accept_target(target)
+
+    def _accept_target(self, target: Target) -> None:
+        id = target.id
+        self._doubts_by_id.pop(id, None)
         if id in self._removals_by_id:
             self._removals_by_id.pop(id).cancel()
         known = self.targets_by_id.get(id)
+        self.targets_by_id[id] = target
         if known is None or known != target:
             self._ready_targets_by_pool.clear()
-            self.targets_by_id[id] = target
             if known is None or known.ready != target.ready or known.born != target.born:
                 self._events.emit(
                     "target-listed",
@@ -185,4 +226,8 @@
         self._ready_targets_by_pool.clear()
         target = self.targets_by_id.pop(id, None)
         if target is not None:
+            self._removed_targets_by_id[id] = target
+            self._removed_targets_by_id.move_to_end(id)
+            if len(self._removed_targets_by_id) > MAX_REMOVED_TARGETS:
+                self._removed_targets_by_id.popitem(last=False)
             self._events.emit("target-gone", target=id, pool=target.pool)
--- a/celeryrun/platform/_decode.py
+++ b/celeryrun/platform/_decode.py
@@ -92,6 +92,7 @@
     state: str
     slots: int = 1
     born: int = 0
+    sequence: float = 0.0
 
 
 def decode_catalog(body: bytes) -> Catalog:
@@ -185,4 +186,5 @@
     if not host or not port.isdigit() or entry.state not in ("ready", "draining"):
         raise UnreadableRecordError(f"entry of target {id!r} has no usable address or state")
     ready = entry.state == "ready"
-    return Target(id, entry.service, host, int(port), entry.zone, entry.slots, ready, entry.born)
+    run = (entry.born, entry.sequence)
+    return Target(id, entry.service, host, int(port), entry.zone, entry.slots, ready, *run)
