gateway: write again what a restored copy lacks of a node's registration and refused parts

Operators would have seen: after a restore, nodes that start find only the nodes whose record the copy holds, so two schedulers run; parts that crash targets are forgotten by nodes that start, and parts that were cleared are refused again. Cause: what was acknowledged once was believed kept. Same class: an acknowledgement belongs to an era. Each node compares a restored copy with what it knew of the records of crash causes; what differs is written by whichever node schedules, also after the scheduler's death.

--- a/celeryrun/gateway/_crash_tracker.py
+++ b/celeryrun/gateway/_crash_tracker.py
@@ -66,6 +66,8 @@
     __slots__ = (
         "_completed_parts",
         "_events",
+        "_lost_by_key",
+        "_rewrite_task",
         "_stored_by_key",
         "_store",
         "_task",
@@ -78,10 +80,12 @@
 
     def __init__(self, kernel: Kernel) -> None:
         members: Members = kernel.find("members")
-        members.on_other_record = self._apply_record
+        members.on_other_records = self._apply_records
         self._store: Store = kernel.find("store")
         self._stored_by_key: OrderedDict[str, int] = OrderedDict()
         self._unwritten_by_key: dict[str, int] = {}
+        self._lost_by_key: dict[str, int] = {}
+        self._rewrite_task: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
         self.is_scheduler: Callable[[], bool] = lambda: False
         self._events: EventLog = kernel.find("events")
@@ -95,8 +99,9 @@
 
     def stop(self) -> None:
         """Stop writing to the store."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in (self._task, self._rewrite_task):
+            if task is not None:
+                task.cancel()
 
     def assess(self, parts: Iterable[bytes]) -> PartAssessment:
         """Decide whether a request with these parts of a prompt may run."""
@@ -212,6 +217,38 @@
                 del self._unwritten_by_key[key]
             await asyncio.sleep(STORE_INTERVAL)
 
+    def _apply_records(self, records: list[KeyedRecord], restored: bool) -> None:
+        if restored:
+            self._compare_with_copy(records)
+            return
+        for record in records:
+            self._lost_by_key.pop(record.key, None)
+            self._apply_record(record)
+
+    def _compare_with_copy(self, records: list[KeyedRecord]) -> None:
+        """Note what a restored copy lacks, and what had been deleted; a scheduler writes both."""
+        crashes_by_key = {
+            record.key: record.value
+            for record in records
+            if record.key.startswith((PART_PREFIX, REQUEST_PREFIX))
+        }
+        self._lost_by_key = {
+            key: self._stored_by_key.get(key, 0)
+            for key in {*self._stored_by_key, *crashes_by_key}
+            if crashes_by_key.get(key) != b"%d" % self._stored_by_key.get(key, 0)
+        }
+        if self._lost_by_key and (self._rewrite_task is None or self._rewrite_task.done()):
+            self._rewrite_task = asyncio.get_running_loop().create_task(self._rewrite_lost())
+
+    async def _rewrite_lost(self) -> None:
+        """Write what a restored copy lacks, unless another node is seen to have written it."""
+        while self._lost_by_key:
+            if self.is_scheduler():
+                for key, crashes in self._lost_by_key.items():
+                    self._write(key, crashes)
+                self._lost_by_key = {}
+            await asyncio.sleep(STORE_RETRY_DELAY)
+
     def _apply_record(self, record: KeyedRecord) -> None:
         """Refuse what an earlier process refused; other records are ignored."""
         for prefix in (PART_PREFIX, REQUEST_PREFIX):
--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -36,21 +36,23 @@
         Peer address of each node, including this one once it is registered.
     follower : TopicFollower
         Follower of the registry.
-    on_other_record : callable
-        Called with each record of the topic that is no node's.
+    on_other_records : callable
+        Called with the records of a page that are no node's, and whether they are all there are in
+        a restored copy.
     speed_by_node : dict
         Processor speed of each node, in cores.
     """
 
     __slots__ = (
         "_events",
+        "_registered_era",
         "_settings",
         "_store",
         "_task",
         "address_by_node",
         "follower",
         "on_change",
-        "on_other_record",
+        "on_other_records",
         "speed_by_node",
     )
 
@@ -65,7 +67,10 @@
         self.address_by_node: dict[str, Address] = {}
         self.speed_by_node: dict[str, float] = {}
         self.on_change: Callable[[], None] = lambda: None
-        self.on_other_record: Callable[[KeyedRecord], None] = lambda record: None
+        self._registered_era: int | None = None
+        self.on_other_records: Callable[[list[KeyedRecord], bool], None] = (
+            lambda records, restored: None
+        )
 
     def start(self) -> None:
         """Start the follower and the registration."""
@@ -87,25 +92,43 @@
         """Return whether the registry was read."""
         return self.follower.confirmed_at > float("-inf")
 
-    async def _register(self) -> None:
+    def _own_record(self) -> KeyedRecord:
         node = self._settings.node
         node_record = _NodeRecord(str(node.peer_address), node.zone, round(node.speed, 1))
+        return KeyedRecord(KEY_PREFIX + node.name, msgspec.json.encode(node_record))
+
+    async def _register(self) -> None:
+        own = self._own_record()
         while True:
             try:
-                await self._store.put(
-                    NODES_TOPIC, KEY_PREFIX + node.name, msgspec.json.encode(node_record)
-                )
+                self._registered_era = await self._store.put(NODES_TOPIC, own.key, own.value or b"")
             except StoreUnavailableError as error:
                 self._events.emit("register-failed", why=str(error))
                 await asyncio.sleep(REGISTER_RETRY_DELAY)
                 continue
-            self._events.emit("registered", address=node_record.address)
+            self._events.emit("registered", era=self._registered_era)
             return
 
+    def _register_again_if_lost(self, page: KeyedPage) -> None:
+        """Register again if a snapshot of a later era lacks this node's record."""
+        if (
+            page.is_snapshot
+            and self._registered_era is not None
+            and page.end.era > self._registered_era
+        ):
+            if self._own_record() in page.records:
+                self._registered_era = page.end.era
+            else:
+                self._registered_era = None
+                self._task = asyncio.get_running_loop().create_task(self._register())
+
     def _apply_page(self, page: KeyedPage) -> None:
+        self._register_again_if_lost(page)
+        others = [record for record in page.records if not record.key.startswith(KEY_PREFIX)]
+        if others or page.restored:
+            self.on_other_records(others, page.restored)
         for record in page.records:
             if not record.key.startswith(KEY_PREFIX):
-                self.on_other_record(record)
                 continue
             name = record.key.removeprefix(KEY_PREFIX)
             if record.value is None:
--- a/celeryrun/gateway/tests/test_restored_store.py
+++ b/celeryrun/gateway/tests/test_restored_store.py
@@ -177,6 +177,8 @@
                 return [key for key in keys if key.startswith("crash.part.")]
 
             await site.wait_until(lambda: parts() == ["crash.part.2"], seconds=5.0)
-            assert not tracker.parts.crash_count(1)
+            started = (await site.add_gateway("node-1")).kernel.find("crash-tracker").parts
+            await site.wait_until(lambda: started.crash_count(2), seconds=5.0)
+            assert not started.crash_count(1)
 
     run(scenario())
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -201,8 +201,8 @@
             at_end=next_offset >= end,
         )
 
-    async def put(self, topic: str, key: str, value: bytes) -> None:
-        """Append a new value of a key, which the store may lose when it is restored from a copy.
+    async def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a new value of a key; return the era, whose end the value may not survive.
 
         Raises
         ------
@@ -211,11 +211,14 @@
         """
         content = bytes([len(key.encode())]) + key.encode() + value
         body = RECORD_LENGTH.pack(len(content)) + content
-        status, _, _ = await self._call("POST", f"/celeryrun/log-append?topic={topic}&part=0", body)
+        status, era, _ = await self._call(
+            "POST", f"/celeryrun/log-append?topic={topic}&part=0", body
+        )
         if status != HTTP_OK:
             raise StoreUnavailableError(
                 f"append to {topic} failed with status {status}; wait for the store to recover"
             )
+        return era
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", wait: float = 0.0
