gateway: nodes tell each other which configuration is in force

Callers saw: a node that starts while the store still lacks what it had acknowledged takes the copy's older configuration for the newest, and a revoked key is accepted. Cause: the end of the topic was believed to be the newest there is. Change: heartbeats carry the version in force and since when. A node with an older one counts its configuration's age from then, so that keys and unknown routes fail closed by the bounds that hold anyway, and is sent the record at once, by its scheduler or by nodes that it schedules for. Test: test_started_node_does_not_take_older_configuration_of_copy failed before.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from celeryrun.gateway._crash_tracker import CrashTracker
+from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._intervals import MAX_MISSED_HEARTBEATS, heartbeat_interval
 from celeryrun.gateway._links import (
@@ -17,6 +18,7 @@
     Leaving,
     Link,
     Message,
+    NewerConfiguration,
     TargetLimit,
     TraitsCompleted,
 )
@@ -75,6 +77,7 @@
         "_events",
         "_active_grants_by_id",
         "_crash_tracker",
+        "_discovery",
         "_current_scheduler",
         "_request_ids",
         "_leaving",
@@ -97,6 +100,7 @@
         self._members: Members = kernel.find("members")
         self._events: EventLog = kernel.find("events")
         self._store: Store = kernel.find("store")
+        self._discovery: Discovery = kernel.find("discovery")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._crash_tracker.forward = self._forward
         self._crash_tracker.is_scheduler = self._is_scheduler
@@ -231,6 +235,9 @@
             self._update_scheduler()
             await asyncio.sleep(self._heartbeat_interval())
 
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(self._heartbeat_number, (), *self._discovery.version_in_force())
+
     def _heartbeat_interval(self) -> float:
         return heartbeat_interval(len(self._members.address_by_node))
 
@@ -247,7 +254,7 @@
                 )
                 link.close()
             else:
-                link.send(Heartbeat(self._heartbeat_number))
+                link.send(self._heartbeat())
         candidates = self._members.scheduler_candidates(SCHEDULER_KEY, self._name)
         chosen = self._select_scheduler(candidates, time)
         self._switch_to(chosen)
@@ -364,7 +371,7 @@
         link.last_received_at = now()
         self._leaving.discard(node)
         link.send(Hello(self._name, self._build_held_slots()))
-        link.send(Heartbeat(self._heartbeat_number))
+        link.send(self._heartbeat())
         for report in self._crash_tracker.reports():
             link.send(report)
         for notice in self._local_server.limit_notices():
@@ -378,6 +385,9 @@
                 self._apply_reply(link.node, message)
             case Heartbeat():
                 self._apply_freshness(link, message)
+                self._local_server.compare_versions(link, message)
+            case NewerConfiguration():
+                self._local_server.apply_newer_configuration(link, message)
             case Feed():
                 self._apply_feed(link, message)
             case CrashReport() | TraitsCompleted():
--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -54,7 +54,11 @@
     """
 
     __slots__ = (
+        "_configuration_record",
         "_doubts_by_id",
+        "_in_force_at",
+        "_newest_version",
+        "_newest_version_at",
         "_removals_by_id",
         "_removed_targets_by_id",
         "_restored_at",
@@ -79,6 +83,10 @@
         read_delay = min(MAX_READ_DELAY, DRAIN_LAG_DELAY_FRACTION * bounds.drain_lag)
         self._events = events
         self._removals_by_id: dict[str, asyncio.TimerHandle] = {}
+        self._configuration_record: bytes | None = None
+        self._in_force_at = float("-inf")
+        self._newest_version = 0
+        self._newest_version_at = float("inf")
         self._doubts_by_id: dict[str, asyncio.TimerHandle] = {}
         self._removed_targets_by_id: OrderedDict[str, Target] = OrderedDict()
         self._restored_at = float("-inf")
@@ -135,23 +143,56 @@
         """Return whether a configuration and the targets were read."""
         return self.catalog is not None and self.targets.confirmed_at > float("-inf")
 
+    def configuration_age(self) -> float:
+        """Return the greatest possible age of the configuration in force, in seconds.
+
+        A restored store may end with an older version than another node has in force; the age then
+        counts from when that node had it.
+        """
+        age = self.configuration.age()
+        if self.catalog is None or self.catalog.version < self._newest_version:
+            age = max(age, now() - self._newest_version_at)
+        return age
+
+    def version_in_force(self) -> tuple[int, float]:
+        """Return the version in force, 0 without any, and the seconds since it came into force."""
+        if self.catalog is None:
+            return 0, 0.0
+        return self.catalog.version, now() - self._in_force_at
+
+    def note_version(self, version: int, since: float) -> None:
+        """Note that another node has had a version in force since a time."""
+        if version > self._newest_version:
+            self._newest_version = version
+            self._newest_version_at = since
+
+    @property
+    def configuration_record(self) -> bytes | None:
+        """Record of the configuration in force, as read from the store; None without any."""
+        return self._configuration_record
+
     def _apply_configuration(self, page: KeyedPage) -> None:
         for record in page.records:
-            if record.key != CONFIGURATION_KEY or record.value is None:
-                continue
-            try:
-                catalog = decode_catalog(record.value)
-            except UnreadableRecordError as error:
-                self._events.emit("configuration-unreadable", why=str(error))
-                continue
-            if self.catalog is None or catalog.version > self.catalog.version:
-                self._events.emit(
-                    "configuration-in-force",
-                    version=catalog.version,
-                    routes=len(catalog.routes),
-                    keys=len(catalog.workspaces_by_key),
-                )
-                self.catalog = catalog
+            if record.key == CONFIGURATION_KEY and record.value is not None:
+                self.apply_configuration_record(record.value)
+
+    def apply_configuration_record(self, body: bytes) -> None:
+        """Apply a configuration that this or another node has read, unless it is older."""
+        try:
+            catalog = decode_catalog(body)
+        except UnreadableRecordError as error:
+            self._events.emit("configuration-unreadable", why=str(error))
+            return
+        if self.catalog is None or catalog.version > self.catalog.version:
+            self._events.emit(
+                "configuration-in-force",
+                version=catalog.version,
+                routes=len(catalog.routes),
+                keys=len(catalog.workspaces_by_key),
+            )
+            self.catalog = catalog
+            self._configuration_record = body
+            self._in_force_at = now()
 
     def _apply_targets(self, page: KeyedPage) -> None:
         if page.restored:
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -32,6 +32,7 @@
     "Leaving",
     "Link",
     "Message",
+    "NewerConfiguration",
     "TargetLimit",
     "TraitsCompleted",
 ]
@@ -65,10 +66,16 @@
     freshness : tuple of (float, int, int)
         Of the scheduler's data, for each topic: the age in seconds, -1 if the scheduler's node
         has lost the store, and the era and offset up to which it has read.
+    version : int
+        Of the configuration that the sender has in force, 0 without any.
+    version_age : float
+        Seconds since it came into force there.
     """
 
     number: int
     freshness: tuple[tuple[float, int, int], ...] = ()
+    version: int = 0
+    version_age: float = 0.0
 
 
 class Feed(msgspec.Struct, array_like=True, tag=True):
@@ -126,15 +133,33 @@
 
     def _decode_records(self) -> Records:
         try:
-            decompressor = zlib.decompressobj()
-            raw = decompressor.decompress(self.compressed, MAX_DECOMPRESSED)
-            if decompressor.unconsumed_tail:
-                raise ValueError("decompressed records are too large")
-            return _records_decoder.decode(raw)
-        except (zlib.error, msgspec.MsgspecError) as error:
+            return _records_decoder.decode(_decompress(self.compressed))
+        except msgspec.MsgspecError as error:
             raise ValueError(f"malformed records ({error})") from error
 
 
+class NewerConfiguration(msgspec.Struct, array_like=True, tag="Config"):
+    """Record of a configuration that the receiver lacks, as the store may have lost it."""
+
+    compressed: bytes
+
+    @classmethod
+    def from_record(cls, record: bytes) -> NewerConfiguration:
+        """Compress a record."""
+        return cls(zlib.compress(record, COMPRESSION_LEVEL))
+
+    @property
+    def record(self) -> bytes:
+        """Decompress the record.
+
+        Raises
+        ------
+        ValueError
+            If it is malformed or larger than ``MAX_DECOMPRESSED``.
+        """
+        return _decompress(self.compressed)
+
+
 class Leaving(msgspec.Struct, array_like=True, tag=True):
     """Notice that the scheduler's node is shutting down and another node must schedule."""
 
@@ -194,6 +219,7 @@
     | Heartbeat
     | Feed
     | Leaving
+    | NewerConfiguration
     | SlotRequest
     | Cancel
     | FirstByte
@@ -205,6 +231,18 @@
     | TraitsCompleted
 )
 
+
+def _decompress(compressed: bytes) -> bytes:
+    try:
+        decompressor = zlib.decompressobj()
+        raw = decompressor.decompress(compressed, MAX_DECOMPRESSED)
+    except zlib.error as error:
+        raise ValueError(f"malformed records ({error})") from error
+    if decompressor.unconsumed_tail:
+        raise ValueError("decompressed records are too large")
+    return raw
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
 _records_decoder = msgspec.msgpack.Decoder(Records)
@@ -222,6 +260,8 @@
 
     Attributes
     ----------
+    configuration_sent_at : float
+        Time at which the peer was last sent a newer configuration, -inf before.
     last_received_at : float
         Time of the last message received, in seconds.
     node : str
@@ -234,6 +274,7 @@
         "_on_message",
         "_transport",
         "closed",
+        "configuration_sent_at",
         "last_received_at",
         "node",
     )
@@ -248,6 +289,7 @@
         self._buffer = bytearray()
         self._transport: Any = None
         self.closed = False
+        self.configuration_sent_at = float("-inf")
         self.last_received_at = 0.0
         self.node = ""
 
--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -168,7 +168,7 @@
     def is_ready(self) -> bool:
         """Return whether the node can serve requests now."""
         limit = READY_AGE_FRACTION * self._settings.bounds.revocation_lag
-        is_current = self._discovery.is_loaded() and self._discovery.configuration.age() < limit
+        is_current = self._discovery.is_loaded() and self._discovery.configuration_age() < limit
         return is_current and not self._callers.draining
 
     def _connect(self) -> CallerConnection:
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -148,7 +148,7 @@
     def _freshness(self) -> Freshness:
         bounds = self._settings.bounds
         return Freshness(
-            self._discovery.configuration.age(),
+            self._discovery.configuration_age(),
             bounds.revocation_lag - REVOCATION_MARGIN,
             bounds.configuration_lag,
         )
--- a/celeryrun/gateway/_request_log.py
+++ b/celeryrun/gateway/_request_log.py
@@ -68,7 +68,7 @@
             kind=refusal.kind,
             by=by,
             retry_after=refusal.retry_after,
-            configuration_age=round(self._discovery.configuration.age(), 3),
+            configuration_age=round(self._discovery.configuration_age(), 3),
             **fields,
         )
         self._metrics.refusals.labels(refusal.kind).inc()
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -21,6 +21,7 @@
     Leaving,
     Link,
     Message,
+    NewerConfiguration,
     TargetLimit,
     TraitsCompleted,
 )
@@ -58,6 +59,8 @@
 )
 
 Reply = Grant | Denial
+MIN_VERSION_AGE = 0.3  # s; a version is usually forwarded to all nodes within it
+CONFIGURATION_INTERVAL = 1.0  # s between two sendings of a configuration to one peer
 
 
 @dataclass(slots=True)
@@ -223,6 +226,30 @@
             if link is not sender:
                 link.send(message)
 
+    def compare_versions(self, link: Link, heartbeat: Heartbeat) -> None:
+        """Note the configuration that a peer has in force, or send it the one that it lacks."""
+        self._discovery.note_version(heartbeat.version, now() - heartbeat.version_age)
+        version, age = self._discovery.version_in_force()
+        record = self._discovery.configuration_record
+        if (
+            record is None
+            or heartbeat.version >= version
+            or age < MIN_VERSION_AGE
+            or now() - link.configuration_sent_at < CONFIGURATION_INTERVAL
+        ):
+            return
+        message = NewerConfiguration.from_record(record)
+        if len(message.compressed) <= MAX_FRAME // 2:
+            link.configuration_sent_at = now()
+            link.send(message)
+
+    def apply_newer_configuration(self, link: Link, message: NewerConfiguration) -> None:
+        """Put the configuration of a peer in force if it is newer."""
+        try:
+            self._discovery.apply_configuration_record(message.record)
+        except ValueError as error:
+            self._events.emit("feed-unreadable", peer=link.node, why=str(error))
+
     def apply_limit(self, notice: TargetLimit) -> bool:
         """Apply a target's limit; return whether it has changed."""
         time = now()
@@ -337,7 +364,10 @@
             case Heartbeat() if link.node:
                 self._last_received_at_by_node[link.node] = link.last_received_at
                 freshness = tuple(follower.freshness() for follower in self.followers)
-                link.send(Heartbeat(message.number, freshness))
+                link.send(Heartbeat(message.number, freshness, *self._discovery.version_in_force()))
+                self.compare_versions(link, message)
+            case NewerConfiguration() if link.node:
+                self.apply_newer_configuration(link, message)
             case CrashReport() | TraitsCompleted() if link.node:
                 if self._crash_tracker.apply(message):
                     self.send_to_nodes(message, link)
