A refusal of another request, or a response cut in its head, is no response

Reports of other operators, each tried from outside the process. - An earlier refusal written once more: celeryrun gateway took any response that says 'not executed' for the request's own, whatever its attempt id, and told the caller 503 for a booking that had run; celeryrun node did for engines. Now its id must be the request's own or absent (a fresh connection is used for each request). - A response cut in its head: celeryrun node relayed a 200 or 204 with an empty body, or believed a refusal, since http.client takes the end of the connection for the end of the head. Now that is an error of the connection. The gateway was not affected: its parser reports a head only when it is whole. - An error of the next runner inside a begun stream: not possible in either since; now played with errors, refusals, refusals of others and cut heads. Tests: seven of the new cases failed before (gateway 1, node 6).

--- a/celeryrun/dispatch/_application.py
+++ b/celeryrun/dispatch/_application.py
@@ -58,7 +58,6 @@
 ) -> ApplicationResponse | NotDispatched | UnknownOutcome:
     response = connection.send_request(method, path, body or None, headers)
     request_id = headers["Request-Id"]
-    response_id = response.headers.get("Request-Id", request_id)
-    if is_leaving(response) and response_id == request_id:
+    if is_leaving(response, request_id):
         return NotDispatched("the target is leaving", leaving=True)
     return read_response(response, request_id, method)
--- a/celeryrun/dispatch/_connection.py
+++ b/celeryrun/dispatch/_connection.py
@@ -25,23 +25,38 @@
 PROBE_TIMEOUT = 0.2  # s
 PROBE_INTERVAL = 0.05  # s
 PROBE_COUNT = 2
+HEAD_ENDS = (b"\r\n\r\n", b"\n\n", b"\n\r\n")  # `http.client` accepts bare line feeds
+MAX_HEAD_END_BYTES = 3  # of an end that is received in two parts
 TIMEOUT_ERRORS = (TimeoutError, urllib3.exceptions.TimeoutError)
 
 CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 
 
 class _TargetSocket(socket.socket):
-    """Socket with a deadline for all operations and a timeout for each read."""
+    """Socket with a deadline for all operations and a timeout for each read.
 
-    __slots__ = ("deadline", "read_timeout")
+    The end of the connection before that of a response's head is an error, since `http.client`
+    takes it for the end of the head.
+    """
+
+    __slots__ = ("deadline", "head_ended", "last_bytes", "read_timeout")
 
     deadline: float
+    head_ended: bool
+    last_bytes: bytes
     read_timeout: float
 
-    def recv_into(self, *arguments: Any) -> int:
+    def recv_into(self, buffer: Any, *arguments: Any) -> int:
         """Read into a buffer."""
         self.settimeout(min(self.read_timeout, self._remaining()))
-        return super().recv_into(*arguments)
+        count = super().recv_into(buffer, *arguments)
+        if not self.head_ended:
+            received = self.last_bytes + bytes(buffer[:count])
+            self.head_ended = any(end in received for end in HEAD_ENDS)
+            self.last_bytes = received[-MAX_HEAD_END_BYTES:]
+            if not count and not self.head_ended:
+                raise ConnectionResetError("the response ends inside its head")
+        return count
 
     def sendall(self, *arguments: Any) -> None:
         """Send a whole buffer."""
@@ -132,6 +147,8 @@
     sock = _TargetSocket(socket.AF_INET, socket.SOCK_STREAM)
     sock.deadline = deadline
     sock.read_timeout = float("inf")
+    sock.head_ended = False
+    sock.last_bytes = b""
     sock.settimeout(timeout)
     try:
         sock.connect((parsed.host, parsed.port))
--- a/celeryrun/dispatch/_engine.py
+++ b/celeryrun/dispatch/_engine.py
@@ -212,7 +212,7 @@
         self, response: urllib3.BaseHTTPResponse, method: str
     ) -> ApplicationResponse | NotDispatched | UnknownOutcome | _StreamBroken:
         if method == "POST":
-            if is_leaving(response):
+            if is_leaving(response, self.stream_id):
                 return NotDispatched("the target is leaving", leaving=True)
             return read_response(response, self.stream_id, method)
         if response.status == HTTP_NOT_FOUND:
--- a/celeryrun/dispatch/_response.py
+++ b/celeryrun/dispatch/_response.py
@@ -30,9 +30,10 @@
 )
 
 
-def is_leaving(response: urllib3.BaseHTTPResponse) -> bool:
-    """Return whether a target rejected the request because it is shutting down."""
-    return response.status == 503 and bool(response.headers.get(LEAVING_HEADER))
+def is_leaving(response: urllib3.BaseHTTPResponse, request_id: str) -> bool:
+    """Return whether a target rejected this request because it is shutting down."""
+    is_rejection = response.status == 503 and bool(response.headers.get(LEAVING_HEADER))
+    return is_rejection and response.headers.get("Request-Id", request_id) == request_id
 
 
 def read_response(
--- a/celeryrun/dispatch/tests/test_application.py
+++ b/celeryrun/dispatch/tests/test_application.py
@@ -35,6 +35,10 @@
         [b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n", STAY_SILENT],
         [build_response(b"fresh", "Request-Id: another")],
         [b"\x00\xff garbage\r\n\r\n"],
+        [b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 0\r\n"],
+        [b"HTTP/1.1 204 No Content\r\nRequest-Id: r-1\r\nX: "],
+        [b"HTTP/1.1 503 Leaving\r\nRequest-Id: r-1\r\nTarget-Leaving: 1\r\n"],
+        [build_response(b"", "Request-Id: another", "Target-Leaving: 1", status=503)],
         [b"HTTP/1.1 200 OK\r\n" + b"X: y\r\n" * 200],
     ],
     ids=[
@@ -47,6 +51,10 @@
         "too large",
         "another request id",
         "garbage",
+        "head cut before its end",
+        "head cut in a field",
+        "refusal cut in its head",
+        "earlier refusal",
         "too many headers",
     ],
 )
--- a/celeryrun/dispatch/tests/test_engine.py
+++ b/celeryrun/dispatch/tests/test_engine.py
@@ -111,3 +111,36 @@
         *_, end = stream.events()
         assert isinstance(end, UnknownOutcome)
         assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [build_response(b"", "Request-Id: another", "Target-Leaving: 1", status=503)],
+        [b"HTTP/1.1 503 Leaving\r\nRequest-Id: s\r\nTarget-Leaving: 1\r\n"],
+        [b"HTTP/1.1 500 Failed\r\nRequest-Id: s\r\nContent-Length: 0\r\n"],
+        [b"HTTP/1.1 200 OK\r\nRequest-Id: s\r\nContent-Le"],
+    ],
+    ids=["earlier refusal", "refusal cut in its head", "error cut in its head", "cut head"],
+)
+def test_refusal_of_another_request_or_cut_head_is_no_response(script):
+    remainder = [complete_stream(0, 1, 2)]
+    with ScriptedTarget(script, remainder) as target:
+        assert list(stream_from(target).events())[-1] in (
+            Usage(1, 0, 3),
+            UnknownOutcome("the target answered another request"),
+        )
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        build_response(b"failed", "Request-Id: s", status=500),
+        build_response(b"", "Request-Id: s", "Target-Leaving: 1", status=503),
+        b"HTTP/1.1 200 OK\r\nRequest-Id: s\r\nContent-Le",
+    ],
+    ids=["error", "refusal", "cut head"],
+)
+def test_error_response_to_a_resumption_adds_nothing_to_the_stream(failure):
+    with ScriptedTarget([build_events("s", 0)], [failure], [complete_stream(1, 2)]) as target:
+        assert list(stream_from(target).events()) == COMPLETE_STREAM
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -85,7 +85,9 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("fault", ["lost", "foreign", "unsealed", "unpromised"])
+@pytest.mark.parametrize(
+    "fault", ["lost", "foreign", "unsealed", "unpromised", "old-refusal", "half-head"]
+)
 def test_non_idempotent_request_runs_once_and_unknown_outcome_is_reported(fault):
     async def scenario():
         async with Site() as site:
@@ -111,7 +113,9 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("fault", ["lost", "error", "rejected", "foreign", "hang"])
+@pytest.mark.parametrize(
+    "fault", ["lost", "error", "rejected", "foreign", "hang", "old-refusal", "half-head"]
+)
 def test_idempotent_request_is_retried_on_another_target(fault):
     async def scenario():
         async with Site() as site:
@@ -202,7 +206,8 @@
     run(scenario())
 
 
-def test_failure_of_the_next_target_does_not_end_a_stream():
+@pytest.mark.parametrize("fault", ["error", "rejected", "old-refusal", "half-head", "unpromised"])
+def test_failure_of_the_next_target_does_not_end_a_stream(fault):
     async def scenario():
         async with Site() as site:
             for model in site.models:
@@ -212,15 +217,28 @@
             await site.wait_until(lambda: any(model.running for model in site.models))
             for model in site.models:
                 if not model.running:
-                    model.faults.update({"cut": 0, "error": 1})
+                    model.faults.update({"cut": 0, fault: 1})
             response = await sent
-            assert sum(len(model.executed_requests) for model in site.models) == 2
+            assert sum(len(model.requests) for model in site.models) == 2
             assert response.event_ids and not response.complete
             assert b"HTTP/1.1" not in response.body and b"failed" not in response.body
 
     run(scenario())
 
 
+@pytest.mark.parametrize("path", ["/calls/a", "/bookings/a", "/drafts/a", "/chats/a"])
+def test_response_cut_in_its_head_is_not_relayed_as_empty(path):
+    async def scenario():
+        async with Site() as site:
+            for runner in (*site.apps, *site.models):
+                runner.faults["half-head"] = 5
+            response = await site.send_request(path)
+            assert response.status == 502
+            assert b"HTTP/1.1" not in response.body
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("path", ["/calls/a", "/bookings/a", "/drafts/a", "/chats/a"])
 def test_response_that_ends_with_its_connection_is_relayed_whole(path):
     async def scenario():
--- a/celeryrun/platform/_messages.py
+++ b/celeryrun/platform/_messages.py
@@ -191,10 +191,13 @@
 
 def read_response(head: ResponseHead, request: CallerRequest) -> TargetResponse:
     """Decode the head of a target's response."""
+    response_id = head.value(names.ATTEMPT_ID)
+    not_run = head.value(names.NOT_EXECUTED) is not None or head.status == HTTP_MISDIRECTED_REQUEST
     return TargetResponse(
         head,
-        head.value(names.ATTEMPT_ID) == request.id,
-        head.value(names.NOT_EXECUTED) is not None or head.status == HTTP_MISDIRECTED_REQUEST,
+        response_id == request.id,
+        # A refusal with the id of another request is repeated or misplaced.
+        not_run and response_id in (None, request.id),
         head.value(names.RESPONSE_SEAL) is not None,
         head.value(b"content-encoding") not in (None, b"identity"),
         _parse_number(head, names.RATE_LIMIT),
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -209,6 +209,16 @@
         if not self.faults["error"] and self._consume_fault("hang"):
             await asyncio.sleep(3600)
         await asyncio.sleep(self.work)
+        if self._consume_fault("old-refusal"):
+            send_response(
+                connection, 503, b"", Celeryrun_Not_Executed="1", Celeryrun_Attempt_Id="earlier"
+            )
+        if self._consume_fault("half-head"):
+            fields = {"Celeryrun_Attempt_Id": recorded.attempt_id, "Content-Length": "0"}
+            fields["Celeryrun_Response_Seal"] = f"seal-{self.id}"
+            connection.write(format_head(b"HTTP/1.1 200 OK", _format_fields(fields))[:-2])
+            connection.transport.close()
+            return
         if self.crashing_parts.intersection(recorded.shared_parts):
             self._crash_and_restart()
             return
