orders: leases and fencing numbers hold when their log is restored from a copy

An engine would have taken orders under an older lease, and two nodes would have held one lease: fencing numbers were offsets, which a restored log gives out again, and the copy may lack the newest lease. A fencing number is now made of era and offset; a node that finds a later era drops its leases, replays the log from its beginning and acquires none until any lease of the former era has ended. The log client reads Store-Era; the stand-in platform sends it, and restores copies. Open: a node that starts in a later era does not know when it began.

--- a/celeryrun/orders/_lease.py
+++ b/celeryrun/orders/_lease.py
@@ -11,6 +11,7 @@
 
 __all__ = ["ORDER_TIMEOUT", "Lease", "LeaseRecord", "LeaseTable"]
 
+OFFSETS_PER_ERA = 1 << 40  # more than a log writes; keeps fencing numbers exact in JSON
 ORDER_TIMEOUT = 2.0  # s; no order reaches an engine later than this after it was sent
 
 
@@ -44,7 +45,8 @@
     lease_id : str
         Unique id, as in the record.
     fencing_number : int
-        Offset of the record that acquired the lease, sent with every order under it.
+        Sent with every order under the lease; made of the era of the log and the offset of the
+        record that acquired the lease, so that it rises across restored copies of the log.
     expires_at : float
         By the platform's clock, in seconds since the epoch.
     """
@@ -76,15 +78,21 @@
     >>> table.apply_record(Record(9, 107.0, other)).fencing_number
     9
 
+    Parameters
+    ----------
+    era : int
+        Era of the log, whose records the table replays from the first one on.
+
     References
     ----------
     .. [1] Gray, Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File
        Cache Consistency", SOSP 1989.
     """
 
-    __slots__ = ("_decoder", "by_key")
+    __slots__ = ("_decoder", "by_key", "era")
 
-    def __init__(self) -> None:
+    def __init__(self, era: int = 0) -> None:
+        self.era = era
         self._decoder = msgspec.json.Decoder(LeaseRecord)
         self.by_key: dict[str, Lease] = {}
 
@@ -110,13 +118,14 @@
             return current
         if current is not None and record.written < current.expires_at + ORDER_TIMEOUT:
             return None
-        fence_rises = current is None or record.offset > current.fencing_number
+        fencing_number = self.era * OFFSETS_PER_ERA + record.offset
+        fence_rises = current is None or fencing_number > current.fencing_number
         check_invariant(fence_rises, "fence-rises", key=requested.key, offset=record.offset)
         lease = Lease(
             requested.key,
             requested.holder,
             requested.lease,
-            record.offset,
+            fencing_number,
             record.written + requested.seconds,
         )
         self.by_key[requested.key] = lease
--- a/celeryrun/orders/_leaseholder.py
+++ b/celeryrun/orders/_leaseholder.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from celeryrun.exception import CeleryrunError
-from celeryrun.orders._lease import LeaseRecord, LeaseTable
+from celeryrun.orders._lease import ORDER_TIMEOUT, LeaseRecord, LeaseTable
 from celeryrun.streams import Page
 
 __all__ = ["LEASE_STREAM", "Leaseholder"]
@@ -57,13 +57,22 @@
         Duration of a lease.
     """
 
-    __slots__ = ("_log", "_name", "_next_offset", "_own_by_key", "_seconds", "table")
+    __slots__ = (
+        "_log",
+        "_name",
+        "_next_offset",
+        "_own_by_key",
+        "_paused_until",
+        "_seconds",
+        "table",
+    )
 
     def __init__(self, log: Log, name: str, seconds: float) -> None:
         self._log = log
         self._name = name
         self._seconds = seconds
         self._next_offset = 0
+        self._paused_until = float("-inf")
         self._own_by_key: dict[str, _OwnLease] = {}
         self.table = LeaseTable()
 
@@ -71,13 +80,16 @@
         """Acquire or renew a lease, and return whether this node holds it.
 
         Only a record that is read back has an effect. If the response to the append is lost, the
-        node keeps the lease that it had, if any.
+        node keeps the lease that it had, if any. After the log was restored from a copy, which may
+        lack the newest lease of another node, no lease is acquired until any such lease has ended.
 
         Parameters
         ----------
         key : str
             Resource that the lease covers.
         """
+        if time.monotonic() < self._paused_until:
+            return False
         own = self._own_by_key.get(key)
         lease_id = (
             own.lease_id
@@ -111,11 +123,26 @@
         own = self._own_by_key.get(key)
         return own.expires_at if own is not None else float("-inf")
 
+    def _begin_era(self, era: int) -> None:
+        """Replay the log of another era from its beginning; leases of the former era are void."""
+        if self._next_offset:
+            longest_lease = self._seconds * (1 + MAX_CLOCK_DRIFT)
+            self._paused_until = time.monotonic() + longest_lease + ORDER_TIMEOUT
+        self.table = LeaseTable(era)
+        self._next_offset = 0
+        self._own_by_key.clear()
+
     def _replay_up_to(self, offset: int) -> bool:
         """Replay the log up to an offset; return whether the record there has an effect."""
         has_effect = False
         while self._next_offset <= offset:
             page = self._log.read(LEASE_STREAM, self._next_offset)
+            if page.era != self.table.era:
+                is_first = not self._next_offset
+                self._begin_era(page.era)
+                if not is_first:
+                    return False
+                continue
             for record in page.records:
                 lease = self.table.apply_record(record)
                 if record.offset == offset:
--- a/celeryrun/orders/tests/test_orders.py
+++ b/celeryrun/orders/tests/test_orders.py
@@ -25,6 +25,7 @@
         self.records = []
         self.now = 1000.0
         self.loses_responses = False
+        self.era = 1
 
     def append(self, stream, body):
         self.records.append(Record(len(self.records), self.now, body))
@@ -32,8 +33,13 @@
             raise LogUnavailableError("no response", True)
         return len(self.records) - 1
 
+    def restore(self, end):
+        """Go back to a copy that ends at an offset."""
+        del self.records[end:]
+        self.era += 1
+
     def read(self, stream, start, wait=0.0):
-        return Page(0, len(self.records), self.now, tuple(self.records[start:]))
+        return Page(0, len(self.records), self.now, tuple(self.records[start:]), self.era)
 
 
 @pytest.fixture
@@ -64,6 +70,24 @@
     assert first.fencing_number("drafts") == fencing_number
 
 
+def test_restored_log_neither_lowers_fencing_numbers_nor_gives_one_lease_twice(log, monkeypatch):
+    clock = [100.0]
+    monkeypatch.setattr("celeryrun.orders._leaseholder.time.monotonic", lambda: clock[0])
+    first, second = Leaseholder(log, "node-0", 5.0), Leaseholder(log, "node-1", 5.0)
+    for key in ("a", "b", "c"):
+        assert second.acquire(key)
+    assert first.acquire("drafts")
+    fencing_number = first.fencing_number("drafts")
+    log.restore(1)
+    while not second.acquire("drafts"):
+        assert clock[0] < 130.0
+        clock[0] += 0.5
+        log.now += 0.5
+    assert first.fencing_number("drafts") is None
+    assert second.fencing_number("drafts") > fencing_number
+    assert not first.acquire("drafts")
+
+
 def test_paused_holder_sees_its_lease_expired_by_its_own_clock(log):
     holder = Leaseholder(log, "node-0", 0.05)
     assert holder.acquire("drafts")
--- a/celeryrun/streams/_log.py
+++ b/celeryrun/streams/_log.py
@@ -17,6 +17,7 @@
 MAX_PAGE_RECORDS = 500
 CHUNK_BYTES = 64 * 1024
 HTTP_OK = 200
+ERA_HEADER = "Store-Era"
 HTTP_TOO_MANY_REQUESTS = 429
 
 ResponseT = TypeVar("ResponseT", bound=msgspec.Struct)
@@ -59,12 +60,16 @@
         The platform's clock, in seconds since the epoch.
     records : tuple of Record
         In order of offset.
+    era : int
+        Rises each time that the log is restored from a copy, after which it gives offsets out
+        again; 0 if the platform names none.
     """
 
     first: int
     end: int
     now: float
     records: tuple[Record, ...]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +78,7 @@
 
     status: int
     data: bytes
+    era: int = 0
 
 
 class _RecordBody(msgspec.Struct):
@@ -162,7 +168,7 @@
             )
         except ValueError as error:
             raise LogUnavailableError(f"unreadable response ({error})", False) from error
-        return Page(page.first, page.end, page.now, records)
+        return Page(page.first, page.end, page.now, records, response.era)
 
     def _call(self, method: str, path: str, body: bytes | None, timeout: float) -> Response:
         deadline = time.monotonic() + timeout
@@ -170,7 +176,10 @@
             response: Any = self._http.request(
                 method, self._url + path, body=body, timeout=timeout, preload_content=False
             )
-            return Response(response.status, _read_all(response, deadline))
+            era = response.headers.get(ERA_HEADER, "0")
+            if not era.isdigit():
+                raise LogUnavailableError(f"unreadable era {era!r}", True)
+            return Response(response.status, _read_all(response, deadline), int(era))
         except urllib3.exceptions.HTTPError as error:
             effect_possible = not isinstance(error, urllib3.exceptions.NewConnectionError)
             raise LogUnavailableError(
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -9,6 +9,7 @@
     "FAULT_KINDS",
     "PLANNED_KINDS",
     "PLANNED_TARGET_KINDS",
+    "RESTORE_KIND",
     "TARGET_KINDS",
     "Fault",
     "draw_faults",
@@ -42,6 +43,9 @@
 PLANNED_TARGET_KINDS = ("runner-limit", "runner-unframed")
 TARGET_KINDS = (*PLANNED_TARGET_KINDS, "crashing-part")
 TARGET_FAULT_DURATION = 8.0  # s
+RESTORE_KIND = "store-restored"
+MAX_RESTORES = 2
+MAX_COPY_AGE = 5.0  # s
 
 
 @dataclass(frozen=True)
@@ -84,4 +88,15 @@
         Fault(kind, rng.uniform(INITIAL_DELAY, seconds), TARGET_FAULT_DURATION, rng.randrange(1000))
         for kind in kinds
     ]
+    if seed % PLANNED_ONLY_SEEDS:
+        rng = random.Random(f"{seed} restores")
+        faults += [
+            Fault(
+                RESTORE_KIND,
+                rng.uniform(INITIAL_DELAY, seconds),
+                rng.uniform(0.5, MAX_COPY_AGE),
+                rng.randrange(1000),
+            )
+            for _ in range(rng.randint(1, MAX_RESTORES))
+        ]
     return sorted(faults, key=lambda fault: fault.start)
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -35,6 +35,8 @@
 MIN_SERVED_RATIO = 0.9  # of the requests in the final period, when every fault is over
 FINAL_PERIOD = 2.0  # s
 DRAINING_TIME = 3.0  # s for which a runner is registered as draining, longer than the drain lag
+MAX_RESTORE_OUTAGE = 1.0  # s
+MAX_REWRITE_DELAY = 1.5  # s after which the operator and the runners have written again
 READY_TIMEOUT = 20.0  # s, for the first start on a busy machine
 KEYS = ("key-cajas", "key-herd", "key-spare-1", "key-spare-2")
 RUNNER_FAULTS = ("lost", "rejected", "error", "cut", "foreign", "unsealed", "unpromised")
@@ -220,6 +222,9 @@
                     self.store.drop_history(topic)
             case "store-loses":
                 self.store.lost_responses += 3
+            case "store-restored":
+                affected_node = ""
+                await self._restore_store(fault)
             case "store-down" | "store-silent" | "store-busy":
                 affected_node = ""
                 name = fault.kind.removeprefix("store-")
@@ -231,6 +236,19 @@
                 await self._inject_runner_fault(fault, runner)
         self._unplanned_faults.append(FaultPeriod(fault.kind, started_at, now(), affected_node))
 
+    async def _restore_store(self, fault: Fault) -> None:
+        """Go back to a copy as old as the fault is long; what others wrote is written again."""
+        copy = self.store.take_copy()
+        await asyncio.sleep(fault.duration)
+        self.store.faults.add("down")
+        await asyncio.sleep(MAX_RESTORE_OUTAGE * (fault.selector % 10) / 10)
+        self.store.restore(copy)
+        self.store.faults.discard("down")
+        await asyncio.sleep(MAX_REWRITE_DELAY * (fault.selector // 10 % 10) / 10)
+        self._publish_configuration()
+        for runner in self.runners:
+            runner.register(runner.state)
+
     async def _inject_runner_fault(self, fault: Fault, runner: RunnerStandIn) -> None:
         proxy = self._runner_proxies[runner.id]
         match fault.kind:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -9,6 +9,7 @@
     FAULT_KINDS,
     PLANNED_KINDS,
     PLANNED_TARGET_KINDS,
+    RESTORE_KIND,
     TARGET_KINDS,
     draw_faults,
 )
@@ -27,7 +28,7 @@
 
 def test_every_fault_is_drawn_and_some_seeds_have_planned_faults_only():
     drawn = {fault.kind for seed in range(1, 60) for fault in draw_faults(seed, 20.0)}
-    assert drawn == {*FAULT_KINDS, *TARGET_KINDS}
+    assert drawn == {*FAULT_KINDS, *TARGET_KINDS, RESTORE_KIND}
     planned = {*PLANNED_KINDS, *PLANNED_TARGET_KINDS}
     assert {fault.kind for fault in draw_faults(3, 60.0)} <= planned
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -35,6 +35,8 @@
         self.first_offset_by_stream: dict[str, int] = {}
         self.records_by_stream: dict[str, list[tuple[float, bytes]]] = {}
         self.append_count = 0
+        self.era = 1
+        self.copy: dict[str, tuple[int, list[tuple[float, bytes]]]] = {}
 
     def append(self, stream: str, body: bytes) -> int | None:
         """Append a record and return its offset, or None if the append rate is exceeded."""
@@ -74,6 +76,22 @@
             end_offset = self.end_offset(stream)
         return {"first": first_offset, "end": end_offset, "now": time.time(), "records": records}
 
+    def take_copy(self) -> None:
+        """Keep a copy of all streams, to which `restore` goes back."""
+        with self.changed:
+            self.copy = {
+                stream: (self.first_offset_by_stream.get(stream, 0), list(records))
+                for stream, records in self.records_by_stream.items()
+            }
+
+    def restore(self) -> None:
+        """Go back to the copy, and lose all that was appended since it was taken."""
+        with self.changed:
+            self.first_offset_by_stream = {name: first for name, (first, _) in self.copy.items()}
+            self.records_by_stream = {name: list(kept) for name, (_, kept) in self.copy.items()}
+            self.era += 1
+            self.changed.notify_all()
+
     def end_offset(self, stream: str) -> int:
         return self.first_offset_by_stream.get(stream, 0) + len(
             self.records_by_stream.get(stream, [])
@@ -112,6 +130,9 @@
     vm_list: DelayedVMList
     weight_bytes_per_second: float
 
+    def era_header(self) -> dict[str, str]:
+        return {"Store-Era": str(self.log.era)}
+
     def respond(self) -> None:
         parts = self.url_path.strip("/").split("/")
         if parts[:2] == ["v1", "streams"] and self.faults.get("log_outage"):
@@ -123,11 +144,12 @@
                 if offset is None:
                     self.send_json(429, {"error": "append rate exceeded"})
                 else:
-                    self.send_json(200, {"offset": offset})
+                    self.send_json(200, {"offset": offset}, self.era_header())
             case ("GET", ["v1", "streams", stream, "records"]):
                 start, limit = int(self.query["start"]), int(self.query.get("max", 100))
                 wait = float(self.query.get("wait", 0))
-                self.send_json(200, self.log.read(stream, start, limit, wait))
+                page = self.log.read(stream, start, limit, wait)
+                self.send_json(200, page, self.era_header())
             case ("GET", ["v1", "vms"]):
                 if self.faults.get("list_outage"):
                     self.close_connection = True
@@ -136,6 +158,12 @@
             case ("PUT", ["vms"]):
                 self.vm_list.set(json.loads(self.body))
                 self.send_json(200, {})
+            case ("PUT", ["log", "copy"]):
+                self.log.take_copy()
+                self.send_json(200, {})
+            case ("PUT", ["log", "restore"]):
+                self.log.restore()
+                self.send_json(200, {})
             case ("GET", ["appends"]):
                 self.send_json(200, {"appends": self.log.append_count})
             case ("GET", ["v1", "weights", _]):
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -88,6 +88,8 @@
         Times of the crashes caused by them.
     rate_limit : float or None
         Requests per second that the runner names as its limit in every response.
+    state : str or None
+        State that was last written to the store.
     restart_delay : float
         Seconds after such a crash in which the runner is down.
     """
@@ -119,6 +121,7 @@
         self.crashes: list[float] = []
         self.rate_limit: float | None = None
         self.restart_delay = 0.4
+        self.state: str | None = None
         self._born = 1
         self._restart_task: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
@@ -159,6 +162,7 @@
 
     def register(self, state: str | None) -> None:
         """Write the entry with a state to the store; None removes the entry."""
+        self.state = state
         entry = {
             "service": self.service,
             "address": f"{HOST}:{self.registered_port or self.port}",
