--- a/celeryrun/configuration/tests/memory_log.py
+++ b/celeryrun/configuration/tests/memory_log.py
@@ -29,6 +29,7 @@
     def __init__(self, *contents: object) -> None:
         self.bodies: list[bytes] = []
         self.first = 0
+        self.era = 1
         self.born = 0.0
         self.lost_responses = 0
         self.before_append = lambda: None
@@ -55,4 +56,4 @@
             Record(offset, self.born + offset, self.bodies[offset])
             for offset in range(begin, min(begin + PAGE_RECORDS, len(self.bodies)))
         )
-        return Page(self.first, len(self.bodies), time.time(), records)
+        return Page(self.first, len(self.bodies), time.time(), records, self.era)
--- a/celeryrun/configuration/tests/test_publish.py
+++ b/celeryrun/configuration/tests/test_publish.py
@@ -1,5 +1,7 @@
 """Tests of publication to a log with faults."""
 
+import threading
+
 import pytest
 
 from celeryrun.configuration import (
@@ -9,6 +11,7 @@
     SnapshotSigner,
     new_change_id,
 )
+from celeryrun.configuration._log_follower import LogFollower
 from celeryrun.configuration.tests.memory_log import MemoryLog
 from celeryrun.exception import (
     ConfigurationRejectedError,
@@ -117,3 +120,23 @@
     change_id = new_change_id()
     with pytest.raises(LogUnavailableError, match=change_id):
         build_publisher(log, patience=0.1).publish(build_lists("a"), change_id)
+
+
+def test_confirmed_change_survives_restored_log_that_is_published_to_again():
+    log = MemoryLog()
+    build_publisher(log).publish(build_lists("w0"))
+    copy = list(log.bodies)
+    build_publisher(log).publish(build_lists("w0", "w1"))
+    build_publisher(log).publish(build_lists("w0", "w1", "w2"))
+    replica = ConfigurationReplica(SnapshotSigner(KEY))
+    follower = LogFollower(log, "", replica, threading.Lock())
+    while not follower.read_page(0.0).caught_up:
+        pass
+    log.bodies[:] = copy
+    log.era = 2
+    build_publisher(log).publish(build_lists("w0", "w3"))
+    for _ in range(3):
+        follower.read_page(0.0)
+    workspaces = set(replica.current.plans_by_workspace)
+    assert {"w1", "w2"} <= workspaces
+    assert workspaces == set(build_publisher(log).read().plans_by_workspace)
