gateway: a topic counts as read before its first page is applied

Callers saw: the first requests to a node that starts waited up to 0.1 s, and nodes joined their scheduler later.

--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -10,7 +10,7 @@
 
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._intervals import max_retry_delay
-from celeryrun.history import Accepted, Position, TopicCursor
+from celeryrun.history import Accepted, Ignored, Position, TopicCursor
 from celeryrun.kernel import now
 from celeryrun.platform import KeyedPage, Store, StoreUnavailableError
 
@@ -132,7 +132,8 @@
 
     def apply_page(self, start: Position | None, page: KeyedPage) -> None:
         """Apply a page that another node read, if it follows what this node has applied."""
-        self._apply_if_accepted(start, page)
+        former = self._cursor.position
+        self._apply_accepted(self._decide(start, page), former, page)
 
     def confirm_fresh(self, read_began: float, end: Position, heartbeat_interval: float) -> None:
         """Apply another node's confirmation that ``end`` was the end of the topic.
@@ -223,11 +224,13 @@
             self._store_lost = False
             self.recovered_at = now()
             self._events.emit("store-regained", topic=self.topic, age=self.age())
-        is_news = self._apply_if_accepted(start, page)
+        former, decision = self._cursor.position, self._decide(start, page)
+        # Whoever is told of the page may ask whether the topic has been read to its end.
         if page.at_end and self._cursor.covers(page.end):
             self.confirmed_at = max(self.confirmed_at, began)
             self._confirmed.set()
-        if is_news and page.records:
+        self._apply_accepted(decision, former, page)
+        if isinstance(decision, Accepted) and page.records:
             self.on_page(start, page)
 
     async def _read_changes(self, start: Position) -> KeyedPage | None:
@@ -248,14 +251,15 @@
             self._cursor.lose_history(start)
         return page
 
-    def _apply_if_accepted(self, start: Position | None, page: KeyedPage) -> bool:
-        """Apply a page of the store or of another node; return whether it was accepted."""
-        former = self._cursor.position
-        decision = (
-            self._cursor.accept_snapshot(page.end)
-            if start is None
-            else self._cursor.accept_changes(start, page.end)
-        )
+    def _decide(self, start: Position | None, page: KeyedPage) -> Accepted | Ignored:
+        if start is None:
+            return self._cursor.accept_snapshot(page.end)
+        return self._cursor.accept_changes(start, page.end)
+
+    def _apply_accepted(
+        self, decision: Accepted | Ignored, former: Position | None, page: KeyedPage
+    ) -> None:
+        """Apply a page of the store or of another node; ``former`` is the position before it."""
         match decision:
             case Accepted(restored=True):
                 self.recovered_at = now()
@@ -270,7 +274,8 @@
                 self._apply(dataclasses.replace(page, restored=True))
             case Accepted():
                 self._apply(page)
-        return isinstance(decision, Accepted)
+            case Ignored():
+                pass
 
     def _on_store_lost(self, reason: str) -> None:
         if not self._store_lost:
--- a/celeryrun/gateway/tests/test_topic_follower.py
+++ b/celeryrun/gateway/tests/test_topic_follower.py
@@ -136,3 +136,21 @@
 
     def emit(self, event, **fields):
         """Discard the line."""
+
+
+def test_topic_counts_as_read_when_its_first_page_is_applied():
+    """A node that must wait for its next heartbeat instead starts to schedule 0.1 s later."""
+
+    class OneSnapshotStore:
+        era_watchers = []
+
+        async def read_snapshot(self, topic):
+            return KeyedPage((KeyedRecord("key", b"value"),), Position(1, 1), True, True)
+
+    ages = []
+    follower = _topic_follower.TopicFollower(
+        OneSnapshotStore(), None, "topic", MAX_WAIT, READ_DELAY, lambda page: ages.append(age())
+    )
+    age = follower.age
+    asyncio.run(follower._read_page())
+    assert ages[0] < 1.0
