gateway: a new scheduler whose registry lacks itself treats quotas as unspent no more

Traced: node-1 had read the registry before its own record was in it, so it counted one node, took itself for alone, and gave out a whole burst again. Cause: the size of the registry stood for 'there are others'.

--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -400,10 +400,9 @@
 
     def _mark_usage_unknown_if_late(self) -> None:
         """Mark quota use as unknown if another node may have scheduled before this one."""
-        if (
-            now() - self._started_at > FLEET_START_TIMEOUT
-            and len(self._members.address_by_node) > 1
-        ):
+        # The registry may lack this node, which reads it only now and then.
+        others = self._members.address_by_node.keys() - {self._name}
+        if now() - self._started_at > FLEET_START_TIMEOUT and others:
             self.scheduler.mark_usage_unknown(now())
 
     def _is_listed(self, link: Link, node: str) -> bool:
