--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -220,6 +220,8 @@
                     model.faults.update({"cut": 0, fault: 1})
             response = await sent
             assert sum(len(model.requests) for model in site.models) == 2
+            executed = sum(len(model.executed_requests) for model in site.models)
+            assert executed == (1 if fault == "rejected" else 2)
             assert response.event_ids and not response.complete
             assert b"HTTP/1.1" not in response.body and b"failed" not in response.body
 
