--- a/standins/runner.py
+++ b/standins/runner.py
@@ -92,6 +92,12 @@
         State that was last written to the store.
     restart_delay : float
         Seconds after such a crash in which the runner is down.
+    leaving : bool
+        Whether every response says that the runner leaves; the store's entry stays as it is.
+    retry_after : float or None
+        Seconds that the runner names as it turns every request away with 503, None to serve.
+    version : str
+        Version of the software, in the store's entry and in each event of a stream.
     """
 
     def __init__(
@@ -102,6 +108,7 @@
         events: int = 0,
         work: float = 0.005,
         slots: int = 8,
+        version: str = "v1",
     ) -> None:
         self.store = store
         self.id = id
@@ -121,6 +128,10 @@
         self.crashes: list[float] = []
         self.rate_limit: float | None = None
         self.restart_delay = 0.4
+        self.leaving = False
+        self.retry_after: float | None = None
+        self.version = version
+        self._silent_until = 0.0
         self.state: str | None = None
         self._born = 1
         self._restart_task: asyncio.Task[None] | None = None
@@ -149,6 +160,16 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing for some seconds and then go on, also with responses in progress."""
+        self._silent_until = max(self._silent_until, now() + seconds)
+
+    async def _work(self) -> None:
+        """Work for one event or plain response, and wait while the runner is silent."""
+        await asyncio.sleep(self.work)
+        while (remaining := self._silent_until - now()) > 0:
+            await asyncio.sleep(remaining)
+
     def _crash_and_restart(self) -> None:
         self.crashes.append(now())
         self.crash()
@@ -167,7 +188,7 @@
             "service": self.service,
             "address": f"{HOST}:{self.registered_port or self.port}",
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "coldRemainingMs": 0,
@@ -192,8 +213,8 @@
         if headers.get(b"celeryrun-expect-instance") != self.id.encode():
             send_response(connection, 421, b"", Celeryrun_Runner_Id=self.id)
             return
-        if self._consume_fault("rejected"):
-            send_response(connection, 503, b"", Celeryrun_Not_Executed="1", **self._limit_headers())
+        if self.retry_after is not None or self._consume_fault("rejected"):
+            send_response(connection, 503, b"", Celeryrun_Not_Executed="1", **self._own_headers())
             return
         recorded.executed = True
         self.running += 1
@@ -206,13 +227,21 @@
         finally:
             self.running -= 1
 
-    def _limit_headers(self) -> dict[str, str]:
-        return {} if self.rate_limit is None else {"Server_Limit": f"{self.rate_limit:g}"}
+    def _own_headers(self) -> dict[str, str]:
+        """Return the headers in which the runner speaks of itself."""
+        headers = {}
+        if self.rate_limit is not None:
+            headers["Server_Limit"] = f"{self.rate_limit:g}"
+        if self.leaving:
+            headers["Server_Leaving"] = "1"
+        if self.retry_after is not None:
+            headers["Retry_After"] = f"{self.retry_after:g}"
+        return headers
 
     async def _execute(self, connection: CallerConnection, recorded: RecordedRequest) -> None:
         if not self.faults["error"] and self._consume_fault("hang"):
             await asyncio.sleep(3600)
-        await asyncio.sleep(self.work)
+        await self._work()
         if self._consume_fault("old-refusal"):
             send_response(
                 connection, 503, b"", Celeryrun_Not_Executed="1", Celeryrun_Attempt_Id="earlier"
@@ -230,7 +259,7 @@
             connection.abort()
             return
         attempt_id = "another" if self._consume_fault("foreign") else recorded.attempt_id
-        common_headers = {"Celeryrun_Attempt_Id": attempt_id, **self._limit_headers()}
+        common_headers = {"Celeryrun_Attempt_Id": attempt_id, **self._own_headers()}
         if not self._consume_fault("unsealed"):
             common_headers["Celeryrun_Response_Seal"] = f"seal-{self.id}"
         if self._consume_fault("unpromised"):
@@ -259,7 +288,7 @@
         fault: str,
     ) -> None:
         """Send a response that ends with its connection, whole or not."""
-        parts = [f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(1, self.events + 1)]
+        parts = [self._format_event(number) for number in range(1, self.events + 1)]
         if not self.events:
             body = f"{self.id}:{recorded.attempt_id}".encode()
             parts = [body[:3], body[3:]]
@@ -271,12 +300,15 @@
         connection.write(format_head(b"HTTP/1.1 200 OK", _format_fields(headers)))
         for part in parts:
             connection.write(part)
-            await asyncio.sleep(self.work)
+            await self._work()
         if fault == "dies-between":
             self.stop()
             self._restart_task = asyncio.get_running_loop().create_task(self._restart())
         connection.transport.close()
 
+    def _format_event(self, number: int) -> bytes:
+        return f"id: {number}\nevent: {self.version}\ndata: piece {number}\n\n".encode()
+
     async def _send_without_end(self, connection: CallerConnection) -> None:
         """Send chunks until cancelled, as the caller closes the connection."""
         while True:
@@ -297,7 +329,7 @@
                 await asyncio.sleep(self.work)
             if event_id == last_event_id + 3 and self._consume_fault("endless"):
                 await self._send_without_end(connection)
-            event = f"id: {event_id}\ndata: piece {event_id}\n\n".encode()
+            event = self._format_event(event_id)
             if self.faults["no-ids"]:
                 event = event.partition(b"\n")[2]
             if event_id > last_event_id + 2 and self._consume_fault("cut"):
@@ -306,7 +338,7 @@
                 connection.abort()
                 return
             connection.write(format_chunk(event))
-            await asyncio.sleep(self.work)
+            await self._work()
         connection.write(LAST_CHUNK)
 
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -157,6 +157,12 @@
         lines = self.body.decode().splitlines()
         return [int(line[3:]) for line in lines if line.startswith("id:")]
 
+    @property
+    def versions(self):
+        """Versions of the runners that made the events of a stream."""
+        lines = self.body.decode().splitlines()
+        return {line[7:] for line in lines if line.startswith("event: ")}
+
 
 class Site:
     """Gateways with a store and runners, as an asynchronous context manager.
