Log and count the abort of a response that has begun

A response that was broken off after its first bytes ended without a line in the log and without a count, so nothing told a target that broke off from a node that gave up. The event `aborted` and celeryrun_aborts_total say why.

--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -30,6 +30,7 @@
         "_store_era",
         "_topic_era",
         "_topic_offset",
+        "aborts",
         "answers",
         "first_byte",
         "refusals",
@@ -57,6 +58,13 @@
             "celeryrun_refusals", "Requests not served", ("kind",), registry=self._registry
         )
 
+        self.aborts = Counter(
+            "celeryrun_aborts",
+            "Connections closed in the middle of a response",
+            ("why",),
+            registry=self._registry,
+        )
+
         self.target_crashes = Counter(
             "celeryrun_target_crashes",
             "Requests in flight on a target when it crashed",
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -370,7 +370,7 @@
                     self._request_log.emit(state, "rejected", status=status, target=target.id)
                     return False
                 if connection.response_started:
-                    connection.abort()
+                    self._abort(connection, state, response_relay, "rejected")
                 else:
                     self._refuse(connection, state, REJECTED_BY_TARGET, "target")
                 return True
@@ -396,7 +396,7 @@
         if response_relay.send_held():
             return
         if connection.response_started:
-            connection.abort()
+            self._abort(connection, state, response_relay, "target")
             return
         self._refuse(connection, state, OUTCOME_UNKNOWN, "target")
 
@@ -410,7 +410,7 @@
         if response_relay.send_held():
             return
         if connection.response_started:
-            connection.abort()
+            self._abort(connection, state, response_relay, denial.kind)
             return
         if state.attempts and not response_relay.all_rejected:
             self._fail(connection, state, response_relay)
@@ -445,12 +445,31 @@
         if response_relay.send_held():
             return
         if connection.response_started:
-            connection.abort()
+            self._abort(connection, state, response_relay, "timeout")
         elif state.attempts:
             self._refuse(connection, state, TIMED_OUT, "timeout")
         else:
             self._refuse(connection, state, OUT_OF_TIME, "timeout")
 
+    def _abort(
+        self,
+        connection: CallerConnection,
+        state: RequestState,
+        response_relay: ResponseRelay,
+        why: str,
+    ) -> None:
+        """Close the connection of a caller that has a part of its response."""
+        self._request_log.emit(
+            state,
+            "aborted",
+            why=why,
+            sent=state.attempts,
+            events=response_relay.events,
+            seconds=round(now() - state.arrived_at, 4),
+        )
+        self._metrics.aborts.labels(why).inc()
+        connection.abort()
+
     def _refuse(
         self, connection: CallerConnection, state: RequestState, refusal: Refusal, by: str
     ) -> None:
