gateway: a silent target keeps its request until another one takes it

Callers saw: a stream closed in the middle, or 502 for a call, while the target was sound and only silent for a second. Cause: after the silence timeout the node closed the connection to the target first and looked for another one then. Where none took the request (no other target, all slots taken, draining, unreachable, rejecting, breaking off, a key withdrawn meanwhile), nothing was left but to abort. The class: a suspicion was acted on as if it were a failure. Now silence only starts a search: the attempt goes on, and is left once another target has granted a slot and a connection. It stays in reserve until that target has begun its response, for 0.3 s at most, and is taken up again if that one rejects the request or breaks off.

--- /dev/null
+++ b/celeryrun/gateway/_attempt.py
@@ -0,0 +1,159 @@
+"""Attempt of a request at one target, from its slot and connection to their release."""
+
+from __future__ import annotations
+
+import asyncio
+
+from celeryrun.catalog import Target
+from celeryrun.gateway._client import SchedulerClient
+from celeryrun.kernel import now
+from celeryrun.scheduling import CANCELLED, UNUSED, Grant, Outcome
+from celeryrun.transport import Exchange
+
+__all__ = ["Attempt", "AttemptChain"]
+
+
+class Attempt:
+    """A granted slot and a connection to its target.
+
+    Attributes
+    ----------
+    began : float
+        Time of the grant, in seconds.
+    outcome : str
+        Outcome that is reported when the attempt is closed.
+    received : bytes
+        What a suspended attempt has received of an event or body that is not whole yet.
+    was_sent : bool
+        Whether the request was sent on the connection.
+    """
+
+    __slots__ = (
+        "_close_handle",
+        "_has_first_byte",
+        "_scheduler_client",
+        "began",
+        "exchange",
+        "grant",
+        "is_open",
+        "outcome",
+        "received",
+        "target",
+        "was_sent",
+    )
+
+    def __init__(
+        self,
+        scheduler_client: SchedulerClient,
+        grant: Grant,
+        target: Target,
+        exchange: Exchange,
+        began: float,
+    ) -> None:
+        self._scheduler_client = scheduler_client
+        self._close_handle: asyncio.TimerHandle | None = None
+        self._has_first_byte = False
+        self.grant = grant
+        self.target = target
+        self.exchange = exchange
+        self.began = began
+        self.outcome: Outcome = CANCELLED
+        self.received = b""
+        self.was_sent = False
+        self.is_open = True
+
+    def report_first_byte(self) -> None:
+        """Report the first byte of the response to the scheduler, once."""
+        if not self._has_first_byte:
+            self._has_first_byte = True
+            self._scheduler_client.report_first_byte(self.grant, now() - self.began)
+
+    def close(self, outcome: Outcome | None = None, events: int = 0) -> None:
+        """Abort the connection and release the slot, unless that was done.
+
+        Parameters
+        ----------
+        outcome : str, optional
+            Outcome to report; the one recorded by default.
+        """
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.keep()
+        self.exchange.close()
+        self._scheduler_client.release(
+            self.grant, outcome or self.outcome, now() - self.began, events
+        )
+
+    def close_later(self, seconds: float) -> None:
+        """Close the attempt after some seconds unless it is kept."""
+        loop = asyncio.get_running_loop()
+        self._close_handle = loop.call_later(seconds, self.close)
+
+    def keep(self) -> None:
+        """Withdraw a planned close."""
+        if self._close_handle is not None:
+            self._close_handle.cancel()
+            self._close_handle = None
+
+
+class AttemptChain:
+    """Attempts of one request: the current one, its successor and the one in reserve.
+
+    Attributes
+    ----------
+    current : Attempt or None
+        Attempt whose response is relayed.
+    successor : Attempt or None
+        Attempt that is ready to replace a silent current one.
+    """
+
+    __slots__ = ("_reserve", "current", "successor")
+
+    def __init__(self) -> None:
+        self.current: Attempt | None = None
+        self.successor: Attempt | None = None
+        self._reserve: Attempt | None = None
+
+    def take_next(self) -> Attempt | None:
+        """Make the successor, or else the attempt in reserve, the current one."""
+        if self.successor is not None:
+            self.current, self.successor = self.successor, None
+        elif self.has_reserve:
+            self.current, self._reserve = self._reserve, None
+            assert self.current is not None
+            self.current.keep()
+        else:
+            self.current = None
+        return self.current
+
+    @property
+    def has_reserve(self) -> bool:
+        """Whether a silent target may still go on with its response."""
+        return self._reserve is not None and self._reserve.is_open
+
+    def reserve_current(self, seconds: float) -> None:
+        """Keep the current attempt in reserve for some seconds."""
+        self.drop_reserve()
+        self._reserve, self.current = self.current, None
+        if self._reserve is not None:
+            self._reserve.close_later(seconds)
+
+    def drop_reserve(self) -> None:
+        """Close the attempt in reserve."""
+        if self._reserve is not None:
+            self._reserve.close()
+            self._reserve = None
+
+    def drop_successor(self) -> None:
+        """Close the successor, which was not used."""
+        if self.successor is not None:
+            self.successor.close(UNUSED)
+            self.successor = None
+
+    def close(self) -> None:
+        """Close all attempts."""
+        if self.current is not None:
+            self.current.close()
+        self.drop_reserve()
+        self.drop_successor()
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from celeryrun.catalog import Target
 from celeryrun.exception import Refusal
@@ -13,12 +14,21 @@
     choose_pool,
     recheck_admission,
 )
+from celeryrun.gateway._attempt import Attempt, AttemptChain
 from celeryrun.gateway._client import SchedulerClient
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._metrics import GatewayMetrics
 from celeryrun.gateway._request_log import RequestLog
-from celeryrun.gateway._response_relay import Broken, Finished, Rejected, ResponseRelay
+from celeryrun.gateway._response_relay import (
+    Broken,
+    Finished,
+    Rejected,
+    ResponseRelay,
+    Result,
+    Silent,
+)
+from celeryrun.gateway._silence import SilenceWatch
 from celeryrun.gateway._state import (
     OUT_OF_TIME,
     OUTCOME_UNKNOWN,
@@ -34,7 +44,6 @@
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import CallerRequest, format_request, read_request
 from celeryrun.scheduling import (
-    CANCELLED,
     COMPLETE,
     CRASHED,
     FAILED,
@@ -47,7 +56,6 @@
 from celeryrun.settings import GatewaySettings
 from celeryrun.transport import (
     CallerConnection,
-    Exchange,
     ReceivedRequest,
     TargetFailedError,
     accepts_connections,
@@ -60,10 +68,25 @@
 PROBE_TIMEOUT = 0.25  # s within which a running target accepts a connection
 REVOCATION_MARGIN = 0.4  # s of revocation_lag reserved for the network and a late timer
 MAX_FRESHNESS_WAIT = 0.3  # s that a request waits for a newer configuration before it is refused
+MAX_OVERLAP = 0.3  # s for which a silent target stays in reserve after its successor was sent to
+SEARCH_PAUSE = 0.2  # s after the first denial of a slot for a successor; doubles with each one
 MAX_FAILED_CONNECTS = 4  # unreachable targets after which a request is given up
 RESPONSE_MARGIN = 0.004  # s before a request's deadline at which it is answered
 
 
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No connection to the target of a granted slot was made."""
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The target of a granted slot is no longer ready."""
+
+
+NotOpened = Denial | Refusal | Unreachable | Withdrawn
+
+
 class Relay:
     """Service that relays callers' requests to targets and refuses those it can't."""
 
@@ -157,45 +180,96 @@
         self, connection: CallerConnection, state: RequestState, response_relay: ResponseRelay
     ) -> None:
         """Send a request to targets in turn until its caller has a final response."""
-        while True:
-            reply = await self._acquire_slot(state)
-            if isinstance(reply, Denial):
-                self._on_denial(connection, state, response_relay, reply)
-                return
-            target = self._discovery.targets_by_id.get(reply.target)
-            refusal = self._recheck(state)
-            if refusal is not None or target is None or not target.ready:
-                self._scheduler_client.release(reply, UNUSED)
-                if self._withdraw(connection, state, response_relay, reply.target, refusal):
+        attempts = AttemptChain()
+        try:
+            while True:
+                attempt = attempts.take_next()
+                if attempt is None:
+                    opened = await self._open_attempt(state)
+                    if not isinstance(opened, Attempt):
+                        if self._on_not_opened(connection, state, response_relay, opened):
+                            return
+                        continue
+                    attempt = attempts.current = opened
+                result = await self._run_attempt(state, response_relay, attempts, attempt)
+                if isinstance(result, Silent):
+                    self._leave_silent_target(state, response_relay, attempts, attempt)
+                    continue
+                events = response_relay.events
+                outcome = await self._classify_result(state, result, attempt.target, events)
+                self._report_suspects(state, attempt.target, outcome, attempt.began)
+                attempt.close(outcome, events)
+                if self._finish_attempt(
+                    connection, state, response_relay, result, attempt.target, attempts.has_reserve
+                ):
                     return
-                continue
-            if await self._try_target(connection, state, response_relay, reply, target):
-                return
+        finally:
+            attempts.close()
 
-    def _withdraw(
+    def _leave_silent_target(
+        self,
+        state: RequestState,
+        response_relay: ResponseRelay,
+        attempts: AttemptChain,
+        attempt: Attempt,
+    ) -> None:
+        """Turn to the successor of a silent target, which stays in reserve for a moment."""
+        attempt.outcome = FAILED
+        if response_relay.events:
+            state.last_event = response_relay.last_id
+        self._request_log.emit(
+            state,
+            "target-silent",
+            target=attempt.target.id,
+            successor=attempts.successor.target.id if attempts.successor else None,
+            events=response_relay.events,
+            seconds=round(now() - attempt.began, 4),
+        )
+        attempts.reserve_current(MAX_OVERLAP)
+
+    def _on_not_opened(
         self,
         connection: CallerConnection,
         state: RequestState,
         response_relay: ResponseRelay,
-        target_id: str,
-        refusal: Refusal | None,
+        reason: NotOpened,
     ) -> bool:
-        """Give up a target, or a request that is refused since it is no longer allowed.
+        """Respond to a caller whose request can't be sent; return whether the response is final."""
+        match reason:
+            case Denial():
+                self._on_denial(connection, state, response_relay, reason)
+                return True
+            case Refusal():
+                if state.attempts:
+                    self._fail(connection, state, response_relay)
+                else:
+                    self._refuse(connection, state, reason, "dispatch")
+                return True
+            case Unreachable():
+                return self._on_unreachable(connection, state, response_relay)
+            case Withdrawn():
+                return False
 
-        Returns
-        -------
-        bool
-            Whether the caller has a final response.
-        """
-        state.excluded_targets.append(target_id)
-        if refusal is None:
-            self._request_log.emit(state, "withdrawn", target=target_id, sent=state.attempts)
+    async def _find_successor(
+        self, state: RequestState, response_relay: ResponseRelay, attempts: AttemptChain
+    ) -> bool:
+        """Open an attempt at another target than a silent one; return whether one may take it."""
+        assert attempts.current is not None
+        if not response_relay.can_continue():
             return False
-        if state.attempts:
-            self._fail(connection, state, response_relay)
-        else:
-            self._refuse(connection, state, refusal, "dispatch")
-        return True
+        state.excluded_targets.append(attempts.current.target.id)
+        pause = SEARCH_PAUSE
+        while True:
+            match await self._open_attempt(state):
+                case Attempt() as attempt:
+                    attempts.successor = attempt
+                    return True
+                case Refusal():
+                    return False
+                case Denial():
+                    state.failed_connects = 0
+                    await asyncio.sleep(pause)
+                    pause *= 2
 
     async def _acquire_slot(self, state: RequestState) -> Grant | Denial:
         assessment = self._crash_tracker.assess(state.request.shared_prompt_parts)
@@ -237,66 +311,91 @@
             and (listed.host, listed.port, listed.born) == (target.host, target.port, target.born)
         )
 
-    async def _try_target(
-        self,
-        connection: CallerConnection,
-        state: RequestState,
-        response_relay: ResponseRelay,
-        grant: Grant,
-        target: Target,
-    ) -> bool:
-        """Send a request to one target; return whether its caller has a final response."""
-        began = now()
-        outcome = CANCELLED
-        exchange: Exchange | None = None
+    async def _open_attempt(self, state: RequestState) -> Attempt | NotOpened:
+        """Acquire a slot for a request and connect to its target."""
+        reply = await self._acquire_slot(state)
+        if isinstance(reply, Denial):
+            return reply
+        target = self._discovery.targets_by_id.get(reply.target)
+        outcome = UNUSED
+        attempt: Attempt | None = None
         try:
+            refusal = self._recheck(state)
+            if refusal is not None or target is None or not target.ready:
+                return self._withdraw(state, reply.target, refusal)
+            began = now()
             try:
                 exchange = await open_exchange(target.host, target.port, CONNECT_TIMEOUT)
             except TargetFailedError:
                 outcome = UNREACHABLE
-                return self._on_unreachable(connection, state, response_relay, target)
+                self._request_log.emit(state, "unreachable", target=target.id)
+                state.excluded_targets.append(target.id)
+                state.failed_connects += 1
+                return Unreachable()
             state.failed_connects = 0
             # The process may have been suspended since the checks before the connection.
             refusal = self._recheck(state)
             if refusal is not None or not self._is_ready(target):
-                outcome = UNUSED
-                return self._withdraw(connection, state, response_relay, target.id, refusal)
+                exchange.close()
+                return self._withdraw(state, target.id, refusal)
+            attempt = Attempt(self._scheduler_client, reply, target, exchange, began)
+            return attempt
+        finally:
+            if attempt is None:
+                self._scheduler_client.release(reply, outcome)
+
+    def _withdraw(
+        self, state: RequestState, target_id: str, refusal: Refusal | None
+    ) -> Withdrawn | Refusal:
+        """Give up a target, or a request that is no longer allowed."""
+        state.excluded_targets.append(target_id)
+        if refusal is not None:
+            return refusal
+        self._request_log.emit(state, "withdrawn", target=target_id, sent=state.attempts)
+        return Withdrawn()
+
+    async def _run_attempt(
+        self,
+        state: RequestState,
+        response_relay: ResponseRelay,
+        attempts: AttemptChain,
+        attempt: Attempt,
+    ) -> Result | Silent:
+        """Send a request to a target, unless that was done, and relay the response."""
+        if not attempt.was_sent:
             if now() >= state.respond_by:
-                outcome = UNUSED
+                attempt.outcome = UNUSED
                 raise TimeoutError
+            attempt.was_sent = True
             state.attempts += 1
-            await exchange.send(
+            await attempt.exchange.send(
                 format_request(
                     state.request,
-                    target.id,
+                    attempt.target.id,
                     state.admission.workspace.name or None,
                     state.respond_by - now(),
                     state.last_event,
                 )
             )
-            result = await response_relay.relay(
-                exchange,
-                on_first_byte=lambda: self._scheduler_client.report_first_byte(
-                    grant, now() - began
-                ),
-                silence_timeout=silence_timeout(state, grant.expected_first_byte),
-                has_survived=lambda: self._has_survived(target),
-                on_rate_limit=lambda rate: self._scheduler_client.report_limit(
-                    target.id, rate, began
-                ),
-            )
-            outcome = await self._classify_result(state, result, target, response_relay.events)
-            self._report_suspects(state, target, outcome, began)
-            return self._finish_attempt(connection, state, response_relay, result, target)
-        finally:
-            if exchange is not None:
-                exchange.close()
-            self._scheduler_client.release(grant, outcome, now() - began, response_relay.events)
+        silence = SilenceWatch(
+            silence_timeout(state, attempt.grant.expected_first_byte),
+            lambda: self._find_successor(state, response_relay, attempts),
+            attempts.drop_successor,
+        )
+        return await response_relay.relay(
+            attempt,
+            silence,
+            on_accepted=attempts.drop_reserve,
+            has_survived=lambda: self._has_survived(attempt.target),
+            on_rate_limit=lambda rate: self._scheduler_client.report_limit(
+                attempt.target.id, rate, attempt.began
+            ),
+        )
 
     async def _classify_result(
         self,
         state: RequestState,
-        result: Finished | Broken | Rejected,
+        result: Result,
         target: Target,
         events: int,
     ) -> str:
@@ -342,11 +441,19 @@
         connection: CallerConnection,
         state: RequestState,
         response_relay: ResponseRelay,
-        result: Finished | Broken | Rejected,
+        result: Result,
         target: Target,
+        has_reserve: bool,
     ) -> bool:
+        """Respond to a caller after an attempt; return whether the response is final.
+
+        Parameters
+        ----------
+        has_reserve : bool
+            Whether an earlier target, which was silent, may still go on with its response.
+        """
         route = state.admission.route
-        may_repeat = state.attempts < route.max_attempts
+        may_repeat = state.attempts < route.max_attempts or has_reserve
         state.excluded_targets.append(target.id)
         match result:
             case Finished(status=status, is_held=is_held):
@@ -366,7 +473,7 @@
                 )
                 return True
             case Rejected(status=status):
-                if may_repeat and not connection.response_started:
+                if has_reserve or (may_repeat and not connection.response_started):
                     self._request_log.emit(state, "rejected", status=status, target=target.id)
                     return False
                 if connection.response_started:
@@ -419,15 +526,8 @@
         self._refuse(connection, state, refusal, "scheduler")
 
     def _on_unreachable(
-        self,
-        connection: CallerConnection,
-        state: RequestState,
-        response_relay: ResponseRelay,
-        target: Target,
+        self, connection: CallerConnection, state: RequestState, response_relay: ResponseRelay
     ) -> bool:
-        self._request_log.emit(state, "unreachable", target=target.id)
-        state.excluded_targets.append(target.id)
-        state.failed_connects += 1
         if state.failed_connects < MAX_FAILED_CONNECTS:
             return False
         if state.attempts or connection.response_started:
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from celeryrun.catalog import Route
+from celeryrun.gateway._attempt import Attempt
+from celeryrun.gateway._silence import SilenceWatch, SuccessorFoundError
 from celeryrun.gateway._stream import EventSplitter, EventTooLargeError
 from celeryrun.kernel import now
 from celeryrun.platform import CallerRequest, TargetResponse, read_response, response_headers
@@ -20,7 +21,7 @@
     format_head,
 )
 
-__all__ = ["Broken", "Finished", "Rejected", "ResponseRelay"]
+__all__ = ["Broken", "Finished", "Rejected", "ResponseRelay", "Result", "Silent"]
 
 MAX_HELD_BYTES = 262_144  # bytes; a response up to this size is read whole before it is sent
 MIN_FAILURE_STATUS = 500
@@ -58,6 +59,14 @@
     kind: str
 
 
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """No complete response yet; another target is ready to take the request."""
+
+
+Result = Finished | Broken | Rejected
+
+
 class ResponseRelay:
     """Response to one request, by one target or several in turn.
 
@@ -132,30 +141,29 @@
 
     async def relay(
         self,
-        exchange: Exchange,
-        on_first_byte: Callable[[], None],
-        silence_timeout: float | None,
+        attempt: Attempt,
+        silence: SilenceWatch,
+        on_accepted: Callable[[], None],
         has_survived: Callable[[], Awaitable[bool]],
         on_rate_limit: Callable[[float | None], None],
-    ) -> Finished | Broken | Rejected:
+    ) -> Result | Silent:
         """Read a target's response and send it to the caller, or hold it back.
 
         Parameters
         ----------
-        on_first_byte : callable
-            Called when the response body begins.
-        silence_timeout : float or None
-            Seconds that the target may be silent, None for no limit. Bytes that complete no event
-            do not end the silence of a stream.
+        silence : SilenceWatch
+            Waits for the target. Bytes that complete no event do not end the silence of a stream.
+        on_accepted : callable
+            Called when the target has begun a response to the request.
         has_survived : callable
             Returns whether the target is still up. A response that only the end of its connection
             delimits may have been cut by a crash.
         on_rate_limit : callable
             Called with the limit that the response names.
         """
+        exchange = attempt.exchange
         try:
-            async with asyncio.timeout(silence_timeout):
-                head = await exchange.read_head()
+            head = await silence.wait(exchange.read_head)
             response = read_response(head, self._request)
             if response.matches_request or response.not_run:
                 on_rate_limit(response.rate_limit)
@@ -167,12 +175,14 @@
             if head.status < MIN_FAILURE_STATUS and not response.sealed:
                 return Broken("unsealed")
             if self._route.kind.stream and head.status == 200:
-                body = self._relay_stream(exchange, head, on_first_byte, silence_timeout)
+                body = self._relay_stream(attempt, head, silence, on_accepted)
             elif self._connection.response_started:
                 # Only further events can follow those that the caller has.
                 return Broken("malformed")
             else:
-                body = self._relay_buffered(exchange, response, on_first_byte, silence_timeout)
+                if head.status < MIN_FAILURE_STATUS:
+                    on_accepted()
+                body = self._relay_buffered(attempt, response, silence)
             result = await body
             if isinstance(result, Broken):
                 return result
@@ -186,27 +196,27 @@
             return Broken(error.kind)
         except EventTooLargeError:
             return Broken("malformed")
-        except TimeoutError:
+        except SuccessorFoundError:
             self.all_rejected = False
-            return Broken("silent")
+            return Silent()
+        finally:
+            silence.close()
 
     async def _relay_buffered(
-        self,
-        exchange: Exchange,
-        response: TargetResponse,
-        on_first_byte: Callable[[], None],
-        silence_timeout: float | None,
+        self, attempt: Attempt, response: TargetResponse, silence: SilenceWatch
     ) -> Finished | Broken:
         head = response.head
-        body = b""
+        exchange = attempt.exchange
         has_body = self._request.head.method != b"HEAD"
-        while has_body and (chunk := await self._read(exchange, silence_timeout)):
-            if not body:
-                on_first_byte()
+        while has_body and (chunk := await silence.wait(exchange.read_body)):
+            silence.record_progress()
+            if not attempt.received:
+                attempt.report_first_byte()
                 self._record_first_byte()
-            body += chunk
-            if len(body) > MAX_HELD_BYTES:
-                return await self._relay_chunked(exchange, head, body)
+            attempt.received += chunk
+            if len(attempt.received) > MAX_HELD_BYTES:
+                return await self._relay_chunked(exchange, head, attempt.received)
+        body = attempt.received
         if head.status in NOT_RUN_STATUSES:
             # The target did not state that the request was not run; the caller must not assume so.
             return Broken("unpromised")
@@ -231,38 +241,35 @@
 
     async def _relay_stream(
         self,
-        exchange: Exchange,
+        attempt: Attempt,
         head: ResponseHead,
-        on_first_byte: Callable[[], None],
-        silence_timeout: float | None,
+        silence: SilenceWatch,
+        on_accepted: Callable[[], None],
     ) -> Finished | Broken:
-        self._splitter.pop_partial()
-        is_first = True
-        last_progress, line_count = now(), self._splitter.line_count
+        self._splitter.restore_partial(attempt.received)
+        line_count = self._splitter.line_count
         while True:
-            remaining = None
-            if silence_timeout is not None:
-                remaining = last_progress + silence_timeout - now()
-            chunk = await self._read(exchange, remaining)
+            chunk = await silence.wait(attempt.exchange.read_body)
             if not chunk:
                 break
             whole_events = self._splitter.feed(chunk)
+            attempt.received = self._splitter.partial
             if not whole_events:
                 continue
-            if is_first:
-                on_first_byte()
-                self._record_first_byte()
-                is_first = False
+            on_accepted()
+            attempt.report_first_byte()
+            self._record_first_byte()
             if not self._connection.response_started:
                 self._start_chunked_response(head)
             self._connection.write(format_chunk(whole_events))
             self._record_event()
             await self._connection.drain()
             if self._splitter.line_count > line_count:
-                last_progress, line_count = now(), self._splitter.line_count
+                line_count = self._splitter.line_count
+                silence.record_progress()
         if self._splitter.has_partial():
-            self._splitter.pop_partial()
             return Broken("cut")
+        on_accepted()
         if not self._connection.response_started:
             self._start_chunked_response(head)
         return Finished(head.status, False, is_held=False)
@@ -283,10 +290,6 @@
         if self.first_byte is None:
             self.first_byte = now()
 
-    async def _read(self, exchange: Exchange, silence_timeout: float | None) -> bytes:
-        async with asyncio.timeout(silence_timeout):
-            return await exchange.read_body()
-
     def _start_chunked_response(self, head: ResponseHead) -> None:
         self._is_chunked = True
         # An earlier target's held failure must not follow this response.
--- a/celeryrun/gateway/_stream.py
+++ b/celeryrun/gateway/_stream.py
@@ -67,10 +67,14 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._partial)
 
-    def pop_partial(self) -> bytes:
-        """Return and discard the incomplete event."""
-        partial, self._partial = self._partial, b""
-        return partial
+    @property
+    def partial(self) -> bytes:
+        """Bytes of the incomplete event."""
+        return self._partial
+
+    def restore_partial(self, partial: bytes) -> None:
+        """Go on with the incomplete event of another response, or with none."""
+        self._partial = partial
 
 
 def _find_end(data: bytes, separator: bytes) -> int:
