Crashes: two crashes of a target that restarts at once are two

Cause, traced then: two reports about one target within 1 s counted as one crash, though a target may be back after 0.4 s. A crash is now told apart by the start of the target's run as well, which the reports carry. Evidence: the new test failed before.

--- a/celeryrun/gateway/_crash_tracker.py
+++ b/celeryrun/gateway/_crash_tracker.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 
+from celeryrun.catalog import Target
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._links import CrashReport, TraitsCompleted
 from celeryrun.gateway._members import Members
@@ -109,11 +110,11 @@
             return PartAssessment(False)
         return self.parts.assess(map(hash_part, parts), now())
 
-    def report_crash(self, target: str, fingerprint: int, parts: Iterable[bytes]) -> None:
+    def report_crash(self, target: Target, fingerprint: int, parts: Iterable[bytes]) -> None:
         """Report that a target crashed with a request of this node in flight."""
         hashes = tuple(hash_part(part) for part in parts)[:MAX_PARTS]
         completed = tuple(part for part in hashes if part in self._completed_parts)
-        report = CrashReport(fingerprint, target, 0.0, hashes, completed)
+        report = CrashReport(fingerprint, target.id, 0.0, hashes, completed, target.born)
         if self.apply(report):
             self.forward(report)
 
@@ -137,13 +138,15 @@
         refused = len(self.parts.refused_parts())
         match message:
             case CrashReport():
-                crash = Crash(message.target, time)
+                crash = Crash(message.target, time, message.born)
                 is_news = self.parts.record_crash(
                     crash, message.fingerprint, message.parts, message.completed_before
                 )
                 if self.parts.is_explained(crash):
                     self.requests.explain(crash)
-                elif self.requests.record_crash(message.fingerprint, message.target, time):
+                elif self.requests.record_crash(
+                    message.fingerprint, message.target, time, message.born
+                ):
                     is_news = True
             case TraitsCompleted():
                 is_news = self.parts.clear(message.parts, time)
@@ -170,10 +173,15 @@
                 return
             sent += 1
             yield CrashReport(
-                fingerprint, crash.target, time - crash.time, tuple(parts), tuple(completed)
+                fingerprint,
+                crash.target,
+                time - crash.time,
+                tuple(parts),
+                tuple(completed),
+                crash.born,
             )
         for fingerprint, crash in self.requests.crashes(time)[-MAX_REPORTS:]:
-            yield CrashReport(fingerprint, crash.target, time - crash.time)
+            yield CrashReport(fingerprint, crash.target, time - crash.time, born=crash.born)
 
     def _save(self, message: CrashReport | TraitsCompleted) -> None:
         """Bring the store's records of the parts and the request of a message up to date."""
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -175,6 +175,8 @@
         Hashes of the parts of the prompt that other requests may share.
     completed_before : tuple of int
         Those of them with which requests of the reporting node had completed.
+    born : int
+        Start of the target's run, in Unix milliseconds, 0 if unknown.
     """
 
     fingerprint: int
@@ -182,6 +184,7 @@
     age: float
     parts: tuple[int, ...] = ()
     completed_before: tuple[int, ...] = ()
+    born: int = 0
 
 
 class TargetLimit(msgspec.Struct, array_like=True, tag="Limit"):
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -432,7 +432,7 @@
         """Report what was in flight at a crash, or has completed."""
         parts = state.request.shared_prompt_parts
         if outcome == CRASHED:
-            self._crash_tracker.report_crash(target.id, state.fingerprint, parts)
+            self._crash_tracker.report_crash(target, state.fingerprint, parts)
         elif outcome == COMPLETE:
             self._crash_tracker.report_completed(state.fingerprint, parts, began)
 
--- a/celeryrun/scheduling/_crash_history.py
+++ b/celeryrun/scheduling/_crash_history.py
@@ -17,13 +17,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """Crash of a target, at a monotonic time in seconds."""
+    """Crash of a target, at a monotonic time in seconds.
+
+    Parameters
+    ----------
+    born : int
+        Start of the target's run that crashed, in Unix milliseconds, 0 if unknown.
+    """
 
     target: str
     time: float
+    born: int = 0
 
     def is_same(self, other: Crash) -> bool:
-        return self.target == other.target and abs(self.time - other.time) <= SAME_CRASH_WINDOW
+        """Return whether two reports mean one crash; a target that restarts at once may have two.
+
+        Examples
+        --------
+        >>> crash = Crash("t", 1.0, born=7)
+        >>> crash.is_same(Crash("t", 1.5, born=7)), crash.is_same(Crash("t", 1.5))
+        (True, True)
+        >>> crash.is_same(Crash("t", 1.5, born=8))
+        False
+        """
+        if self.target != other.target or abs(self.time - other.time) > SAME_CRASH_WINDOW:
+            return False
+        return self.born == other.born or not self.born or not other.born
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,20 +106,22 @@
     def __contains__(self, fingerprint: int) -> bool:
         return fingerprint in self._crashes_by_fingerprint
 
-    def record_crash(self, fingerprint: int, target: str, now: float) -> bool:
+    def record_crash(self, fingerprint: int, target: str, now: float, born: int = 0) -> bool:
         """Record that a target crashed with a request in flight.
 
         Parameters
         ----------
         now : float
             Monotonic time of the crash in seconds.
+        born : int
+            Start of the target's run, 0 if unknown.
 
         Returns
         -------
         bool
             Whether this was news.
         """
-        crash = Crash(target, now)
+        crash = Crash(target, now, born)
         crashes = self._recent(fingerprint, now)
         is_new = not any(known.is_same(crash) for known in crashes)
         is_new = is_new and not self._is_explained(crash)
--- a/celeryrun/scheduling/tests/test_crash_history.py
+++ b/celeryrun/scheduling/tests/test_crash_history.py
@@ -101,3 +101,11 @@
         crashes, wrongly_refused = retry_poison(random.Random(seed), 5, range(1, 30))
         assert crashes <= 3
         assert wrongly_refused == 0
+
+
+def test_two_crashes_of_a_target_that_restarts_at_once_both_count():
+    history = CrashHistory(max_age=60.0)
+    assert history.record_crash(1, "t0", now=0.0, born=1000)
+    assert not history.record_crash(1, "t0", now=0.3, born=1000)
+    assert history.record_crash(1, "t0", now=0.4, born=1400)
+    assert history.assess(1, now=0.4).refused
