--- a/celeryrun/gateway/tests/test_silence.py
+++ b/celeryrun/gateway/tests/test_silence.py
@@ -104,3 +104,15 @@
         assert await watch.wait(lambda: asyncio.shield(arrived)) == b"data"
 
     run(scenario)
+
+
+def test_data_that_arrived_while_the_event_loop_was_blocked_starts_no_search():
+    async def scenario(search, watch):
+        loop = asyncio.get_running_loop()
+        arrived = loop.create_future()
+        loop.call_later(TIMEOUT / 2, arrived.set_result, b"data")
+        loop.call_soon(time.sleep, 3 * TIMEOUT)
+        assert await watch.wait(lambda: asyncio.shield(arrived)) == b"data"
+        assert search.started == 0
+
+    run(scenario)
