gateway: a stream that is older than its caller's patience can move to another target

Callers saw: streams closed in the middle after 1.2 s of silence, or when their target broke off, though other targets were idle. Cause: patience and objective of a slot request counted from the request's arrival, while the caller of a begun stream waits for the next event; some seconds into a stream each slot request was denied as hopeless, and the denial of a begun stream aborts it. Both now count from the last event that the caller was sent.

--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -215,8 +215,7 @@
     ) -> None:
         """Turn to the successor of a silent target, which stays in reserve for a moment."""
         attempt.outcome = FAILED
-        if response_relay.events:
-            state.last_event = response_relay.last_id
+        _record_progress(state, response_relay)
         self._request_log.emit(
             state,
             "target-silent",
@@ -258,6 +257,7 @@
         if not response_relay.can_continue():
             return False
         state.excluded_targets.append(attempts.current.target.id)
+        _record_progress(state, response_relay)
         pause = SEARCH_PAUSE
         while True:
             match await self._open_attempt(state):
@@ -490,8 +490,7 @@
             seconds=now() - state.arrived_at,
         )
         if may_repeat and route.kind.repeatable and response_relay.can_continue():
-            if response_relay.events:
-                state.last_event = response_relay.last_id
+            _record_progress(state, response_relay)
             return False
         self._fail(connection, state, response_relay)
         return True
@@ -575,3 +574,10 @@
     ) -> None:
         self._request_log.log_refusal(state.request, refusal, by, state)
         connection.refuse(refusal)
+
+
+def _record_progress(state: RequestState, response_relay: ResponseRelay) -> None:
+    """Note how much of a stream its caller has, for the target that continues it."""
+    if response_relay.events:
+        state.last_event = response_relay.last_id
+        state.last_event_at = response_relay.last_event_at
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -115,6 +115,11 @@
         self.all_rejected = True
         self.status = 0
 
+    @property
+    def last_event_at(self) -> float | None:
+        """Return the time at which the last event was sent to the caller."""
+        return self._last_event_at if self.events else None
+
     @property
     def last_id(self) -> bytes:
         """Return the id of the last event sent to the caller."""
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -70,6 +70,8 @@
         Ids of targets that must not be granted again.
     last_event : bytes or None
         Id of the last event sent to the caller, from which another target continues the stream.
+    last_event_at : float or None
+        Time at which it was sent, in seconds.
     """
 
     request: CallerRequest
@@ -83,6 +85,7 @@
     charged: bool = False
     excluded_targets: list[str] = field(default_factory=list)
     last_event: bytes | None = None
+    last_event_at: float | None = None
 
     @property
     def logged_parts(self) -> list[str] | None:
@@ -127,7 +130,12 @@
     """
     request, admission = state.request, state.admission
     workspace, route = admission.workspace, admission.route
-    elapsed, remaining = time - state.arrived_at, state.respond_by - time
+    remaining = state.respond_by - time
+    if state.last_event_at is None:
+        elapsed, objective = time - state.arrived_at, route.objective
+    else:
+        # The caller of a begun stream waits for the next event.
+        elapsed, objective = time - state.last_event_at, route.max_pause or route.objective
     events = 0.0
     if state.pool.engine:
         events = max(1.0, request.expected_output_tokens / state.pool.tokens_per_event)
@@ -139,7 +147,7 @@
         workspace=workspace.name,
         prompt_tokens=max(1, request.prompt_tokens),
         expected_events=events,
-        objective=route.objective - elapsed,
+        objective=objective - elapsed,
         patience=min(route.patience - elapsed - PATIENCE_MARGIN, remaining),
         deadline=remaining,
         max_pause=route.max_pause,
