gateway: a rejection does not end a stream that a third target may continue

Callers saw: a stream whose target broke off was aborted as soon as the next target said that it did not run the request, though attempts were left. Cause: a rejected request was tried again only if no response had begun; the right question is whether another target can continue it.

--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -473,7 +473,7 @@
                 )
                 return True
             case Rejected(status=status):
-                if has_reserve or (may_repeat and not connection.response_started):
+                if has_reserve or (may_repeat and response_relay.can_continue()):
                     self._request_log.emit(state, "rejected", status=status, target=target.id)
                     return False
                 if connection.response_started:
