gateway: a silent target in reserve is kept if it goes on, or until the other one has failed

Callers saw: a stream that had moved was lost although its first target went on within 0.3 s, as the other target hung; or although the other one had broken off in time, as the reserve was closed while that one was probed for a crash. Cause: the reserve was closed by its timer alone, whatever it had sent meanwhile. Whichever of the two sends the next event now goes on, and the timer stops as soon as the other target has failed.

--- a/celeryrun/gateway/_attempt.py
+++ b/celeryrun/gateway/_attempt.py
@@ -6,9 +6,10 @@
 
 from celeryrun.catalog import Target
 from celeryrun.gateway._client import SchedulerClient
+from celeryrun.gateway._stream import MAX_EVENT_BYTES, has_event
 from celeryrun.kernel import now
 from celeryrun.scheduling import CANCELLED, UNUSED, Grant, Outcome
-from celeryrun.transport import Exchange
+from celeryrun.transport import Exchange, TargetFailedError
 
 __all__ = ["Attempt", "AttemptChain"]
 
@@ -85,6 +86,24 @@
             self.grant, outcome or self.outcome, now() - self.began, events
         )
 
+    async def goes_on(self, is_stream: bool) -> bool:
+        """Return whether a silent target sends a whole event, a part of a body, or the end.
+
+        It is kept then, and what it has sent is in `received`.
+        """
+        try:
+            await self.exchange.read_head()
+            while chunk := await self.exchange.read_body():
+                self.received += chunk
+                if not is_stream or has_event(self.received):
+                    break
+                if len(self.received) > MAX_EVENT_BYTES:
+                    return False
+        except TargetFailedError:
+            return False
+        self.keep()
+        return True
+
     def close_later(self, seconds: float) -> None:
         """Close the attempt after some seconds unless it is kept."""
         loop = asyncio.get_running_loop()
@@ -132,6 +151,15 @@
         """Whether a silent target may still go on with its response."""
         return self._reserve is not None and self._reserve.is_open
 
+    async def reserve_goes_on(self, is_stream: bool) -> bool:
+        """Return whether the target in reserve goes on with its response before it is closed."""
+        return self._reserve is not None and await self._reserve.goes_on(is_stream)
+
+    def keep_reserve(self) -> None:
+        """Keep the attempt in reserve until it is taken up again or dropped."""
+        if self._reserve is not None:
+            self._reserve.keep()
+
     def reserve_current(self, seconds: float) -> None:
         """Keep the current attempt in reserve for some seconds."""
         self.drop_reserve()
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -195,6 +195,7 @@
                 if isinstance(result, Silent):
                     self._leave_silent_target(state, response_relay, attempts, attempt)
                     continue
+                attempts.keep_reserve()
                 events = response_relay.events
                 outcome = await self._classify_result(state, result, attempt.target, events)
                 self._report_suspects(state, attempt.target, outcome, attempt.began)
@@ -213,14 +214,21 @@
         attempts: AttemptChain,
         attempt: Attempt,
     ) -> None:
-        """Turn to the successor of a silent target, which stays in reserve for a moment."""
+        """Turn to the successor of a silent target, which stays in reserve for a moment.
+
+        Without a successor, the target in reserve goes on, and the current one is not needed.
+        """
+        if attempts.successor is None:
+            self._request_log.emit(state, "silence-ended", unused=attempt.target.id)
+            attempt.close()
+            return
         attempt.outcome = FAILED
         _record_progress(state, response_relay)
         self._request_log.emit(
             state,
             "target-silent",
             target=attempt.target.id,
-            successor=attempts.successor.target.id if attempts.successor else None,
+            successor=attempts.successor.target.id,
             events=response_relay.events,
             seconds=round(now() - attempt.began, 4),
         )
@@ -377,10 +385,12 @@
                     state.last_event,
                 )
             )
+        is_stream = state.admission.route.kind.stream
         silence = SilenceWatch(
             silence_timeout(state, attempt.grant.expected_first_byte),
             lambda: self._find_successor(state, response_relay, attempts),
             attempts.drop_successor,
+            (lambda: attempts.reserve_goes_on(is_stream)) if attempts.has_reserve else None,
         )
         return await response_relay.relay(
             attempt,
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -215,9 +215,8 @@
         has_body = self._request.head.method != b"HEAD"
         while has_body and (chunk := await silence.wait(exchange.read_body)):
             silence.record_progress()
-            if not attempt.received:
-                attempt.report_first_byte()
-                self._record_first_byte()
+            attempt.report_first_byte()
+            self._record_first_byte()
             attempt.received += chunk
             if len(attempt.received) > MAX_HELD_BYTES:
                 return await self._relay_chunked(exchange, head, attempt.received)
@@ -251,12 +250,11 @@
         silence: SilenceWatch,
         on_accepted: Callable[[], None],
     ) -> Finished | Broken:
-        self._splitter.restore_partial(attempt.received)
+        self._splitter.restore_partial(b"")
         line_count = self._splitter.line_count
-        while True:
-            chunk = await silence.wait(attempt.exchange.read_body)
-            if not chunk:
-                break
+        received, attempt.received = attempt.received, b""
+        while chunk := received or await silence.wait(attempt.exchange.read_body):
+            received = b""
             whole_events = self._splitter.feed(chunk)
             attempt.received = self._splitter.partial
             if not whole_events:
--- a/celeryrun/gateway/_silence.py
+++ b/celeryrun/gateway/_silence.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from celeryrun.kernel import now
 
@@ -29,12 +29,16 @@
         and False if none may.
     discard_successor : callable
         Called when the target goes on, in case that a successor was found.
+    reserve_goes_on : callable, optional
+        Coroutine function that returns whether an earlier, silent target goes on with its
+        response; that one is as good as a successor.
     """
 
     __slots__ = (
         "_discard_successor",
         "_find_successor",
         "_progress_at",
+        "_reserve",
         "_search",
         "_timeout",
     )
@@ -44,16 +48,23 @@
         timeout: float | None,
         find_successor: Callable[[], Awaitable[bool]],
         discard_successor: Callable[[], None],
+        reserve_goes_on: Callable[[], Awaitable[bool]] | None = None,
     ) -> None:
         self._timeout = timeout
         self._find_successor = find_successor
         self._discard_successor = discard_successor
         self._progress_at = now()
         self._search: asyncio.Future[bool] | None = None
+        self._reserve: asyncio.Future[bool] | None = None
+        if reserve_goes_on is not None:
+            self._reserve = asyncio.ensure_future(reserve_goes_on())
 
     def record_progress(self) -> None:
         """Note that the target goes on."""
         self._progress_at = now()
+        if self._reserve is not None:
+            self._reserve.cancel()
+            self._reserve = None
         if self._search is not None:
             self._search.cancel()
             self._search = None
@@ -65,26 +76,56 @@
         Raises
         ------
         SuccessorFoundError
-            If the target is silent and another one is ready.
+            If another target is to take the request.
         """
-        if self._timeout is None:
-            return await read()
-        if self._search is None:
+        if self._reserve is None and self._search is None:
+            if self._timeout is None:
+                return await read()
             try:
                 async with asyncio.timeout(self._progress_at + self._timeout - now()):
                     return await read()
             except TimeoutError:
-                self._search = asyncio.ensure_future(self._find_successor())
+                pass
         reading = asyncio.ensure_future(read())
         try:
-            await asyncio.wait((reading, self._search), return_when=asyncio.FIRST_COMPLETED)
-            if not reading.done() and self._search.result():
-                raise SuccessorFoundError
+            while not reading.done():
+                await self._wait_for_change(reading)
             return await reading
         finally:
             reading.cancel()
 
+    async def _wait_for_change(self, reading: asyncio.Future[T]) -> None:
+        """Wait until a read is done; start the search for a successor when it is due."""
+        if self._is_search_due():
+            self._search = asyncio.ensure_future(self._find_successor())
+        alternatives = [
+            alternative
+            for alternative in (self._reserve, self._search)
+            if alternative is not None and not alternative.done()
+        ]
+        awaited: list[asyncio.Future[Any]] = [reading, *alternatives]
+        await asyncio.wait(
+            awaited,
+            timeout=self._time_to_search(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not reading.done() and any(
+            alternative.done() and alternative.result() for alternative in alternatives
+        ):
+            raise SuccessorFoundError
+
+    def _time_to_search(self) -> float | None:
+        """Return the seconds until the search may start, None if it need not."""
+        is_reserve_open = self._reserve is not None and not self._reserve.done()
+        if self._timeout is None or self._search is not None or is_reserve_open:
+            return None
+        return max(0.0, self._progress_at + self._timeout - now())
+
+    def _is_search_due(self) -> bool:
+        return self._time_to_search() == 0.0
+
     def close(self) -> None:
-        """End the search; a successor that it has found stays."""
-        if self._search is not None and not self._search.done():
-            self._search.cancel()
+        """End the wait for alternatives; a successor that was found stays."""
+        for alternative in (self._reserve, self._search):
+            if alternative is not None and not alternative.done():
+                alternative.cancel()
--- a/celeryrun/gateway/_stream.py
+++ b/celeryrun/gateway/_stream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["EventSplitter", "EventTooLargeError"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLargeError", "has_event"]
 
 MAX_EVENT_BYTES = 262_144  # of an event that is held back until it is whole
 
@@ -77,6 +77,19 @@
         self._partial = partial
 
 
+def has_event(data: bytes) -> bool:
+    """Return whether bytes hold a whole event that is not only a comment.
+
+    Examples
+    --------
+    >>> has_event(b"data: a\\n\\n"), has_event(b": wait\\n\\n"), has_event(b"data: a")
+    (True, False, False)
+    """
+    end = max(_find_end(data, b"\n\n"), _find_end(data, b"\r\n\r\n"))
+    lines = data[:end].splitlines()
+    return any(line and not line.startswith(b":") for line in lines)
+
+
 def _find_end(data: bytes, separator: bytes) -> int:
     found = data.rfind(separator)
     return 0 if found < 0 else found + len(separator)
