gateway: a blocked event loop is not a silent target

Callers saw: while a large configuration was decoded, or after a pause of the process, each call in progress looked for another target though its response had arrived, which costs slots and the retry budget. Cause: the timer of the silence runs before the task that reads. What has arrived is now read before the search starts.

--- a/celeryrun/gateway/_silence.py
+++ b/celeryrun/gateway/_silence.py
@@ -88,6 +88,8 @@
                 pass
         reading = asyncio.ensure_future(read())
         try:
+            # What arrived while the event loop was blocked is read before it counts as silence.
+            await asyncio.sleep(0)
             while not reading.done():
                 await self._wait_for_change(reading)
             return await reading
--- a/celeryrun/gateway/tests/test_silence.py
+++ b/celeryrun/gateway/tests/test_silence.py
@@ -116,3 +116,19 @@
         assert search.started == 0
 
     run(scenario)
+
+
+def test_coroutine_whose_data_arrived_while_the_event_loop_was_blocked_starts_no_search():
+    async def scenario(search, watch):
+        loop = asyncio.get_running_loop()
+        arrived = loop.create_future()
+
+        async def read():
+            return await asyncio.shield(arrived)
+
+        loop.call_later(TIMEOUT / 2, arrived.set_result, b"data")
+        loop.call_soon(time.sleep, 3 * TIMEOUT)
+        assert await watch.wait(read) == b"data"
+        assert search.started == 0
+
+    run(scenario)
