gateway: one failed connection does not rule out the only target

Callers saw: 503 for a call whose only target took no connection for 0.4 s and was back at once; the request had excluded it for good and waited out its patience. A target that can't be reached is now excluded only while another one may take the request; the scheduler's own pause bounds the connections, and four failed ones end the request as before. Evidence: the review's test failed before and passes; 73 others of test_path.py and the tests of silent targets pass.

--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -337,7 +337,8 @@
             except TargetFailedError:
                 outcome = UNREACHABLE
                 self._request_log.emit(state, "unreachable", target=target.id)
-                state.excluded_targets.append(target.id)
+                if self._has_other_target(state, target):
+                    state.excluded_targets.append(target.id)
                 state.failed_connects += 1
                 return Unreachable()
             state.failed_connects = 0
@@ -352,6 +353,13 @@
             if attempt is None:
                 self._scheduler_client.release(reply, outcome)
 
+    def _has_other_target(self, state: RequestState, target: Target) -> bool:
+        """Return whether a request may be sent to another target than this one."""
+        return any(
+            other.id != target.id and other.id not in state.excluded_targets
+            for other in self._discovery.ready_targets(state.pool.name)
+        )
+
     def _withdraw(
         self, state: RequestState, target_id: str, refusal: Refusal | None
     ) -> Withdrawn | Refusal:
