A request whose handler fails gets a response

Callers saw: neither a response nor a refusal, on a connection that stayed open for good. Cause: an unexpected exception ended the task that serves the connection, with no timer left. One way there was a configuration whose route splits all weigh nothing; such a route is now split evenly. Any other failure is logged with its traceback, and the caller gets 502, or the end of its connection if its response has begun.

--- a/celeryrun/gateway/_admission.py
+++ b/celeryrun/gateway/_admission.py
@@ -99,4 +99,6 @@
     if len(route.splits) == 1:
         return route.splits[0].pool
     weights = [split.weight for split in route.splits]
+    if not any(weights):
+        return random.choice(route.splits).pool
     return random.choices(route.splits, weights)[0].pool
--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+import logbook
+
 from celeryrun.catalog import CallerLimits
 from celeryrun.exception import Refusal
 from celeryrun.kernel import now
@@ -29,6 +31,7 @@
 SLOW_REQUEST = Refusal(408, "slow-request", "send the whole request sooner")
 # The retry delay is 0.5 s, as most requests complete and release their bodies within it.
 MEMORY_FULL = Refusal(503, "memory-full", "send it again later", 0.5)
+INTERNAL_ERROR = Refusal(502, "internal-error", "find out whether it ran before you send it again")
 REASON_BY_STATUS = {
     400: b"Bad Request",
     401: b"Unauthorized",
@@ -43,6 +46,9 @@
 }
 
 
+log = logbook.Logger("callers")
+
+
 @dataclass(slots=True)
 class ReceivedRequest:
     """A completely received request.
@@ -267,7 +273,7 @@
             self._clear_deadline()
             if self._is_draining() or not request.head.keep_alive:
                 self._closing = True
-            await self._handler(self, request)
+            await self._handle(request)
             self._release_bytes(len(request.body))
             self.is_serving = False
             if self._closing:
@@ -279,6 +285,18 @@
                 self.idle_since = now()
                 self._set_deadline(self._limits().idle_timeout)
 
+    async def _handle(self, request: ReceivedRequest) -> None:
+        """Pass a request to the handler, and respond for one that fails."""
+        try:
+            await self._handler(self, request)
+        except Exception:
+            log.exception("the handler of a request failed")
+            self._closing = True
+            if self.response_started:
+                self.abort()
+            else:
+                self.refuse(INTERNAL_ERROR)
+
     async def _send_read_refusal(self, refusal: Refusal) -> None:
         """Send a refusal and close after a delay, in which input is read and dropped.
 
--- a/celeryrun/transport/tests/test_caller.py
+++ b/celeryrun/transport/tests/test_caller.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 
 from celeryrun.catalog import CallerLimits
+from celeryrun.gateway._relay import Relay
 from celeryrun.transport import CallerConnection, MalformedMessageError, RequestParser
-from standins.site import Site, read_response, run
+from standins.site import Site, build_config, read_response, run
 
 HEADERS = (
     b"Host: site.example\r\nCeleryrun-Attempt-Id: a1\r\n"
@@ -186,3 +187,46 @@
     transport = Transport()
     connection.connection_made(transport)
     assert transport.aborted
+
+
+def test_request_whose_handler_fails_gets_a_response(monkeypatch):
+    async def fail(*_):
+        raise RuntimeError("fails by intention")
+
+    async def scenario():
+        async with Site(apps=1) as site:
+            monkeypatch.setattr(Relay, "_admit", fail)
+            response = await site.send_request("/calls/a")
+            assert response.status == 502 and response.complete
+            assert response.headers["connection"] == "close"
+            monkeypatch.undo()
+            assert (await site.send_request("/calls/a")).status == 200
+
+    run(scenario())
+
+
+def test_response_whose_handler_fails_in_its_middle_does_not_look_complete(monkeypatch):
+    def fail(*_):
+        raise RuntimeError("fails by intention")
+
+    async def scenario():
+        async with Site(models=1) as site:
+            site.models[0].faults["cut"] = 1
+            monkeypatch.setattr(Relay, "_finish_attempt", fail)
+            response = await site.send_request("/chats/a")
+            assert response.event_ids and not response.complete
+            monkeypatch.undo()
+            await site.wait_until(lambda: not site.gateways[0].kernel.find("callers").connections)
+
+    run(scenario())
+
+
+def test_route_whose_splits_all_weigh_nothing_is_served():
+    async def scenario():
+        config = build_config()
+        config["routes"][0]["split"] = [{"service": "app", "weight": 0}]
+        config["routes"][0]["split"] += [{"service": "app", "weight": 0}]
+        async with Site(apps=1, config=config) as site:
+            assert (await site.send_request("/calls/a")).status == 200
+
+    run(scenario())
