gateway: a failing search for another target does not end a silent target's response

The exception of the search was raised again in the task that reads the response. It now counts as nothing found and is logged. Evidence: the test failed before and passes.

--- a/celeryrun/gateway/_silence.py
+++ b/celeryrun/gateway/_silence.py
@@ -6,11 +6,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
+import logbook
+
 from celeryrun.kernel import now
 
 __all__ = ["SilenceWatch", "SuccessorFoundError"]
 
 T = TypeVar("T")
+log = logbook.Logger("silence")
 
 
 class SuccessorFoundError(Exception):
@@ -112,7 +115,7 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         if not reading.done() and any(
-            alternative.done() and alternative.result() for alternative in alternatives
+            alternative.done() and _is_found(alternative) for alternative in alternatives
         ):
             raise SuccessorFoundError
 
@@ -131,3 +134,12 @@
         for alternative in (self._reserve, self._search):
             if alternative is not None and not alternative.done():
                 alternative.cancel()
+
+
+def _is_found(alternative: asyncio.Future[bool]) -> bool:
+    """Return the result of a search; one that failed has found nothing."""
+    try:
+        return alternative.result()
+    except Exception:
+        log.exception("the search for another target failed")
+        return False
--- a/celeryrun/gateway/tests/test_silence.py
+++ b/celeryrun/gateway/tests/test_silence.py
@@ -132,3 +132,11 @@
         assert search.started == 0
 
     run(scenario)
+
+
+def test_search_that_fails_does_not_end_the_wait():
+    async def scenario(search, watch):
+        search.result.set_exception(RuntimeError("fails by intention"))
+        assert await watch.wait(read_after(3 * TIMEOUT)) == b"data"
+
+    run(scenario)
