scheduling: a retry that reaches no target is not charged to the retry budget

Callers saw: nothing yet; found by the review. A search for another target asks again and again while its target is silent, and each slot request was charged, though it was denied, withdrawn, or its slot not used; an empty budget ends streams whose target breaks off. The charge is now taken back at the time for which it was counted.

--- a/celeryrun/scheduling/_limits.py
+++ b/celeryrun/scheduling/_limits.py
@@ -143,6 +143,11 @@
         budget.record_first_attempt(now)
         return True
 
+    def refund_retry(self, pool: str, charged_at: float) -> None:
+        """Give back the charge of a retry that reached no target."""
+        if pool in self._retry_budget_by_pool:
+            self._retry_budget_by_pool[pool].refund_retry(charged_at)
+
     def charge_quota(self, slot_request: SlotRequest, now: float) -> float:
         """Charge a slot request to its workspace's quota.
 
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -36,6 +36,8 @@
         Seconds to the first byte; None until it has arrived.
     deadline : float
         Latest time at which the request ends.
+    retry_charged_at : float or None
+        Time at which the request was charged to the retry budget, None if it was not.
     """
 
     node: str
@@ -49,6 +51,7 @@
     first_byte_seconds: float | None = None
     fingerprint: int = 0
     deadline: float = math.inf
+    retry_charged_at: float | None = None
 
     def overdue_time(self) -> float:
         """Return when the first byte becomes overdue; infinity once it has arrived."""
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -55,6 +55,11 @@
     deadline_time: float
     is_scheduled: bool = False
 
+    @property
+    def retry_charged_at(self) -> float | None:
+        """Time at which it was charged to the retry budget, None if it was not."""
+        return self.arrived if self.slot_request.retry else None
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
--- a/celeryrun/scheduling/_quota.py
+++ b/celeryrun/scheduling/_quota.py
@@ -44,6 +44,14 @@
             self._steps.append([now, amount])
         self._sum += amount
 
+    def remove(self, amount: float, added_at: float) -> None:
+        """Take back an amount that was added at a time, unless the window has passed it."""
+        for step in reversed(self._steps):
+            if step[0] <= added_at:
+                step[1] -= amount
+                self._sum -= amount
+                return
+
     def total(self, now: float) -> float:
         """Return the sum over the window that ends now."""
         while self._steps and now - self._steps[0][0] > self._window:
@@ -174,3 +182,7 @@
             return False
         self._retries.add(1.0, now)
         return True
+
+    def refund_retry(self, charged_at: float) -> None:
+        """Give back a retry that reached no target, counted at a time."""
+        self._retries.remove(1.0, charged_at)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -133,6 +133,7 @@
             return Denial(slot_request.id, "retry-budget", 0.0)
         wait = self._limits.charge_quota(slot_request, now)
         if wait > 0:
+            self._refund_retry(slot_request.pool, now if slot_request.retry else None)
             return Denial(
                 slot_request.id, "quota", self._add_jitter(min(wait, slot_request.deadline))
             )
@@ -244,6 +245,8 @@
         active_grant = load.remove_grant(released.grant_id, now)
         if active_grant is None:
             return None
+        if released.outcome in (messages.UNREACHABLE, messages.UNUSED):
+            self._refund_retry(active_grant.pool, active_grant.retry_charged_at)
         match released.outcome:
             case messages.COMPLETE:
                 load.record_result(failed=False)
@@ -267,8 +270,10 @@
 
     def cancel(self, node: str, slot_request_id: int) -> None:
         """Remove a slot request from its queue."""
-        for queue in self.queues_by_pool.values():
-            queue.pop((node, slot_request_id), None)
+        for pool, queue in self.queues_by_pool.items():
+            queued = queue.pop((node, slot_request_id), None)
+            if queued is not None:
+                self._refund_retry(pool, queued.retry_charged_at)
 
     def add_held_slot(self, node: str, held_slot: HeldSlot, now: float) -> None:
         """Count a slot that another scheduler granted."""
@@ -387,6 +392,7 @@
             placement.first_byte,
             fingerprint=slot_request.fingerprint,
             deadline=queued.deadline_time,
+            retry_charged_at=queued.retry_charged_at,
         )
         load.add_grant(grant_id, active_grant)
         self.rate_limits.consume(placement.target, now)
@@ -399,8 +405,14 @@
         slot_request = queued.slot_request
         del self.queues_by_pool[slot_request.pool][queued.node, slot_request.id]
         self._limits.refund_quota(slot_request, now)
+        self._refund_retry(slot_request.pool, queued.retry_charged_at)
         wait = max(MIN_RETRY_AFTER, retry_time - now)
         return queued.node, Denial(slot_request.id, kind, self._add_jitter(wait))
 
+    def _refund_retry(self, pool: str, charged_at: float | None) -> None:
+        """Give back the charge of a retry that reached no target, if there was one."""
+        if charged_at is not None:
+            self._limits.refund_retry(pool, charged_at)
+
     def _add_jitter(self, seconds: float) -> float:
         return seconds * (1 + RETRY_JITTER * self._random.random())
--- a/celeryrun/scheduling/tests/test_quota.py
+++ b/celeryrun/scheduling/tests/test_quota.py
@@ -111,3 +111,15 @@
     assert scheduler.submit("n", build_slot_request(1, **quota), 0.0) is None
     assert scheduler.submit("n", build_slot_request(2, **quota), 0.0) is None
     assert scheduler.submit("n", build_slot_request(3, **quota), 0.0).kind == "quota"
+
+
+def test_refund_takes_back_the_retry_of_its_own_time():
+    budget = RetryBudget(0.0, 2.0, 10.0)
+    assert budget.try_retry(0.0) and budget.try_retry(5.0)
+    assert not budget.try_retry(6.0)
+    budget.refund_retry(5.0)
+    assert budget.try_retry(6.0)
+    # The retry at 0 leaves the window at 10, the one at 6 stays in it.
+    assert [budget.try_retry(11.0) for _ in range(2)] == [True, False]
+    budget.refund_retry(0.0)
+    assert not budget.try_retry(11.0)
--- a/celeryrun/scheduling/tests/test_scheduler.py
+++ b/celeryrun/scheduling/tests/test_scheduler.py
@@ -4,7 +4,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from celeryrun.scheduling import COMPLETE, CRASHED, FAILED, UNREACHABLE, HeldSlot, SlotReleased
+from celeryrun.scheduling import (
+    COMPLETE,
+    CRASHED,
+    FAILED,
+    UNREACHABLE,
+    UNUSED,
+    HeldSlot,
+    SlotReleased,
+)
 from celeryrun.scheduling.tests.builders import build_scheduler, build_slot_request, build_target
 
 
@@ -278,3 +286,28 @@
             scheduler.release(SlotReleased(grant_id, COMPLETE, 0.1, 3), now)
         plan()
     assert sorted(decided) == list(range(len(slot_requests)))
+
+
+@pytest.mark.parametrize("end", ["cancelled", "denied", UNREACHABLE, UNUSED])
+def test_retry_that_reaches_no_target_is_not_charged(end):
+    busy = end in ("cancelled", "denied")
+    scheduler = build_scheduler(*(build_target(f"t{n}", slots=1) for n in range(1 if busy else 20)))
+    if busy:
+        scheduler.submit("n", build_slot_request(1, expected_events=500.0), 0.0)
+        assert grant_all(scheduler, 0.0)
+    for number in range(2, 12):
+        time = number * (0.01 if busy else 0.6)
+        patience = 0.001 if end == "denied" else 5.0
+        retry = build_slot_request(number, retry=True, patience=patience)
+        assert scheduler.submit("n", retry, time) is None
+        if end == "cancelled":
+            scheduler.cancel("n", number)
+            continue
+        grants, denials = scheduler.plan("model", time)
+        if end == "denied":
+            assert [denial.kind for _, denial in denials] == ["overload"]
+            continue
+        ((_, grant),) = grants
+        scheduler.release(SlotReleased(grant.grant_id, end), time + 0.001)
+    sent = [scheduler.submit("n", build_slot_request(99 + n, retry=True), 12.0) for n in range(3)]
+    assert [denial is None for denial in sent] == [True, True, False]
