gateway: an odd entry of another writer names no target, and the list is followed past it

Another writer may leave one odd entry among those of the targets, or odd values in the operator's configuration. Callers then got no answers: the follower read the whole topic again and again (RecursionError of nested values, ValueError of a port of 5,000 digits or of a superscript, a typed error for neither), the scheduler's planning task ended (OverflowError, MemoryError of slots), and hosts that are no host names raised out of the relay (UnicodeError). An id with a line break went into a header.

Entries and configurations are decoded strictly, once: celeryrun.records holds the ranges, the syntax of addresses and the JSON decoder from which only UnreadableRecordError comes. A target has an ASCII id without spaces, an IPv4 or IPv6 literal or a host name, a port of 1 to 65535, and 1 to 65,536 slots; its entry has at most 64 KiB. What replaces a known entry and can't be read names no target: the known one is removed, and requests that it has go on. An odd configuration leaves the one in force.

Besides, an error in applying one record is logged (record-failed) and stops neither the other records nor the follower; one in a planning round is logged (plan-failed) and the task goes on; a host or port that no system call takes counts as a refused connection.

--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -15,7 +15,7 @@
     judge_restored_entry,
 )
 from celeryrun.gateway._events import EventLog
-from celeryrun.gateway._topic_follower import TopicFollower
+from celeryrun.gateway._topic_follower import TopicFollower, isolated
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import (
     CONFIGURATION_KEY,
@@ -40,6 +40,7 @@
 INITIAL_READ_DELAY = 1.5  # s; by then a new node usually has a scheduler that reads for it
 RECOVERY_GRACE = 2.3  # s after an outage of the store for which it may lack targets
 MAX_REMOVED_TARGETS = 1024  # latest removed targets that are remembered
+MAX_UNREADABLE_IDS = 1024  # ids of unreadable entries that are not logged again
 
 
 class Discovery:
@@ -64,6 +65,7 @@
         "_restored_at",
         "_events",
         "_ready_targets_by_pool",
+        "_unreadable_ids",
         "catalog",
         "configuration",
         "targets",
@@ -91,6 +93,7 @@
         self._removed_targets_by_id: OrderedDict[str, Target] = OrderedDict()
         self._restored_at = float("-inf")
         self._ready_targets_by_pool: dict[str, list[Target]] = {}
+        self._unreadable_ids: set[str] = set()
         self.catalog: Catalog | None = None
         self.targets_by_id: dict[str, Target] = {}
         self.configuration = TopicFollower(
@@ -174,7 +177,8 @@
     def _apply_configuration(self, page: KeyedPage) -> None:
         for record in page.records:
             if record.key == CONFIGURATION_KEY and record.value is not None:
-                self.apply_configuration_record(record.value)
+                with isolated(self._events, CONFIGURATION_TOPIC, record.key):
+                    self.apply_configuration_record(record.value)
 
     def apply_configuration_record(self, body: bytes) -> None:
         """Apply a configuration that this or another node has read, unless it is older."""
@@ -198,7 +202,8 @@
         if page.restored:
             self._restored_at = now()
         for record in page.records:
-            self._apply_target(record)
+            with isolated(self._events, TARGETS_TOPIC, record.key):
+                self._apply_target(record)
         if page.is_snapshot:
             listed = {record.key for record in page.records if record.value is not None}
             for id in set(self.targets_by_id) - listed:
@@ -209,14 +214,16 @@
         if id in self._doubts_by_id:
             self._doubts_by_id.pop(id).cancel()
         if record.value is None:
+            self._unreadable_ids.discard(id)
             if id in self.targets_by_id:
                 self._schedule_removal(id)
             return
         try:
             target = decode_target(id, record.value)
         except UnreadableRecordError as error:
-            self._events.emit("target-unreadable", target=id, why=str(error))
+            self._on_unreadable(id, str(error))
             return
+        self._unreadable_ids.discard(id)
         doubt_ends_in = self._restored_at + RECOVERY_GRACE - now()
         if doubt_ends_in > 0:
             known, removed = self.targets_by_id.get(id), self._removed_targets_by_id.get(id)
@@ -235,6 +242,17 @@
                     pass
         self._accept_target(target)
 
+    def _on_unreadable(self, id: str, reason: str) -> None:
+        """Remove the target that an unreadable entry replaces; log only the first such entry."""
+        if id in self.targets_by_id:
+            self._schedule_removal(id)
+        if id in self._unreadable_ids:
+            return
+        if len(self._unreadable_ids) >= MAX_UNREADABLE_IDS:
+            self._unreadable_ids.clear()
+        self._unreadable_ids.add(id)
+        self._events.emit("target-unreadable", target=id, why=reason)
+
     def _accept_target(self, target: Target) -> None:
         id = target.id
         self._doubts_by_id.pop(id, None)
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -27,7 +27,7 @@
 )
 from celeryrun.gateway._listen import listen
 from celeryrun.gateway._members import Members
-from celeryrun.gateway._topic_follower import TopicFollower
+from celeryrun.gateway._topic_follower import MAX_REASON_CHARS, TopicFollower
 from celeryrun.history import Position
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import KeyedPage
@@ -301,7 +301,13 @@
     def _plan(self, pool: str, full_scan: bool = False) -> None:
         self._delayed_pools.discard(pool)
         began = now()
-        grants, denials = self.scheduler.plan(pool, began, full_scan)
+        try:
+            grants, denials = self.scheduler.plan(pool, began, full_scan)
+        except Exception as error:
+            # The requests stay in the queue until the next plan or their deadline.
+            reason = repr(error)[:MAX_REASON_CHARS]
+            self._events.emit("plan-failed", pool=pool, why=reason)
+            grants, denials = [], []
         ended = now()
         self._next_plan_at = ended + PLANNING_REST_FACTOR * (ended - began)
         for node, grant in grants:
--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -6,7 +6,7 @@
 import contextlib
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._intervals import max_retry_delay
@@ -14,12 +14,22 @@
 from celeryrun.kernel import now
 from celeryrun.platform import KeyedPage, Store, StoreUnavailableError
 
-__all__ = ["TopicFollower"]
+__all__ = ["MAX_REASON_CHARS", "TopicFollower", "isolated"]
 
 INITIAL_RETRY_DELAY = 0.1  # s after the first failed call
 MAX_MISSED_CONFIRMATIONS = 3.5  # heartbeats without a confirmation before a node reads by itself
 MAX_FEED_DELAY = 0.2  # s for which the snapshot of a new era may come from another node
 CONFIRMATION_MARGIN = 0.15  # s by which another node's confirmation may be late
+MAX_REASON_CHARS = 200  # of a logged error
+
+
+@contextlib.contextmanager
+def isolated(events: EventLog, topic: str, key: str) -> Iterator[None]:
+    """Log an error in applying one record, so that the other records are applied."""
+    try:
+        yield
+    except Exception as error:
+        events.emit("record-failed", topic=topic, key=key, why=repr(error)[:MAX_REASON_CHARS])
 
 
 class TopicFollower:
@@ -201,7 +211,8 @@
                 continue
             except Exception as error:
                 # No page may stop the follower; it reads the whole topic again.
-                self._events.emit("store-unreadable", topic=self.topic, why=repr(error))
+                reason = repr(error)[:MAX_REASON_CHARS]
+                self._events.emit("store-unreadable", topic=self.topic, why=reason)
                 self._cursor.lose_history()
                 await asyncio.sleep(max_retry_delay(1))
                 continue
--- a/celeryrun/platform/__init__.py
+++ b/celeryrun/platform/__init__.py
@@ -1,6 +1,6 @@
 """Adapter to the users' platform: its protocol and metadata store, without scheduling logic."""
 
-from celeryrun.platform._decode import UnreadableRecordError, decode_catalog, decode_target
+from celeryrun.platform._decode import decode_catalog, decode_target
 from celeryrun.platform._messages import (
     CallerRequest,
     TargetResponse,
@@ -20,6 +20,7 @@
     Store,
     StoreUnavailableError,
 )
+from celeryrun.records import UnreadableRecordError
 
 __all__ = [
     "CONFIGURATION_KEY",
--- a/celeryrun/platform/_decode.py
+++ b/celeryrun/platform/_decode.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from celeryrun.catalog import (
@@ -14,9 +16,21 @@
     Target,
     Workspace,
 )
-from celeryrun.exception import CeleryrunError
+from celeryrun.records import (
+    HeaderText,
+    Milliseconds,
+    Rate,
+    Sequence,
+    Slots,
+    Small,
+    UnreadableRecordError,
+    Weight,
+    Whole,
+    decode_json,
+    parse_address,
+)
 
-__all__ = ["UnreadableRecordError", "decode_catalog", "decode_target"]
+__all__ = ["decode_catalog", "decode_target"]
 
 MS_PER_SECOND = 1000.0
 # Clients abandon a stream after the longest of these three times without an event.
@@ -24,15 +38,13 @@
 PATIENCE_PER_OBJECTIVE = 4.0  # times the objective of the first byte
 PATIENCE_PER_PAUSE = 8.0  # times the route's maximum pause between events
 TOKEN_UNIT = "token_count"
-
-
-class UnreadableRecordError(CeleryrunError):
-    """A record of the store does not match the published schema; its writer must correct it."""
+MAX_ENTRY_BYTES = 65_536  # of one target's entry
+TARGET_ID = re.compile(r"[!-~]{1,255}")  # sent in a header
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: Weight = 1.0
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -40,19 +52,19 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    max_attempts: int = 1
-    priority: int = 0
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0.0
+    max_attempts: Small = 1
+    priority: Small = 0
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: Milliseconds = 0.0
     service: str = ""
     split: list[_Split] = []
 
 
 class _Engine(msgspec.Struct, rename="camel"):
-    stride: int = 1
+    stride: Small = 1
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -61,24 +73,24 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 1_048_576
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Whole = 16_384
+    max_body_bytes: Whole = 1_048_576
+    header_timeout_ms: Milliseconds = 3000.0
+    idle_timeout_ms: Milliseconds = 15_000.0
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
-    name: str
+    name: HeaderText
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Small | None = None
     unit: str = ""
-    plain_tokens: int = 1
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    plain_tokens: Whole = 1
+    rate_per_s: Rate = 0.0
+    burst: Rate = 0.0
 
 
 class _Config(msgspec.Struct, rename="camel"):
-    version: int
+    version: Whole
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -90,9 +102,9 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
-    born: int = 0
-    sequence: float = 0.0
+    slots: Slots = 1
+    born: Whole = 0
+    sequence: Sequence = 0.0
 
 
 def decode_catalog(body: bytes) -> Catalog:
@@ -101,12 +113,9 @@
     Raises
     ------
     UnreadableRecordError
-        If the record does not match the published schema.
+        If the record does not match the published schema, or a number is out of range.
     """
-    try:
-        config = msgspec.json.decode(body, type=_Config)
-    except msgspec.MsgspecError as error:
-        raise UnreadableRecordError(f"configuration is not readable ({error})") from error
+    config = decode_json(body, _Config, "configuration")
     workspaces_by_key = {}
     for tenant in config.tenants or ():
         workspace = Workspace(
@@ -145,6 +154,8 @@
 
 def _decode_route(route: _Route) -> Route:
     splits = tuple(Split(split.service, split.weight) for split in route.split)
+    if splits and not any(split.weight for split in splits):
+        raise UnreadableRecordError("configuration is not readable (a split without any weight)")
     is_stream = route.kind == "streaming"
     kind = RequestKind(
         repeatable=route.kind == "idempotent" or (is_stream and route.resumable),
@@ -176,15 +187,15 @@
     Raises
     ------
     UnreadableRecordError
-        If the entry does not match the published schema or has no usable address or state.
+        If the entry does not match the published schema, is too large, or has no usable id, address
+        or state.
     """
-    try:
-        entry = msgspec.json.decode(body, type=_TargetEntry)
-    except msgspec.MsgspecError as error:
-        raise UnreadableRecordError(f"entry of target {id!r} is not readable ({error})") from error
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or entry.state not in ("ready", "draining"):
-        raise UnreadableRecordError(f"entry of target {id!r} has no usable address or state")
+    if len(body) > MAX_ENTRY_BYTES:
+        raise UnreadableRecordError(f"entry of target {id!r} is not readable ({len(body)} bytes)")
+    entry = decode_json(body, _TargetEntry, f"entry of target {id!r}")
+    address = parse_address(entry.address)
+    if address is None or entry.state not in ("ready", "draining") or not TARGET_ID.fullmatch(id):
+        raise UnreadableRecordError(f"entry of target {id!r} has no usable id, address or state")
     ready = entry.state == "ready"
     run = (entry.born, entry.sequence)
-    return Target(id, entry.service, host, int(port), entry.zone, entry.slots, ready, *run)
+    return Target(id, entry.service, *address, entry.zone, entry.slots, ready, *run)
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -209,7 +209,8 @@
     try:
         async with asyncio.timeout(timeout):
             _, exchange = await loop.create_connection(Exchange, host, port)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # The last two are of a host or port that no system call takes.
         raise TargetFailedError("refused") from error
     return exchange
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -117,7 +117,7 @@
     def put(self, topic: str, key: str, value: Any) -> None:
         """Append a keyed record as operators and runners do; None deletes the key."""
         body = b"" if value is None else value if isinstance(value, bytes) else _json(value)
-        self.append(topic, bytes([len(key)]) + key.encode() + body)
+        self.append(topic, bytes([len(key.encode())]) + key.encode() + body)
 
     def append(self, topic: str, record: bytes) -> int:
         """Append a record and return its offset."""
@@ -125,7 +125,7 @@
         topic_log.records.append(record)
         if topic.startswith("keyed.") and record and len(record) > record[0]:
             end = 1 + record[0]
-            key = record[1:end].decode()
+            key = record[1:end].decode(errors="surrogateescape")
             topic_log.latest_by_key.pop(key, None)
             if record[end:]:
                 topic_log.latest_by_key[key] = (record[end:], topic_log.end_offset - 1)
