platform: one odd item of a page does not hide the others; eras and offsets are bounded

An era of thousands of digits raised ValueError out of the registration's task, which ended. A page without a whole record was read again at once, without end.

Items are decoded one by one, and those without a usable key are skipped. An era has at most 18 digits, an end is a 63-bit number, and a page that holds no whole record counts as no usable response, so that it is read again after a delay.

--- a/celeryrun/platform/__init__.py
+++ b/celeryrun/platform/__init__.py
@@ -1,5 +1,6 @@
 """Adapter to the users' platform: its protocol and metadata store, without scheduling logic."""
 
+from celeryrun.history import KeyedPage, KeyedRecord
 from celeryrun.platform._decode import decode_catalog, decode_target
 from celeryrun.platform._messages import (
     CallerRequest,
@@ -15,8 +16,6 @@
     CONFIGURATION_TOPIC,
     NODES_TOPIC,
     TARGETS_TOPIC,
-    KeyedPage,
-    KeyedRecord,
     Store,
     StoreUnavailableError,
 )
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import base64
+import json
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
+from typing import Annotated, Any
 from urllib.parse import quote
 
 import msgspec
 
 from celeryrun.exception import CeleryrunError
-from celeryrun.history import Position
+from celeryrun.history import KeyedPage, KeyedRecord, Position
 from celeryrun.platform._names import STORE_ERA
 from celeryrun.settings import Address, GatewaySettings
 from celeryrun.transport import Exchange, TargetFailedError, open_exchange
@@ -22,8 +23,6 @@
     "CONFIGURATION_TOPIC",
     "NODES_TOPIC",
     "TARGETS_TOPIC",
-    "KeyedPage",
-    "KeyedRecord",
     "Store",
     "StoreUnavailableError",
 ]
@@ -36,6 +35,9 @@
 CONNECT_TIMEOUT = 0.5  # s, enough for several round trips and one lost packet
 RESPONSE_TIMEOUT = 0.6  # s on top of the wait of a call; the store responds within milliseconds
 MAX_READ_KB = 1024  # the store's upper limit for one read
+MAX_OFFSET = 2**63 - 1
+MAX_ERA_DIGITS = 18  # that any signed 64-bit number holds
+MAX_KEY_CHARS = 255
 END_AND_FIRST_OFFSET = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 HTTP_OK = 200
@@ -46,45 +48,14 @@
     """A call got no usable response; the store may have executed it nevertheless."""
 
 
-@dataclass(frozen=True, slots=True)
-class KeyedRecord:
-    """Latest value of a key, None if the key was deleted."""
-
-    key: str
-    value: bytes | None
-
-
-@dataclass(frozen=True, slots=True)
-class KeyedPage:
-    """Records read from a topic.
-
-    Parameters
-    ----------
-    end : Position
-        Position at which the next read starts.
-    is_snapshot : bool
-        Whether the records are the latest ones of all keys rather than the changes since an offset.
-    at_end : bool
-        Whether the read reached the end of the topic.
-    restored : bool
-        Whether the records are of a restored copy, which may lack what was applied before.
-    """
-
-    records: tuple[KeyedRecord, ...]
-    end: Position
-    is_snapshot: bool
-    at_end: bool
-    restored: bool = False
-
-
 class _SnapshotItem(msgspec.Struct, rename="camel"):
     key: str
     value: str
 
 
 class _SnapshotPage(msgspec.Struct, rename="camel"):
-    items: list[_SnapshotItem]
-    end: int
+    items: list[Any]
+    end: Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
     more_pages: bool = False
 
 
@@ -148,8 +119,8 @@
                 raise StoreUnavailableError(
                     f"read of {topic} failed with status {status}; wait for the store to recover"
                 )
-            page = _decode_snapshot_page(body)
-            records += [KeyedRecord(item.key, _decode_snapshot_value(item)) for item in page.items]
+            page, items = _decode_snapshot_page(body)
+            records += [KeyedRecord(item.key, _decode_snapshot_value(item)) for item in items]
             end = Position(era, page.end) if end is None else end
             if era != end.era:
                 raise StoreUnavailableError(
@@ -157,7 +128,12 @@
                 )
             if not page.more_pages or not page.items:
                 return KeyedPage(tuple(records), end, is_snapshot=True, at_end=True)
-            after_key = page.items[-1].key
+            if not items or items[-1].key <= after_key:
+                raise StoreUnavailableError(
+                    f"no page of {topic} follows key {after_key[:MAX_KEY_CHARS]!r}; wait for the "
+                    "store to recover"
+                )
+            after_key = items[-1].key
 
     async def read(self, topic: str, start: Position, wait: float) -> KeyedPage | None:
         """Read the records from a position on; return None if the store no longer has all of them.
@@ -190,6 +166,10 @@
             )
         end, _ = END_AND_FIRST_OFFSET.unpack_from(body)
         raw_records = list(_split_records(body, END_AND_FIRST_OFFSET.size))
+        if not raw_records and len(body) > END_AND_FIRST_OFFSET.size:
+            raise StoreUnavailableError(
+                f"read of {topic} returned no whole record; wait for the store to recover"
+            )
         records = [
             record for record in map(_decode_keyed_record, raw_records) if record is not None
         ]
@@ -258,20 +238,31 @@
     """Return the era of a response, 0 if the store does not send any."""
     if value is None:
         return 0
-    if not value.isdigit():
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
         raise StoreUnavailableError(
             f"store returned an unreadable era ({value[:20]!r}); wait for the store to recover"
         )
     return int(value)
 
 
-def _decode_snapshot_page(body: bytes) -> _SnapshotPage:
+def _decode_snapshot_page(body: bytes) -> tuple[_SnapshotPage, list[_SnapshotItem]]:
+    """Return a page, and those of its items whose key is text; no other names anything of use."""
     try:
-        return msgspec.json.decode(body, type=_SnapshotPage)
-    except msgspec.MsgspecError as error:
+        # Unlike msgspec, the decoder of the standard library takes keys that are not UTF-8.
+        page = msgspec.convert(json.loads(body), _SnapshotPage)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
         raise StoreUnavailableError(
             f"store returned an unreadable page ({error}); wait for the store to recover"
         ) from error
+    items = []
+    for raw_item in page.items:
+        try:
+            item = msgspec.convert(raw_item, _SnapshotItem)
+            item.key.encode()
+        except (msgspec.ValidationError, UnicodeEncodeError):
+            continue
+        items.append(item)
+    return page, items
 
 
 def _decode_snapshot_value(item: _SnapshotItem) -> bytes | None:
