platform: numbers in heads are bounded

A request with a token count of more than 4,300 digits raised ValueError in the task that serves its connection: its caller got no answer. A count of 400 digits overflowed in the scheduler, a deadline of 1e308 on its way to the target. Counts above 1e9 count as 1e9, so that a quota can't be evaded by them, and deadlines end at 1e9 ms.

--- a/celeryrun/platform/_messages.py
+++ b/celeryrun/platform/_messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from celeryrun.platform import _names as names
+from celeryrun.records import parse_count, parse_number
 from celeryrun.transport import RequestHead, ResponseHead, end_to_end_headers, format_head
 
 __all__ = [
@@ -18,6 +19,8 @@
 
 DEFAULT_DEADLINE = 60.0  # s, for a request without a deadline header
 HTTP_MISDIRECTED_REQUEST = 421
+MAX_TOKENS = 10**9  # of a prompt or an output; larger numbers count as this
+MAX_DEADLINE_MS = 10**9  # ms, eleven days; a caller that names more waits as long
 
 
 @dataclass(slots=True)
@@ -107,7 +110,7 @@
         host.decode("latin-1").lower().partition(":")[0],
         path.decode("latin-1"),
         _parse_bearer_token(head),
-        deadline / 1000 if deadline is not None else DEFAULT_DEADLINE,
+        min(deadline, MAX_DEADLINE_MS) / 1000 if deadline is not None else DEFAULT_DEADLINE,
         prompt_tokens,
         output_tokens,
         min(output_tokens, int(length_hint)) if length_hint else output_tokens,
@@ -120,19 +123,15 @@
 
 
 def _parse_number(head: RequestHead | ResponseHead, name: bytes) -> float | None:
-    value = b"".join(head.values(name)[:1])
-    try:
-        number = float(value)
-    except ValueError:
-        return None
-    return number if 0 <= number < float("inf") else None
+    return parse_number(b"".join(head.values(name)[:1]))
 
 
 def _parse_token_counts(head: RequestHead) -> tuple[int, int, bool]:
     parts = b"".join(head.values(names.TOKEN_USAGE)).split(b",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
-        return 0, 0, False
-    return int(parts[0]), int(parts[1]), True
+    match [parse_count(part, MAX_TOKENS) for part in parts]:
+        case [int(prompt_tokens), int(output_tokens)]:
+            return prompt_tokens, output_tokens, True
+    return 0, 0, False
 
 
 def _parse_shared_prompt_parts(head: RequestHead) -> tuple[bytes, ...]:
