gateway: odd records of nodes and of crashes, and odd messages, end at most a link

A record of the nodes' topic with nested values stopped its follower (RecursionError). A crash record under a hash of 200 digits was told to each node that joins, which the encoder of the links can't hold: the task that connects ended, and the node stayed without a scheduler. A message of nested arrays, or an error in the handler of a message, went up into the event loop.

Records are read as this process writes them, with bounds; malformed messages and errors of their handlers close the link, the latter with a log line. Values that JSON can't hold are escaped in the log.

--- a/celeryrun/gateway/_crash_tracker.py
+++ b/celeryrun/gateway/_crash_tracker.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import hashlib
+import re
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._links import CrashReport, TraitsCompleted
 from celeryrun.gateway._members import Members
+from celeryrun.gateway._topic_follower import isolated
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import NODES_TOPIC, KeyedRecord, Store, StoreUnavailableError
 from celeryrun.scheduling import (
@@ -30,6 +32,8 @@
 STORE_RETRY_DELAY = 0.5  # s after a failed write
 PART_PREFIX = "crash.part."  # of a key, followed by the hash of the part in hexadecimal
 REQUEST_PREFIX = "crash.request."  # followed by the fingerprint
+TRAIT = re.compile(r"[0-9a-f]{1,16}")  # hash or fingerprint in a key
+CRASHES = re.compile(rb"[0-9]{1,9}")
 MAX_REPORTS = 256  # crashes told to a node that joins
 
 
@@ -222,15 +226,17 @@
             self._compare_with_copy(records)
             return
         for record in records:
-            self._lost_by_key.pop(record.key, None)
-            self._apply_record(record)
+            with isolated(self._events, NODES_TOPIC, record.key):
+                self._lost_by_key.pop(record.key, None)
+                self._apply_record(record)
 
     def _compare_with_copy(self, records: list[KeyedRecord]) -> None:
         """Note what a restored copy lacks, and what had been deleted; a scheduler writes both."""
         crashes_by_key = {
             record.key: record.value
             for record in records
-            if record.key.startswith((PART_PREFIX, REQUEST_PREFIX))
+            for prefix in (PART_PREFIX, REQUEST_PREFIX)
+            if record.key.startswith(prefix) and TRAIT.fullmatch(record.key.removeprefix(prefix))
         }
         self._lost_by_key = {
             key: self._stored_by_key.get(key, 0)
@@ -258,8 +264,7 @@
             if record.value is None:
                 return
             try:
-                trait = int(record.key.removeprefix(prefix), 16)
-                crashes = int(record.value)
+                trait, crashes = _parse_record(record.key.removeprefix(prefix), record.value)
             except ValueError as error:
                 self._events.emit("crash-unreadable", why=str(error))
                 return
@@ -274,3 +279,16 @@
         elif trait not in self.requests:
             for number in range(min(crashes, SHARED_CRASH_LIMIT)):
                 self.requests.record_crash(trait, f"restored-{number}", now())
+
+
+def _parse_record(trait: str, crashes: bytes) -> tuple[int, int]:
+    """Return a trait and its number of crashes.
+
+    Raises
+    ------
+    ValueError
+        If one of them is not a number as this process writes it.
+    """
+    if not TRAIT.fullmatch(trait) or not CRASHES.fullmatch(crashes):
+        raise ValueError(f"{trait[:32]!r}: {crashes[:32]!r} is no record of crashes")
+    return int(trait, 16), int(crashes)
--- a/celeryrun/gateway/_events.py
+++ b/celeryrun/gateway/_events.py
@@ -16,6 +16,7 @@
 
 FLUSH_INTERVAL = 0.1  # s; one write carries many lines
 MAX_BUFFERED_LINES = 2000  # lines, about half a megabyte, while the output is blocked
+MAX_CHARS = 500  # of a value that had to be escaped
 MAX_LINES_PER_KIND = 60  # lines of one event kind between flushes; the rest is only counted
 
 
@@ -84,7 +85,7 @@
             return
         time = datetime.now(UTC).isoformat(timespec="milliseconds")
         line = {"time": time, "node": self._node, "event": event, **fields}
-        self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
+        self._lines.append(_encode(line) + b"\n")
 
     def flush(self) -> None:
         """Write the buffered lines until a write would block."""
@@ -124,6 +125,14 @@
             self._schedule_flush()
 
 
+def _encode(line: dict[str, Any]) -> bytes:
+    """Encode a line; what JSON cannot hold, such as half a surrogate pair, is escaped."""
+    try:
+        return msgspec.json.encode(line, enc_hook=str)
+    except (ValueError, OverflowError, RecursionError):
+        return msgspec.json.encode({name: ascii(value)[:MAX_CHARS] for name, value in line.items()})
+
+
 class EventHandler(logbook.Handler):
     """Handler that writes log records of libraries and other packages as events."""
 
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import logbook
 import msgspec
 
 from celeryrun.history import Position
@@ -37,6 +38,8 @@
     "TraitsCompleted",
 ]
 
+log = logbook.Logger("links")
+
 PROTOCOL = 3  # incremented when a message changes meaning; nodes with another value are rejected
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME = 1024 * 1024  # bytes; the largest message lists all slots that a node holds
@@ -134,7 +137,7 @@
     def _decode_records(self) -> Records:
         try:
             return _records_decoder.decode(_decompress(self.compressed))
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise ValueError(f"malformed records ({error})") from error
 
 
@@ -312,10 +315,14 @@
             del self._buffer[:end]
             try:
                 message = _decoder.decode(frame)
-            except msgspec.MsgspecError:
+            except (msgspec.MsgspecError, RecursionError, ValueError):
                 self.close()
                 return
-            self._on_message(self, message)
+            try:
+                self._on_message(self, message)
+            except Exception:
+                log.exception("message of node {!r} failed", self.node)
+                self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the owner."""
--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
 from celeryrun.gateway._events import EventLog
-from celeryrun.gateway._topic_follower import TopicFollower
+from celeryrun.gateway._topic_follower import MAX_REASON_CHARS, TopicFollower
 from celeryrun.kernel import Kernel, rank
 from celeryrun.platform import NODES_TOPIC, KeyedPage, KeyedRecord, Store, StoreUnavailableError
 from celeryrun.settings import Address, GatewaySettings
@@ -19,12 +20,13 @@
 READ_DELAY = 0.3  # s between reads; nodes that start together are read together
 REGISTER_RETRY_DELAY = 0.5  # s between attempts
 KEY_PREFIX = "node."
+MAX_SPEED = 1e6  # cores
 
 
 class _NodeRecord(msgspec.Struct):
     address: str
     zone: str
-    speed: float = 1.0
+    speed: Annotated[float, msgspec.Meta(ge=0, le=MAX_SPEED)] = 1.0
 
 
 class Members:
@@ -137,8 +139,11 @@
                 continue
             try:
                 node_record = msgspec.json.decode(record.value, type=_NodeRecord)
-                self.address_by_node[name] = Address.from_text(node_record.address)
-                self.speed_by_node[name] = node_record.speed
-            except (msgspec.MsgspecError, ValueError) as error:
-                self._events.emit("node-unreadable", peer=name, why=str(error))
+                address = Address.from_text(node_record.address)
+            except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+                reason = str(error)[:MAX_REASON_CHARS]
+                self._events.emit("node-unreadable", peer=name, why=reason)
+                continue
+            self.address_by_node[name] = address
+            self.speed_by_node[name] = node_record.speed
         self.on_change()
