--- a/celeryrun/claims/_registry.py
+++ b/celeryrun/claims/_registry.py
@@ -438,7 +438,7 @@
         try:
             batch = self._decoder.decode(record.body)
             self.table.apply_batch(batch, record.written)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             log.error("skipped a malformed claim record: {}", error)
             return
         for claim in batch.claims:
--- a/celeryrun/claims/tests/test_registry.py
+++ b/celeryrun/claims/tests/test_registry.py
@@ -161,7 +161,14 @@
     registry, log = build_registry()
     key = build_claim_key()
     bad = build_claim(key, "node-1")
-    bodies = [b"", b"{}", msgspec.json.encode(Batch((type(bad)(key, "no hex", "node-1"),)))]
+    nested = b"[" * 100_000 + b"]" * 100_000
+    bodies = [
+        b"",
+        b"{}",
+        nested,
+        b"[[],[]," + nested + b"]",
+        msgspec.json.encode(Batch((type(bad)(key, "no hex", "node-1"),))),
+    ]
     log.bodies += bodies
     page = build_claim_page(*bodies)
     registry._replay(page, time.monotonic())
--- a/celeryrun/configuration/_service.py
+++ b/celeryrun/configuration/_service.py
@@ -266,7 +266,7 @@
     def _on_state(self, sender: str, message: ConfigurationState) -> None:
         try:
             snapshot = decode_record(message.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             log.warning(
                 "{} sent a snapshot that can't be read ({}); update that node", sender, error
             )
--- a/celeryrun/dispatch/_response.py
+++ b/celeryrun/dispatch/_response.py
@@ -9,6 +9,7 @@
 __all__ = ["LEAVING_HEADER", "MAX_RESPONSE_BYTES", "is_leaving", "read_response"]
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_LENGTH_DIGITS = 18  # of a Content-Length that is read as a number
 LEAVING_HEADER = "Target-Leaving"
 READ_CHUNK_BYTES = 65_536
 BODILESS_STATUSES = (204, 304)
@@ -67,7 +68,9 @@
     if method == "HEAD" or response.status in BODILESS_STATUSES:
         return ApplicationResponse(response.status, headers, b"", has_body=False)
     content_length = response.headers.get("Content-Length", "")
-    if content_length.isdigit() and int(content_length) > MAX_RESPONSE_BYTES:
+    is_number = content_length.isascii() and content_length.isdigit()
+    is_long = len(content_length) > MAX_LENGTH_DIGITS
+    if is_number and (is_long or int(content_length) > MAX_RESPONSE_BYTES):
         return UnknownOutcome(f"the answer is larger than {MAX_RESPONSE_BYTES} bytes")
     chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
     if not content_length and not chunked:
--- a/celeryrun/front/_request.py
+++ b/celeryrun/front/_request.py
@@ -20,6 +20,7 @@
 
 REQUEST_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 MAX_TOKENS = 1_000_000
+MAX_LENGTH_DIGITS = 18  # of a Content-Length that is read as a number
 CHARS_PER_TOKEN = 4
 DOT_SEGMENTS = (".", "..")
 PATH_SAFE = "%/:?@!$&'()*+,;=~[]"
@@ -174,9 +175,9 @@
     chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
     if not length and not chunked:
         return b""
-    if length and not length.isdigit():
+    if length and not (length.isascii() and length.isdigit()):
         return Refusal(400, "bad-length", "Content-Length must be a whole number")
-    if length and int(length) > max_body:
+    if len(length) > MAX_LENGTH_DIGITS or (length and int(length) > max_body):
         return too_large
     body = environ["wsgi.input"].read(int(length) if length else max_body + 1)
     if len(body) > max_body:
--- a/celeryrun/orders/_lease.py
+++ b/celeryrun/orders/_lease.py
@@ -106,7 +106,7 @@
         """
         try:
             requested = self._decoder.decode(record.body)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             return None
         current = self.by_key.get(requested.key)
         if (
--- a/celeryrun/orders/tests/test_orders.py
+++ b/celeryrun/orders/tests/test_orders.py
@@ -119,6 +119,8 @@
     for turn in range(12):
         holders[turn % 3].acquire("drafts")
         log.append("leases", b"not a lease")
+        log.append("leases", b"[" * 100_000 + b"]" * 100_000)
+        log.append("leases", b'{"odd":' + b"[" * 100_000 + b"]" * 100_000 + b"}")
         log.now += 1.7
     fencing_numbers = []
     for _ in range(2):
--- a/celeryrun/streams/_log.py
+++ b/celeryrun/streams/_log.py
@@ -18,6 +18,7 @@
 CHUNK_BYTES = 64 * 1024
 HTTP_OK = 200
 ERA_HEADER = "Store-Era"
+MAX_ERA_DIGITS = 18  # that any signed 64-bit number holds
 HTTP_TOO_MANY_REQUESTS = 429
 
 ResponseT = TypeVar("ResponseT", bound=msgspec.Struct)
@@ -177,8 +178,8 @@
                 method, self._url + path, body=body, timeout=timeout, preload_content=False
             )
             era = response.headers.get(ERA_HEADER, "0")
-            if not era.isdigit():
-                raise LogUnavailableError(f"unreadable era {era!r}", True)
+            if not era.isascii() or not era.isdigit() or len(era) > MAX_ERA_DIGITS:
+                raise LogUnavailableError(f"unreadable era {era[:MAX_ERA_DIGITS]!r}", True)
             return Response(response.status, _read_all(response, deadline), int(era))
         except urllib3.exceptions.HTTPError as error:
             effect_possible = not isinstance(error, urllib3.exceptions.NewConnectionError)
@@ -189,7 +190,7 @@
     def _decode(self, data: bytes, response_type: type[ResponseT]) -> ResponseT:
         try:
             return msgspec.json.decode(data, type=response_type)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise LogUnavailableError(f"unreadable response ({error})", True) from error
 
 
--- a/celeryrun/streams/_vms.py
+++ b/celeryrun/streams/_vms.py
@@ -66,7 +66,7 @@
                 f"VM list returned status {response.status}; wait for the platform"
             )
         return msgspec.json.decode(response.data, type=_VmListBody).vms
-    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError, RecursionError) as error:
         raise CeleryrunError(
             f"no readable VM list ({type(error).__name__}); wait for the platform"
         ) from error
--- a/celeryrun/streams/tests/test_log.py
+++ b/celeryrun/streams/tests/test_log.py
@@ -52,3 +52,28 @@
         ).read("claims", 0)
     except LogUnavailableError:
         pass
+
+
+@pytest.mark.parametrize("data", [b"[" * 100_000, b'{"odd":' + b"[" * 100_000])
+def test_nested_response_is_rejected(data):
+    with pytest.raises(LogUnavailableError):
+        FixedResponseClient(data + b"]" * 100_000).read("claims", 0)
+
+
+class FixedEraHttp:
+    """HTTP pool whose responses name the same era."""
+
+    def __init__(self, era):
+        self.headers = {"Store-Era": era}
+        self.status = 200
+
+    def request(self, *arguments, **options):
+        return self
+
+
+@pytest.mark.parametrize("era", ["\u00b2", "9" * 5000, "-1", "1e3", ""])
+def test_unreadable_era_is_rejected(era):
+    client = LogClient("http://127.0.0.1:1", 1.0)
+    client._http = FixedEraHttp(era)
+    with pytest.raises(LogUnavailableError, match="unreadable era"):
+        client.read("claims", 0)
