--- a/celeryrun/platform/__init__.py
+++ b/celeryrun/platform/__init__.py
@@ -1,6 +1,7 @@
 """Adapter to the users' platform: its protocol and metadata store, without scheduling logic."""
 
-from celeryrun.platform._decode import UnreadableRecordError, decode_catalog, decode_target
+from celeryrun.history import KeyedPage, KeyedRecord
+from celeryrun.platform._decode import decode_catalog, decode_target
 from celeryrun.platform._messages import (
     CallerRequest,
     TargetResponse,
@@ -15,11 +16,10 @@
     CONFIGURATION_TOPIC,
     NODES_TOPIC,
     TARGETS_TOPIC,
-    KeyedPage,
-    KeyedRecord,
     Store,
     StoreUnavailableError,
 )
+from celeryrun.records import UnreadableRecordError
 
 __all__ = [
     "CONFIGURATION_KEY",
