gateway: a planned stop answers or refuses each request that was read

Callers of a node that is stopped lost requests: 28 requests to two targets of one slot that take 1.5 s, from 1 s before the stop on, with a grace of 4 s; those that still waited or came late were aborted at the end of the grace, though no target had them and a true refusal was open. Requests that a target had got no unknown outcome, but a closed connection, and pipelined ones were dropped behind the first response.

Cause: drain waits for the connections to end and then aborts the rest; nothing compared the rest of the grace with what a request still needs.

A request is now sent to a target only if its expected duration (recent whole responses of its route, at least the scheduler's prediction of the first byte) fits into the rest; the decision is _planned_stop.py, without a network. What waits is refused (503 stopping, Retry-After 0.1 s, as another node takes it) when that time has passed, what comes later at once. 0.65 s before the kill, requests without a begun response end with their held failure, 504, or 503 if nothing was sent; what is still being received gets 503. Begun responses go on until the process exits. Queued requests of a connection are served before it closes.

--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from celeryrun.gateway._listeners import CallerListener, PageListener
 from celeryrun.gateway._members import Members
 from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._planned_stop import STOPPING, StopSchedule
 from celeryrun.gateway._relay import Relay
 from celeryrun.gateway._request_log import RequestLog
 from celeryrun.gateway._server import SchedulerServer
@@ -26,7 +27,6 @@
 __all__ = ["Gateway", "run_gateway"]
 
 BALANCER_DELAY = 2.5  # s; a load balancer that probes once a second misses two replies
-STOP_MARGIN = 0.4  # s before the end of stop_grace at which the process exits
 DRAIN_POLL_INTERVAL = 0.05  # s between checks for requests in progress
 SETTINGS_POLL_INTERVAL = 1.0  # s between checks of the settings file
 
@@ -137,16 +137,24 @@
                 self.reload()
 
     async def drain(self) -> None:
-        """Serve until the load balancer sends no new requests, then finish those in progress."""
+        """Serve until the load balancer sends no new requests, then finish those in progress.
+
+        What can't be answered before the process exits is refused.
+        """
         events: EventLog = self.kernel.find("events")
         callers: CallerListener = self.kernel.find("callers")
-        deadline = now() + self.settings.bounds.stop_grace - STOP_MARGIN
+        relay: Relay = self.kernel.find("relay")
+        schedule = StopSchedule.from_config(self.settings.bounds.stop_grace, now())
         events.emit("draining", active=callers.active, connections=len(callers.connections))
         callers.draining = True
+        relay.begin_stop(schedule)
         self.kernel.find("scheduler-client").leave()
         await asyncio.sleep(min(BALANCER_DELAY, self.settings.bounds.stop_grace / 2))
         await callers.close()
-        while now() < deadline:
+        while (time := now()) < schedule.exit_at:
+            if time >= schedule.answer_by:
+                relay.end_unanswered()
+                callers.refuse_unread(STOPPING)
             callers.close_idle()
             if not callers.connections:
                 break
--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -101,6 +101,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def refuse_unread(self, refusal: Refusal) -> None:
+        """Refuse the requests that are still being received."""
+        for connection in list(self.connections):
+            connection.refuse_unread(refusal)
+
     @property
     def active(self) -> int:
         """Number of requests in progress."""
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -19,6 +19,7 @@
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._planned_stop import STOPPING, DurationHistory, PlannedStop, StopSchedule
 from celeryrun.gateway._request_log import RequestLog
 from celeryrun.gateway._response_relay import (
     Broken,
@@ -37,6 +38,7 @@
     UNREACHABLE_TARGETS,
     RequestState,
     build_slot_request,
+    expected_events,
     fingerprint,
     refusal_for_denial,
     silence_timeout,
@@ -72,6 +74,7 @@
 SEARCH_PAUSE = 0.2  # s after the first denial of a slot for a successor; doubles with each one
 MAX_FAILED_CONNECTS = 4  # unreachable targets after which a request is given up
 RESPONSE_MARGIN = 0.004  # s before a request's deadline at which it is answered
+STOPPING_DENIAL = Denial(0, "stopping", 0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +96,9 @@
     __slots__ = (
         "_crash_tracker",
         "_discovery",
+        "_durations",
         "_metrics",
+        "_planned_stop",
         "_request_log",
         "_scheduler_client",
         "_settings",
@@ -106,6 +111,8 @@
         self._request_log: RequestLog = kernel.find("request-log")
         self._metrics: GatewayMetrics = kernel.find("metrics")
         self._settings = settings
+        self._durations = DurationHistory()
+        self._planned_stop = PlannedStop()
 
     def start(self) -> None:
         """Do nothing; the service has no task."""
@@ -117,6 +124,14 @@
         """Apply reloaded settings."""
         self._settings = settings
 
+    def begin_stop(self, schedule: StopSchedule) -> None:
+        """Refuse from now on what can't be answered before a planned stop."""
+        self._planned_stop.begin(schedule)
+
+    def end_unanswered(self) -> None:
+        """Refuse all requests whose response has not begun, as the process exits soon."""
+        self._planned_stop.end_unanswered()
+
     async def serve(self, connection: CallerConnection, received: ReceivedRequest) -> None:
         """Serve one request; cancelled when its caller disconnects."""
         request = read_request(received.head, received.body)
@@ -145,8 +160,9 @@
     async def _serve_with_timeout(self, connection: CallerConnection, state: RequestState) -> None:
         response_relay = ResponseRelay(connection, state.request, state.admission.route)
         try:
-            async with asyncio.timeout(state.respond_by - now()):
-                await self._try_targets(connection, state, response_relay)
+            async with asyncio.timeout(state.respond_by - now()) as timeout:
+                with self._planned_stop.track_request(timeout, lambda: connection.response_started):
+                    await self._try_targets(connection, state, response_relay)
         except TimeoutError:
             self._on_timeout(connection, state, response_relay)
         except asyncio.CancelledError:
@@ -199,6 +215,9 @@
                 events = response_relay.events
                 outcome = await self._classify_result(state, result, attempt.target, events)
                 self._report_suspects(state, attempt.target, outcome, attempt.began)
+                if outcome == COMPLETE:
+                    route, size = state.admission.route.name, _expected_size(state)
+                    self._durations.record(route, now() - attempt.began, size)
                 attempt.close(outcome, events)
                 if self._finish_attempt(
                     connection, state, response_relay, result, attempt.target, attempts.has_reserve
@@ -247,10 +266,11 @@
                 self._on_denial(connection, state, response_relay, reason)
                 return True
             case Refusal():
-                if state.attempts:
+                if state.attempts and not response_relay.all_rejected:
                     self._fail(connection, state, response_relay)
                 else:
-                    self._refuse(connection, state, reason, "dispatch")
+                    by = "stop" if reason is STOPPING else "dispatch"
+                    self._refuse(connection, state, reason, by)
                 return True
             case Unreachable():
                 return self._on_unreachable(connection, state, response_relay)
@@ -283,9 +303,17 @@
         assessment = self._crash_tracker.assess(state.request.shared_prompt_parts)
         if assessment.refused:
             return Denial(0, "suspect", 0.0)
-        reply = await self._scheduler_client.acquire(
-            build_slot_request(state, now(), assessment.on_probation)
-        )
+        respond_by = self._planned_stop.limit(state.respond_by)
+        slot_request = build_slot_request(state, now(), respond_by, assessment.on_probation)
+        expected_duration = self._expected_duration(state)
+        if not self._planned_stop.allows(expected_duration):
+            return STOPPING_DENIAL
+        try:
+            async with asyncio.timeout(None) as timeout:
+                with self._planned_stop.track_wait(timeout, expected_duration):
+                    reply = await self._scheduler_client.acquire(slot_request)
+        except TimeoutError:
+            return STOPPING_DENIAL
         if isinstance(reply, Grant):
             state.charged = True
             self._request_log.emit(
@@ -302,8 +330,17 @@
             )
         return reply
 
-    def _recheck(self, state: RequestState) -> Refusal | None:
+    def _expected_duration(self, state: RequestState) -> float:
+        """Return the seconds for which a target must be left, 0 for a stream that has begun."""
+        if state.last_event_at is not None:
+            return 0.0
+        return self._durations.expect(state.admission.route.name, _expected_size(state))
+
+    def _recheck(self, state: RequestState, grant: Grant) -> Refusal | None:
         """Check a request again that has waited; return None if it may still be sent."""
+        expected_duration = max(self._expected_duration(state), grant.expected_first_byte)
+        if not self._planned_stop.allows(expected_duration):
+            return STOPPING
         if self._crash_tracker.assess(state.request.shared_prompt_parts).refused:
             return refusal_for_denial(Denial(0, "suspect", 0.0))
         catalog = self._discovery.catalog
@@ -328,7 +365,7 @@
         outcome = UNUSED
         attempt: Attempt | None = None
         try:
-            refusal = self._recheck(state)
+            refusal = self._recheck(state, reply)
             if refusal is not None or target is None or not target.ready:
                 return self._withdraw(state, reply.target, refusal)
             began = now()
@@ -343,7 +380,7 @@
                 return Unreachable()
             state.failed_connects = 0
             # The process may have been suspended since the checks before the connection.
-            refusal = self._recheck(state)
+            refusal = self._recheck(state, reply)
             if refusal is not None or not self._is_ready(target):
                 exchange.close()
                 return self._withdraw(state, target.id, refusal)
@@ -539,6 +576,10 @@
         if state.attempts and not response_relay.all_rejected:
             self._fail(connection, state, response_relay)
             return
+        if self._planned_stop.schedule is not None and denial.kind in ("overload", "stopping"):
+            # The time until the stop was too short, which says little of other nodes.
+            self._refuse(connection, state, STOPPING, "stop")
+            return
         refusal = refusal_for_denial(denial)
         self._refuse(connection, state, refusal, "scheduler")
 
@@ -565,6 +606,8 @@
             self._abort(connection, state, response_relay, "timeout")
         elif state.attempts:
             self._refuse(connection, state, TIMED_OUT, "timeout")
+        elif self._planned_stop.schedule is not None:
+            self._refuse(connection, state, STOPPING, "stop")
         else:
             self._refuse(connection, state, OUT_OF_TIME, "timeout")
 
@@ -599,3 +642,7 @@
     if response_relay.events:
         state.last_event = response_relay.last_id
         state.last_event_at = response_relay.last_event_at
+
+
+def _expected_size(state: RequestState) -> float:
+    return max(1.0, expected_events(state))
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -19,6 +19,7 @@
     "UNREACHABLE_TARGETS",
     "RequestState",
     "build_slot_request",
+    "expected_events",
     "fingerprint",
     "refusal_for_denial",
     "silence_timeout",
@@ -118,27 +119,33 @@
     return int.from_bytes(digest.digest(), "big") >> 1
 
 
+def expected_events(state: RequestState) -> float:
+    """Return the number of events that an engine is expected to send, 0 of another target."""
+    if not state.pool.engine:
+        return 0.0
+    return max(1.0, state.request.expected_output_tokens / state.pool.tokens_per_event)
+
+
 def build_slot_request(
-    state: RequestState, time: float, probed_parts: tuple[int, ...] = ()
+    state: RequestState, time: float, respond_by: float, probed_parts: tuple[int, ...] = ()
 ) -> SlotRequest:
     """Build a request's slot request, whose limits count from ``time``.
 
     Parameters
     ----------
+    respond_by : float
+        Time by which the response must be whole, in seconds.
     probed_parts : tuple of int
         Parts of its prompt that are on probation.
     """
     request, admission = state.request, state.admission
     workspace, route = admission.workspace, admission.route
-    remaining = state.respond_by - time
+    remaining = respond_by - time
     if state.last_event_at is None:
         elapsed, objective = time - state.arrived_at, route.objective
     else:
         # The caller of a begun stream waits for the next event.
         elapsed, objective = time - state.last_event_at, route.max_pause or route.objective
-    events = 0.0
-    if state.pool.engine:
-        events = max(1.0, request.expected_output_tokens / state.pool.tokens_per_event)
     return SlotRequest(
         id=0,
         pool=state.pool.name,
@@ -146,7 +153,7 @@
         rank=route.tier,
         workspace=workspace.name,
         prompt_tokens=max(1, request.prompt_tokens),
-        expected_events=events,
+        expected_events=expected_events(state),
         objective=objective - elapsed,
         patience=min(route.patience - elapsed - PATIENCE_MARGIN, remaining),
         deadline=remaining,
--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -222,6 +222,7 @@
 
     def connection_header(self) -> bytes:
         """Return the value of the ``Connection`` header for the current response."""
+        self._close_if_draining()
         return b"close" if self._closing else b"keep-alive"
 
     def refuse(self, refusal: Refusal) -> None:
@@ -260,6 +261,17 @@
         self.transport.close()
         return True
 
+    def refuse_unread(self, refusal: Refusal) -> None:
+        """Refuse the request that is being received, if any, unless an earlier one is served."""
+        is_busy = self.is_serving or self._requests or self._read_refusal is not None
+        if self._reading_since is not None and not is_busy:
+            self._set_read_refusal(refusal)
+
+    def _close_if_draining(self) -> None:
+        """Close after the current response if the node is draining, but not before queued ones."""
+        if self._is_draining() and not self._requests:
+            self._closing = True
+
     async def _serve(self) -> None:
         while not self.closed:
             while not self._requests:
@@ -271,8 +283,9 @@
             request = self._requests.popleft()
             self.is_serving, self.response_started = True, False
             self._clear_deadline()
-            if self._is_draining() or not request.head.keep_alive:
+            if not request.head.keep_alive:
                 self._closing = True
+            self._close_if_draining()
             await self._handle(request)
             self._release_bytes(len(request.body))
             self.is_serving = False
