--- a/celeryrun/gateway/tests/odd_entries.py
+++ b/celeryrun/gateway/tests/odd_entries.py
@@ -108,7 +108,10 @@
 
 # Keys and values of the nodes' own topic.
 ODD_NODE_RECORDS = {
-    "nested": ("node.node-9", nested_arrays().encode()),
+    "nested": (
+        "node.node-9",
+        b'{"address":"127.0.0.1:9","zone":"z","odd":' + nested_arrays().encode() + b"}",
+    ),
     "port-superscript": ("node.node-9", '{"address":"127.0.0.1:²","zone":"z"}'.encode()),
     "speed-1e999": ("node.node-9", b'{"address":"127.0.0.1:9","zone":"z","speed":1e999}'),
     "speed-1e300": ("node.node-9", b'{"address":"127.0.0.1:9","zone":"z","speed":1e300}'),
--- a/celeryrun/gateway/tests/test_odd_entries.py
+++ b/celeryrun/gateway/tests/test_odd_entries.py
@@ -74,6 +74,7 @@
     )
     await send_requests(site)
     assert len(added.executed_requests) >= 12
+    assert not site.events("store-unreadable")
 
 
 @pytest.mark.parametrize("name", ODD_ENTRIES)
