gateway: a target that says in a response that it leaves gets no new requests

Callers saw: requests sent to targets that leave; those that are cut when the target goes lose their response. Cause: the header of a leaving target was not read; a node relied on the list alone, which may have the target as ready for as long as its entry stays. Now a response to the request, or a refusal of it, takes that run of the target (id, address, start) out at the node at once; the scheduler and all other nodes are told, and those that connect later. Discovery lists the run as not ready, whatever its entry says, so every check that holds for a draining target holds for it, the last one before a request is sent included. The start after it under the same id is another run. A 421 is another target's and says nothing of this one. The messages between nodes have a new kind, so their protocol's number rises.

--- a/celeryrun/catalog/__init__.py
+++ b/celeryrun/catalog/__init__.py
@@ -8,6 +8,7 @@
     Route,
     Split,
     Target,
+    TargetRun,
     Workspace,
 )
 from celeryrun.catalog._restored import Credible, Doubtful, Outdated, judge_restored_entry
@@ -23,6 +24,7 @@
     "Route",
     "Split",
     "Target",
+    "TargetRun",
     "Workspace",
     "judge_restored_entry",
 ]
--- a/celeryrun/catalog/_model.py
+++ b/celeryrun/catalog/_model.py
@@ -13,6 +13,7 @@
     "Route",
     "Split",
     "Target",
+    "TargetRun",
     "Workspace",
 ]
 
@@ -197,6 +198,22 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class TargetRun:
+    """Identity of one run of a target, which it keeps from its start to its end.
+
+    Parameters
+    ----------
+    born : int
+        Start time in Unix milliseconds, 0 if unknown.
+    """
+
+    id: str
+    host: str
+    port: int
+    born: int
+
+
 @dataclass(slots=True)
 class Target:
     """One running target, as described by its own entry in the platform's metadata store.
@@ -226,3 +243,8 @@
     ready: bool
     born: int = 0
     sequence: float = field(default=0.0, compare=False)
+
+    @property
+    def run(self) -> TargetRun:
+        """Identity of this run."""
+        return TargetRun(self.id, self.host, self.port, self.born)
--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -6,6 +6,7 @@
 import itertools
 from dataclasses import dataclass
 
+from celeryrun.catalog import TargetRun
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._events import EventLog
@@ -19,6 +20,7 @@
     Link,
     Message,
     NewerConfiguration,
+    TargetLeaving,
     TargetLimit,
     TraitsCompleted,
 )
@@ -184,6 +186,12 @@
         if self._local_server.apply_limit(notice):
             self._forward(notice)
 
+    def report_leaving(self, run: TargetRun) -> None:
+        """Report to all nodes that a response says that its target leaves, if it is news."""
+        notice = TargetLeaving(run, 0.0)
+        if self._local_server.apply_leaving(notice, self._name):
+            self._forward(notice)
+
     def release(self, grant: Grant, outcome: str, seconds: float = 0.0, events: int = 0) -> None:
         """Release a slot and report its outcome."""
         active_grant = self._active_grants_by_id.pop(grant.grant_id, None)
@@ -203,7 +211,9 @@
     def _is_scheduler(self) -> bool:
         return self._current_scheduler == self._name
 
-    def _forward(self, message: CrashReport | TargetLimit | TraitsCompleted) -> None:
+    def _forward(
+        self, message: CrashReport | TargetLeaving | TargetLimit | TraitsCompleted
+    ) -> None:
         """Send news to the scheduler and to the nodes that use this one."""
         if self._current_scheduler in self._links_by_node:
             self._links_by_node[self._current_scheduler].send(message)
@@ -374,7 +384,7 @@
         link.send(self._heartbeat())
         for report in self._crash_tracker.reports():
             link.send(report)
-        for notice in self._local_server.limit_notices():
+        for notice in self._local_server.target_notices():
             link.send(notice)
         self._links_by_node[node] = link
 
@@ -393,6 +403,9 @@
             case CrashReport() | TraitsCompleted():
                 if self._crash_tracker.apply(message):
                     self._local_server.send_to_nodes(message)
+            case TargetLeaving():
+                if self._local_server.apply_leaving(message, link.node):
+                    self._local_server.send_to_nodes(message)
             case TargetLimit():
                 if self._local_server.apply_limit(message):
                     self._local_server.send_to_nodes(message)
--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
+from dataclasses import replace
 
 from celeryrun.catalog import (
     Catalog,
@@ -12,6 +13,7 @@
     Outdated,
     Pool,
     Target,
+    TargetRun,
     judge_restored_entry,
 )
 from celeryrun.gateway._events import EventLog
@@ -27,6 +29,7 @@
     decode_catalog,
     decode_target,
 )
+from celeryrun.scheduling import LeavingTargets
 from celeryrun.settings import GatewaySettings
 
 __all__ = ["Discovery"]
@@ -49,6 +52,8 @@
     ----------
     catalog : Catalog or None
         Newest configuration seen; its version never decreases.
+    leaving : LeavingTargets
+        Runs of targets that have stated that they leave.
     targets_by_id : dict
         Listed targets, including draining ones.
     """
@@ -66,6 +71,7 @@
         "_ready_targets_by_pool",
         "catalog",
         "configuration",
+        "leaving",
         "targets",
         "targets_by_id",
     )
@@ -91,6 +97,7 @@
         self._removed_targets_by_id: OrderedDict[str, Target] = OrderedDict()
         self._restored_at = float("-inf")
         self._ready_targets_by_pool: dict[str, list[Target]] = {}
+        self.leaving = LeavingTargets()
         self.catalog: Catalog | None = None
         self.targets_by_id: dict[str, Target] = {}
         self.configuration = TopicFollower(
@@ -171,6 +178,22 @@
         """Record of the configuration in force, as read from the store; None without any."""
         return self._configuration_record
 
+    def mark_leaving(self, run: TargetRun, stated_at: float) -> bool:
+        """Take a run of a target out of use; return whether it was not known to leave.
+
+        Parameters
+        ----------
+        stated_at : float
+            Time of the response that says so, in seconds.
+        """
+        listed_runs = {target.run for target in self.targets_by_id.values()}
+        if not self.leaving.add(run, stated_at, listed_runs, now()):
+            return False
+        if run in listed_runs:
+            self.targets_by_id[run.id] = replace(self.targets_by_id[run.id], ready=False)
+            self._ready_targets_by_pool.clear()
+        return True
+
     def _apply_configuration(self, page: KeyedPage) -> None:
         for record in page.records:
             if record.key == CONFIGURATION_KEY and record.value is not None:
@@ -241,6 +264,8 @@
         if id in self._removals_by_id:
             self._removals_by_id.pop(id).cancel()
         known = self.targets_by_id.get(id)
+        if target.run in self.leaving:
+            target = replace(target, ready=False)
         self.targets_by_id[id] = target
         if known is None or known != target:
             self._ready_targets_by_pool.clear()
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from celeryrun.catalog import TargetRun
 from celeryrun.history import Position
 from celeryrun.platform import KeyedPage, KeyedRecord
 from celeryrun.scheduling import (
@@ -33,11 +34,12 @@
     "Link",
     "Message",
     "NewerConfiguration",
+    "TargetLeaving",
     "TargetLimit",
     "TraitsCompleted",
 ]
 
-PROTOCOL = 3  # incremented when a message changes meaning; nodes with another value are rejected
+PROTOCOL = 4  # incremented when a message changes meaning; nodes with another value are rejected
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME = 1024 * 1024  # bytes; the largest message lists all slots that a node holds
 MAX_DECOMPRESSED = 4 * 1024 * 1024  # bytes of records in one message, several reads of the store
@@ -184,6 +186,19 @@
     completed_before: tuple[int, ...] = ()
 
 
+class TargetLeaving(msgspec.Struct, array_like=True, tag=True):
+    """Notice that a run of a target has stated that it leaves.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since the response that says so.
+    """
+
+    run: TargetRun
+    age: float
+
+
 class TargetLimit(msgspec.Struct, array_like=True, tag="Limit"):
     """Notice that a target has named another limit, or none any more.
 
@@ -227,6 +242,7 @@
     | Grant
     | Denial
     | CrashReport
+    | TargetLeaving
     | TargetLimit
     | TraitsCompleted
 )
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -42,7 +42,7 @@
     silence_timeout,
 )
 from celeryrun.kernel import Kernel, now
-from celeryrun.platform import CallerRequest, format_request, read_request
+from celeryrun.platform import CallerRequest, TargetResponse, format_request, read_request
 from celeryrun.scheduling import (
     COMPLETE,
     CRASHED,
@@ -387,11 +387,16 @@
             silence,
             on_accepted=attempts.drop_reserve,
             has_survived=lambda: self._has_survived(attempt.target),
-            on_rate_limit=lambda rate: self._scheduler_client.report_limit(
-                attempt.target.id, rate, attempt.began
-            ),
+            on_statements=lambda response: self._report_statements(attempt, response),
         )
 
+    def _report_statements(self, attempt: Attempt, response: TargetResponse) -> None:
+        """Report what a response says of its target to the scheduler and all nodes."""
+        target = attempt.target
+        self._scheduler_client.report_limit(target.id, response.rate_limit, attempt.began)
+        if response.leaving:
+            self._scheduler_client.report_leaving(target.run)
+
     async def _classify_result(
         self,
         state: RequestState,
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -145,7 +145,7 @@
         silence: SilenceWatch,
         on_accepted: Callable[[], None],
         has_survived: Callable[[], Awaitable[bool]],
-        on_rate_limit: Callable[[float | None], None],
+        on_statements: Callable[[TargetResponse], None],
     ) -> Result | Silent:
         """Read a target's response and send it to the caller, or hold it back.
 
@@ -158,15 +158,15 @@
         has_survived : callable
             Returns whether the target is still up. A response that only the end of its connection
             delimits may have been cut by a crash.
-        on_rate_limit : callable
-            Called with the limit that the response names.
+        on_statements : callable
+            Called with a response to the request, for what its target says of itself.
         """
         exchange = attempt.exchange
         try:
             head = await silence.wait(exchange.read_head)
             response = read_response(head, self._request)
             if response.matches_request or response.not_run:
-                on_rate_limit(response.rate_limit)
+                on_statements(response)
             if response.not_run:
                 return Rejected(head.status)
             self.all_rejected = False
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -22,6 +22,7 @@
     Link,
     Message,
     NewerConfiguration,
+    TargetLeaving,
     TargetLimit,
     TraitsCompleted,
 )
@@ -259,13 +260,36 @@
         self._events.emit("target-limit", target=notice.target, rate=notice.rate)
         return True
 
-    def limit_notices(self) -> list[TargetLimit]:
-        """Return the limits in force, for a node that may have missed them."""
+    def apply_leaving(self, notice: TargetLeaving, source: str) -> bool:
+        """Take a leaving target out of use; return whether this is news.
+
+        Parameters
+        ----------
+        source : str
+            Name of the node that has read it in a response.
+        """
+        if not self._discovery.mark_leaving(notice.run, now() - notice.age):
+            return False
+        self._events.emit(
+            "target-leaving",
+            target=notice.run.id,
+            address=f"{notice.run.host}:{notice.run.port}",
+            source=source,
+            age=notice.age,
+        )
+        return True
+
+    def target_notices(self) -> list[TargetLeaving | TargetLimit]:
+        """Return what targets have stated, for a node that may have missed it."""
         time = now()
-        return [
+        notices: list[TargetLeaving | TargetLimit] = [
             TargetLimit(target, limit.rate, time - limit.named_at)
             for target, limit in self.scheduler.rate_limits.limits()
         ]
+        notices += [
+            TargetLeaving(run, time - stated_at) for run, stated_at in self._discovery.leaving
+        ]
+        return notices
 
     def add_held_slots(self, node: str, held_slots: tuple[HeldSlot, ...]) -> None:
         """Count the slots that a node uses by grants of another scheduler."""
@@ -371,6 +395,9 @@
             case CrashReport() | TraitsCompleted() if link.node:
                 if self._crash_tracker.apply(message):
                     self.send_to_nodes(message, link)
+            case TargetLeaving() if link.node:
+                if self.apply_leaving(message, link.node):
+                    self.send_to_nodes(message, link)
             case TargetLimit() if link.node:
                 if self.apply_limit(message):
                     self.send_to_nodes(message, link)
@@ -393,7 +420,7 @@
         self._events.emit("node-joined", peer=hello.node, holds=len(hello.held_slots))
         for report in self._crash_tracker.reports():
             link.send(report)
-        for notice in self.limit_notices():
+        for notice in self.target_notices():
             link.send(notice)
         if self._leaving:
             link.send(Leaving())
--- a/celeryrun/gateway/tests/test_named_limits.py
+++ b/celeryrun/gateway/tests/test_named_limits.py
@@ -1,7 +1,6 @@
 """Targets that name the number of requests per second that they take."""
 
-import asyncio
-
+from celeryrun.gateway.tests.load import joined_site, send_load, stop_scheduler
 from celeryrun.kernel import now
 from standins.site import Site, run
 
@@ -10,32 +9,12 @@
 MAX_ARRIVALS = 1.5 * LIMIT * WINDOW + 5
 
 
-async def send_load(site, seconds, interval=0.03, path="/drafts/a"):
-    """Send requests to all live gateways in turn; return the responses and exceptions."""
-    tasks = []
-    end = now() + seconds
-    while now() < end:
-        gateway = site.live[len(tasks) % len(site.live)]
-        tasks.append(asyncio.create_task(site.send_request(path, gateway=gateway)))
-        await asyncio.sleep(interval)
-    return await asyncio.gather(*tasks, return_exceptions=True)
-
-
 def most_arrivals(runner, since):
     """Return the most requests that a runner received within `WINDOW` since a time."""
     times = [request.arrived_at for request in runner.requests if request.arrived_at > since]
     return max((sum(start <= t < start + WINDOW for t in times) for start in times), default=0)
 
 
-async def joined_site(site):
-    """Wait until all gateways ask one scheduler, and return its number."""
-    site.live = list(range(len(site.gateways)))
-    clients = [gateway.kernel.find("scheduler-client") for gateway in site.gateways]
-    await site.wait_until(lambda: len({client._current_scheduler for client in clients}) == 1)
-    names = [gateway.settings.node.name for gateway in site.gateways]
-    return names.index(clients[0]._current_scheduler)
-
-
 def test_target_gets_no_more_requests_than_the_limit_it_names():
     async def scenario():
         async with Site(gateways=3, models=3) as site:
@@ -91,10 +70,7 @@
             limited.rate_limit = LIMIT
             began = now()
             await send_load(site, 3.0)
-            lost = site.gateways[scheduler]
-            lost.kernel.find("scheduler-client").stop()
-            lost.kernel.find("scheduler").stop()
-            site.live.remove(scheduler)
+            stop_scheduler(site, scheduler)
             await send_load(site, 4.0)
             assert most_arrivals(limited, began + 1.0) <= MAX_ARRIVALS
 
--- a/celeryrun/platform/_messages.py
+++ b/celeryrun/platform/_messages.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass
 
 from celeryrun.platform import _names as names
-from celeryrun.transport import RequestHead, ResponseHead, end_to_end_headers, format_head
+from celeryrun.transport import (
+    RequestHead,
+    ResponseHead,
+    end_to_end_headers,
+    format_head,
+    parse_bearer_token,
+    parse_number,
+)
 
 __all__ = [
     "CallerRequest",
@@ -77,6 +84,8 @@
         Whether the body has a content coding other than ``identity``.
     rate_limit : float or None
         Requests per second that the target takes from all nodes, None if it names no limit.
+    leaving : bool
+        Whether the target states that it leaves and wants no new requests.
     """
 
     head: ResponseHead
@@ -85,6 +94,7 @@
     sealed: bool
     has_content_encoding: bool
     rate_limit: float | None = None
+    leaving: bool = False
 
 
 def read_request(head: RequestHead, body: bytes) -> CallerRequest | str:
@@ -98,15 +108,15 @@
     host = b"".join(head.values(b"host"))
     if not attempt_id or not host:
         return "send a host and an attempt id"
-    deadline = _parse_number(head, names.DEADLINE_MS)
+    deadline = parse_number(head, names.DEADLINE_MS)
     prompt_tokens, output_tokens, has_token_counts = _parse_token_counts(head)
-    length_hint = _parse_number(head, names.LENGTH_HINT)
+    length_hint = parse_number(head, names.LENGTH_HINT)
     path = head.request_target.split(b"?", 1)[0]
     return CallerRequest(
         attempt_id,
         host.decode("latin-1").lower().partition(":")[0],
         path.decode("latin-1"),
-        _parse_bearer_token(head),
+        parse_bearer_token(head),
         deadline / 1000 if deadline is not None else DEFAULT_DEADLINE,
         prompt_tokens,
         output_tokens,
@@ -119,15 +129,6 @@
     )
 
 
-def _parse_number(head: RequestHead | ResponseHead, name: bytes) -> float | None:
-    value = b"".join(head.values(name)[:1])
-    try:
-        number = float(value)
-    except ValueError:
-        return None
-    return number if 0 <= number < float("inf") else None
-
-
 def _parse_token_counts(head: RequestHead) -> tuple[int, int, bool]:
     parts = b"".join(head.values(names.TOKEN_USAGE)).split(b",")
     if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
@@ -141,13 +142,6 @@
     return tuple(dict.fromkeys(id for id in ids if id))
 
 
-def _parse_bearer_token(head: RequestHead) -> str | None:
-    scheme, _, token = b"".join(head.values(b"authorization")).partition(b" ")
-    if scheme.lower() != b"bearer":
-        return None
-    return token.strip().decode("latin-1") or None
-
-
 def format_request(
     request: CallerRequest,
     target_id: str,
@@ -192,7 +186,9 @@
 def read_response(head: ResponseHead, request: CallerRequest) -> TargetResponse:
     """Decode the head of a target's response."""
     response_id = head.value(names.ATTEMPT_ID)
-    not_run = head.value(names.NOT_EXECUTED) is not None or head.status == HTTP_MISDIRECTED_REQUEST
+    # Another target, which has the address now, speaks of itself.
+    is_misdirected = head.status == HTTP_MISDIRECTED_REQUEST
+    not_run = head.value(names.NOT_EXECUTED) is not None or is_misdirected
     return TargetResponse(
         head,
         response_id == request.id,
@@ -200,7 +196,8 @@
         not_run and response_id in (None, request.id),
         head.value(names.RESPONSE_SEAL) is not None,
         head.value(b"content-encoding") not in (None, b"identity"),
-        _parse_number(head, names.RATE_LIMIT),
+        parse_number(head, names.RATE_LIMIT),
+        not is_misdirected and set(head.values(names.LEAVING)) == {b"1"},
     )
 
 
--- a/celeryrun/platform/_names.py
+++ b/celeryrun/platform/_names.py
@@ -6,6 +6,7 @@
     "ATTEMPT_ID",
     "DEADLINE_MS",
     "EXPECT_TARGET",
+    "LEAVING",
     "LENGTH_HINT",
     "NOT_EXECUTED",
     "PROMPT_PREFIX",
@@ -21,6 +22,7 @@
 ATTEMPT_ID = b"celeryrun-attempt-id"
 DEADLINE_MS = b"celeryrun-deadline-ms"
 EXPECT_TARGET = b"celeryrun-expect-instance"
+LEAVING = b"server-leaving"
 LENGTH_HINT = b"celeryrun-length-hint"
 NOT_EXECUTED = b"celeryrun-not-executed"
 PROMPT_PREFIX = b"celeryrun-prompt-prefix"
--- /dev/null
+++ b/celeryrun/platform/tests/test_messages.py
@@ -0,0 +1,40 @@
+"""Decoding of what a target's response says of its target."""
+
+import pytest
+
+from celeryrun.platform import read_request, read_response
+from celeryrun.transport import RequestHead, ResponseHead
+
+
+def build_request(id=b"a1"):
+    headers = [(b"host", b"site.example"), (b"celeryrun-attempt-id", id)]
+    return read_request(RequestHead(b"POST", b"/calls/a", headers), b"")
+
+
+def build_response(*headers, status=200, id=b"a1"):
+    head = ResponseHead(status, b"", [(b"celeryrun-attempt-id", id), *headers])
+    return read_response(head, build_request())
+
+
+@pytest.mark.parametrize(
+    "values, leaving",
+    [
+        ([b"1"], True),
+        ([b"1", b"1"], True),
+        ([], False),
+        ([b"0"], False),
+        ([b""], False),
+        ([b"true"], False),
+        ([b"1.0"], False),
+        ([b"1", b"0"], False),
+        ([b"1" * 5000], False),
+    ],
+)
+def test_leaving_is_stated_by_one_value_only(values, leaving):
+    headers = [(b"server-leaving", value) for value in values]
+    assert build_response(*headers).leaving is leaving
+    assert build_response(*headers, status=503).leaving is leaving
+
+
+def test_other_target_at_the_address_speaks_of_itself():
+    assert not build_response((b"server-leaving", b"1"), status=421).leaving
--- a/celeryrun/scheduling/__init__.py
+++ b/celeryrun/scheduling/__init__.py
@@ -6,6 +6,7 @@
     CrashAssessment,
     CrashHistory,
 )
+from celeryrun.scheduling._leaving import LeavingTargets
 from celeryrun.scheduling._limits import FleetLimits
 from celeryrun.scheduling._load import ActiveGrant, TargetLoad
 from celeryrun.scheduling._messages import (
@@ -49,6 +50,7 @@
     "FleetLimits",
     "Grant",
     "HeldSlot",
+    "LeavingTargets",
     "NamedLimit",
     "Outcome",
     "PartAssessment",
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -181,6 +181,14 @@
         self._restart_task = None
         await self.start()
 
+    async def restart(self) -> None:
+        """Crash and start again under the same id, without what the run before has stated."""
+        self.crash()
+        self.leaving = False
+        self.retry_after = None
+        self._born += 1
+        await self.start()
+
     def register(self, state: str | None) -> None:
         """Write the entry with a state to the store; None removes the entry."""
         self.state = state
