gateway: a target that turns a request away with Retry-After gets none until that time

Callers saw: refusals although other targets were free. In three seconds of load on two gateways and three targets, one of which answered 503 with Retry-After: 3, half of the drafts (72 of 144), 24 of 144 chats and 7 of 280 calls were refused. Cause: the header was not read. A target that turns requests away frees its slot at once, so it is always the idlest and gets most of the load; requests then lack attempts (`rejected`) or the fleet's budget of retries (`retry-budget`). Now such a refusal begins a pause of that run of the target, at the node that reads it at once, at its scheduler and all other nodes by a notice. The request itself goes to another target, waits for the end if its caller would, or is refused with the time that remains. After the end one request goes first, and one more with each that is served. The parsers of common header fields become methods of the heads.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -22,10 +22,11 @@
     NewerConfiguration,
     TargetLeaving,
     TargetLimit,
+    TargetPaused,
     TraitsCompleted,
 )
 from celeryrun.gateway._members import Members
-from celeryrun.gateway._server import Reply, SchedulerServer
+from celeryrun.gateway._server import Reply, SchedulerServer, TargetNotice
 from celeryrun.history import Position
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import Store
@@ -192,6 +193,21 @@
         if self._local_server.apply_leaving(notice, self._name):
             self._forward(notice)
 
+    def report_pause(self, run: TargetRun, seconds: float) -> None:
+        """Report to all nodes that a target wants no requests for some time."""
+        if self._local_server.apply_pause(TargetPaused(run, seconds), self._name):
+            self._forward(TargetPaused(run, self.pause_left(run)))
+
+    def pause_left(self, run: TargetRun) -> float:
+        """Return the seconds for which a target wants no requests, 0 if it takes them."""
+        return self._local_server.scheduler.pauses.remaining(run, now())
+
+    def repeat_pause(self, run: TargetRun) -> None:
+        """Tell a scheduler again, which has granted a slot of a paused target."""
+        seconds = self.pause_left(run)
+        if seconds and self._current_scheduler in self._links_by_node:
+            self._send(self._current_scheduler, TargetPaused(run, seconds))
+
     def release(self, grant: Grant, outcome: str, seconds: float = 0.0, events: int = 0) -> None:
         """Release a slot and report its outcome."""
         active_grant = self._active_grants_by_id.pop(grant.grant_id, None)
@@ -211,9 +227,7 @@
     def _is_scheduler(self) -> bool:
         return self._current_scheduler == self._name
 
-    def _forward(
-        self, message: CrashReport | TargetLeaving | TargetLimit | TraitsCompleted
-    ) -> None:
+    def _forward(self, message: CrashReport | TargetNotice | TraitsCompleted) -> None:
         """Send news to the scheduler and to the nodes that use this one."""
         if self._current_scheduler in self._links_by_node:
             self._links_by_node[self._current_scheduler].send(message)
@@ -406,6 +420,9 @@
             case TargetLeaving():
                 if self._local_server.apply_leaving(message, link.node):
                     self._local_server.send_to_nodes(message)
+            case TargetPaused():
+                # Not passed on: with each link that it takes, the end of a pause comes later.
+                self._local_server.apply_pause(message, link.node)
             case TargetLimit():
                 if self._local_server.apply_limit(message):
                     self._local_server.send_to_nodes(message)
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -36,6 +36,7 @@
     "NewerConfiguration",
     "TargetLeaving",
     "TargetLimit",
+    "TargetPaused",
     "TraitsCompleted",
 ]
 
@@ -215,6 +216,19 @@
     age: float
 
 
+class TargetPaused(msgspec.Struct, array_like=True, tag=True):
+    """Notice that a run of a target wants no requests for some time.
+
+    Parameters
+    ----------
+    seconds : float
+        Time that remains.
+    """
+
+    run: TargetRun
+    seconds: float
+
+
 class TraitsCompleted(msgspec.Struct, array_like=True, tag="Completed"):
     """Notice that a suspect request, or one with suspect parts, has completed.
 
@@ -244,6 +258,7 @@
     | CrashReport
     | TargetLeaving
     | TargetLimit
+    | TargetPaused
     | TraitsCompleted
 )
 
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from celeryrun.catalog import Target
 from celeryrun.exception import Refusal
@@ -311,6 +311,10 @@
             and (listed.host, listed.port, listed.born) == (target.host, target.port, target.born)
         )
 
+    def _may_send(self, target: Target) -> bool:
+        """Return whether a target takes new requests of this node."""
+        return self._is_ready(target) and not self._scheduler_client.pause_left(target.run)
+
     async def _open_attempt(self, state: RequestState) -> Attempt | NotOpened:
         """Acquire a slot for a request and connect to its target."""
         reply = await self._acquire_slot(state)
@@ -321,7 +325,7 @@
         attempt: Attempt | None = None
         try:
             refusal = self._recheck(state)
-            if refusal is not None or target is None or not target.ready:
+            if refusal is not None or target is None or not self._may_send(target):
                 return self._withdraw(state, reply.target, refusal)
             began = now()
             try:
@@ -335,7 +339,7 @@
             state.failed_connects = 0
             # The process may have been suspended since the checks before the connection.
             refusal = self._recheck(state)
-            if refusal is not None or not self._is_ready(target):
+            if refusal is not None or not self._may_send(target):
                 exchange.close()
                 return self._withdraw(state, target.id, refusal)
             attempt = Attempt(self._scheduler_client, reply, target, exchange, began)
@@ -348,7 +352,14 @@
         self, state: RequestState, target_id: str, refusal: Refusal | None
     ) -> Withdrawn | Refusal:
         """Give up a target, or a request that is no longer allowed."""
-        state.excluded_targets.append(target_id)
+        target = self._discovery.targets_by_id.get(target_id)
+        is_paused = target is not None and self._scheduler_client.pause_left(target.run) > 0
+        if target is not None and is_paused and target_id not in state.paused_targets:
+            # The request may wait for the end of the pause, of which its scheduler was not told.
+            state.paused_targets.add(target_id)
+            self._scheduler_client.repeat_pause(target.run)
+        else:
+            state.excluded_targets.append(target_id)
         if refusal is not None:
             return refusal
         self._request_log.emit(state, "withdrawn", target=target_id, sent=state.attempts)
@@ -394,6 +405,8 @@
         """Report what a response says of its target to the scheduler and all nodes."""
         target = attempt.target
         self._scheduler_client.report_limit(target.id, response.rate_limit, attempt.began)
+        if response.pause is not None:
+            self._scheduler_client.report_pause(target.run, response.pause)
         if response.leaving:
             self._scheduler_client.report_leaving(target.run)
 
@@ -459,7 +472,9 @@
         """
         route = state.admission.route
         may_repeat = state.attempts < route.max_attempts or has_reserve
-        state.excluded_targets.append(target.id)
+        is_paused = self._scheduler_client.pause_left(target.run) > 0
+        if not (isinstance(result, Rejected) and is_paused):
+            state.excluded_targets.append(target.id)
         match result:
             case Finished(status=status, is_held=is_held):
                 if is_held and may_repeat and route.kind.repeatable:
@@ -484,7 +499,8 @@
                 if connection.response_started:
                     self._abort(connection, state, response_relay, "rejected")
                 else:
-                    self._refuse(connection, state, REJECTED_BY_TARGET, "target")
+                    refusal = self._delay_past_pauses(state, REJECTED_BY_TARGET)
+                    self._refuse(connection, state, refusal, "target")
                 return True
         self._request_log.emit(
             state,
@@ -527,9 +543,17 @@
         if state.attempts and not response_relay.all_rejected:
             self._fail(connection, state, response_relay)
             return
-        refusal = refusal_for_denial(denial)
+        refusal = self._delay_past_pauses(state, refusal_for_denial(denial))
         self._refuse(connection, state, refusal, "scheduler")
 
+    def _delay_past_pauses(self, state: RequestState, refusal: Refusal) -> Refusal:
+        """Extend a refusal's retry delay to the first end of a pause if all targets pause."""
+        targets = self._discovery.ready_targets(state.pool.name)
+        wait = min(
+            (self._scheduler_client.pause_left(target.run) for target in targets), default=0.0
+        )
+        return replace(refusal, retry_after=max(refusal.retry_after or 0.0, wait) or None)
+
     def _on_unreachable(
         self, connection: CallerConnection, state: RequestState, response_relay: ResponseRelay
     ) -> bool:
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from celeryrun.catalog import TargetRun
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._events import EventLog
@@ -24,6 +25,7 @@
     NewerConfiguration,
     TargetLeaving,
     TargetLimit,
+    TargetPaused,
     TraitsCompleted,
 )
 from celeryrun.gateway._listen import listen
@@ -45,7 +47,7 @@
 )
 from celeryrun.settings import GatewaySettings
 
-__all__ = ["Reply", "SchedulerServer"]
+__all__ = ["Reply", "SchedulerServer", "TargetNotice"]
 
 PLANNING_INTERVAL = 0.05  # s between planning rounds over whole queues
 PLANNING_REST_FACTOR = 2.0  # pause in durations of a round; planning takes a third of the time
@@ -60,6 +62,7 @@
 )
 
 Reply = Grant | Denial
+TargetNotice = TargetLeaving | TargetLimit | TargetPaused
 MIN_VERSION_AGE = 0.3  # s; a version is usually forwarded to all nodes within it
 CONFIGURATION_INTERVAL = 1.0  # s between two sendings of a configuration to one peer
 
@@ -279,16 +282,40 @@
         )
         return True
 
-    def target_notices(self) -> list[TargetLeaving | TargetLimit]:
+    def apply_pause(self, notice: TargetPaused, source: str) -> bool:
+        """Apply a target's pause; return whether it ends later than known.
+
+        Parameters
+        ----------
+        source : str
+            Name of the node that has read it in a response.
+        """
+        run, seconds = notice.run, notice.seconds
+        pauses = self.scheduler.pauses
+        if not pauses.apply(run, seconds, now()):
+            return False
+        seconds = pauses.remaining(run, now())
+        self._events.emit("target-paused", target=run.id, seconds=round(seconds, 3), source=source)
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds + PLANNING_INTERVAL, self._on_pause_end, run)
+        return True
+
+    def _on_pause_end(self, run: TargetRun) -> None:
+        """Log the end of a pause unless it was extended."""
+        if not self.scheduler.pauses.remaining(run, now()):
+            self._events.emit("target-resumed", target=run.id)
+
+    def target_notices(self) -> list[TargetNotice]:
         """Return what targets have stated, for a node that may have missed it."""
         time = now()
-        notices: list[TargetLeaving | TargetLimit] = [
+        notices: list[TargetNotice] = [
             TargetLimit(target, limit.rate, time - limit.named_at)
             for target, limit in self.scheduler.rate_limits.limits()
         ]
         notices += [
             TargetLeaving(run, time - stated_at) for run, stated_at in self._discovery.leaving
         ]
+        notices += [TargetPaused(*paused) for paused in self.scheduler.pauses.pauses(time)]
         return notices
 
     def add_held_slots(self, node: str, held_slots: tuple[HeldSlot, ...]) -> None:
@@ -401,6 +428,9 @@
             case TargetLimit() if link.node:
                 if self.apply_limit(message):
                     self.send_to_nodes(message, link)
+            case TargetPaused() if link.node:
+                if self.apply_pause(message, link.node):
+                    self.send_to_nodes(message, link)
             case _ if link.node:
                 self.handle_message(link.node, message)
             case _:
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -68,6 +68,8 @@
         Whether the request was charged to its workspace's quota.
     excluded_targets : list of str
         Ids of targets that must not be granted again.
+    paused_targets : set of str
+        Ids of paused targets whose grants were returned; one more grant excludes them.
     last_event : bytes or None
         Id of the last event sent to the caller, from which another target continues the stream.
     """
@@ -82,6 +84,7 @@
     failed_connects: int = 0
     charged: bool = False
     excluded_targets: list[str] = field(default_factory=list)
+    paused_targets: set[str] = field(default_factory=set)
     last_event: bytes | None = None
 
     @property
--- a/celeryrun/platform/_messages.py
+++ b/celeryrun/platform/_messages.py
@@ -5,14 +5,7 @@
 from dataclasses import dataclass
 
 from celeryrun.platform import _names as names
-from celeryrun.transport import (
-    RequestHead,
-    ResponseHead,
-    end_to_end_headers,
-    format_head,
-    parse_bearer_token,
-    parse_number,
-)
+from celeryrun.transport import RequestHead, ResponseHead, end_to_end_headers, format_head
 
 __all__ = [
     "CallerRequest",
@@ -25,6 +18,7 @@
 
 DEFAULT_DEADLINE = 60.0  # s, for a request without a deadline header
 HTTP_MISDIRECTED_REQUEST = 421
+HTTP_SERVICE_UNAVAILABLE = 503
 
 
 @dataclass(slots=True)
@@ -86,6 +80,8 @@
         Requests per second that the target takes from all nodes, None if it names no limit.
     leaving : bool
         Whether the target states that it leaves and wants no new requests.
+    pause : float or None
+        Seconds for which a target that turned the request away wants no others.
     """
 
     head: ResponseHead
@@ -95,6 +91,7 @@
     has_content_encoding: bool
     rate_limit: float | None = None
     leaving: bool = False
+    pause: float | None = None
 
 
 def read_request(head: RequestHead, body: bytes) -> CallerRequest | str:
@@ -108,15 +105,15 @@
     host = b"".join(head.values(b"host"))
     if not attempt_id or not host:
         return "send a host and an attempt id"
-    deadline = parse_number(head, names.DEADLINE_MS)
+    deadline = head.number(names.DEADLINE_MS)
     prompt_tokens, output_tokens, has_token_counts = _parse_token_counts(head)
-    length_hint = parse_number(head, names.LENGTH_HINT)
+    length_hint = head.number(names.LENGTH_HINT)
     path = head.request_target.split(b"?", 1)[0]
     return CallerRequest(
         attempt_id,
         host.decode("latin-1").lower().partition(":")[0],
         path.decode("latin-1"),
-        parse_bearer_token(head),
+        head.bearer_token(),
         deadline / 1000 if deadline is not None else DEFAULT_DEADLINE,
         prompt_tokens,
         output_tokens,
@@ -189,15 +186,18 @@
     # Another target, which has the address now, speaks of itself.
     is_misdirected = head.status == HTTP_MISDIRECTED_REQUEST
     not_run = head.value(names.NOT_EXECUTED) is not None or is_misdirected
+    # A refusal with the id of another request is repeated or misplaced.
+    not_run = not_run and response_id in (None, request.id)
+    is_turned_away = not_run and head.status == HTTP_SERVICE_UNAVAILABLE
     return TargetResponse(
         head,
         response_id == request.id,
-        # A refusal with the id of another request is repeated or misplaced.
-        not_run and response_id in (None, request.id),
+        not_run,
         head.value(names.RESPONSE_SEAL) is not None,
         head.value(b"content-encoding") not in (None, b"identity"),
-        parse_number(head, names.RATE_LIMIT),
+        head.number(names.RATE_LIMIT),
         not is_misdirected and set(head.values(names.LEAVING)) == {b"1"},
+        head.retry_after() if is_turned_away else None,
     )
 
 
--- a/celeryrun/platform/tests/test_messages.py
+++ b/celeryrun/platform/tests/test_messages.py
@@ -38,3 +38,35 @@
 
 def test_other_target_at_the_address_speaks_of_itself():
     assert not build_response((b"server-leaving", b"1"), status=421).leaving
+
+
+@pytest.mark.parametrize(
+    "values, pause",
+    [
+        ([b"3"], 3.0),
+        ([b"0.05"], 0.05),
+        ([b"2", b"5"], 5.0),
+        ([], None),
+        ([b""], None),
+        ([b"-3"], None),
+        ([b"nan"], None),
+        ([b"inf"], None),
+        ([b"1e9"], None),
+        ([b"1_0"], None),
+        ([b"3 s"], None),
+        ([b"Sat, 05 Dec 2026 03:00:00 GMT"], None),
+        ([b"9" * 5000], float("inf")),
+    ],
+)
+def test_pause_is_a_decimal_number(values, pause):
+    headers = [(b"retry-after", value) for value in values]
+    refusal = (b"celeryrun-not-executed", b"1")
+    assert build_response(refusal, *headers, status=503).pause == pause
+
+
+def test_only_a_target_that_turns_the_request_away_pauses():
+    retry_after, refusal = (b"retry-after", b"3"), (b"celeryrun-not-executed", b"1")
+    assert build_response(retry_after, status=503).pause is None
+    assert build_response(retry_after, refusal, status=429).pause is None
+    assert build_response(retry_after, refusal, status=503, id=b"another").pause is None
+    assert build_response(retry_after).pause is None
--- a/celeryrun/scheduling/__init__.py
+++ b/celeryrun/scheduling/__init__.py
@@ -27,6 +27,7 @@
     SlotRequest,
 )
 from celeryrun.scheduling._part_history import PartAssessment, PartCrashHistory
+from celeryrun.scheduling._pauses import TargetPause, TargetPauses
 from celeryrun.scheduling._quota import RetryBudget, SlidingSum, TokenBucket
 from celeryrun.scheduling._rate_limits import NamedLimit, TargetRateLimits
 from celeryrun.scheduling._scheduler import Scheduler
@@ -61,6 +62,8 @@
     "SlotReleased",
     "SlotRequest",
     "TargetLoad",
+    "TargetPause",
+    "TargetPauses",
     "TargetRateLimits",
     "TokenBucket",
 ]
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -11,6 +11,7 @@
 from celeryrun.scheduling._fair_shares import FairShares
 from celeryrun.scheduling._load import TargetLoad
 from celeryrun.scheduling._messages import Denial, Grant, SlotRequest
+from celeryrun.scheduling._pauses import TargetPause
 from celeryrun.scheduling._rate_limits import TargetRateLimits
 
 __all__ = [
@@ -89,6 +90,8 @@
     limits_to_check : set of str
         Targets that get a request although others would end it sooner, since only a response
         shows that their limit has ended.
+    pauses_by_target : dict
+        Pauses of targets that want no requests, or get them back one after the other.
     placed : int
         Number of queued requests for which a placement was searched.
     """
@@ -98,11 +101,13 @@
     now: float
     demand: PoolDemand
     rate_limits: TargetRateLimits = field(default_factory=TargetRateLimits)
+    pauses_by_target: dict[str, TargetPause] = field(default_factory=dict)
     next_free_by_target: dict[str, float] = field(default_factory=dict)
     idle_targets: int = 0
     limits_to_check: set[str] = field(default_factory=set)
     placed: int = 0
     _next_send_by_target: dict[str, float] = field(default_factory=dict)
+    _returns_by_target: dict[str, int] = field(default_factory=dict)
     _free_times_by_target: dict[str, list[float]] = field(default_factory=dict)
     grants: list[tuple[str, Grant]] = field(default_factory=list)
     denials: list[tuple[str, Denial]] = field(default_factory=list)
@@ -115,9 +120,10 @@
         now: float,
         demand: PoolDemand,
         rate_limits: TargetRateLimits,
+        pauses_by_target: dict[str, TargetPause],
     ) -> PlanningRound:
         """Start a planning round over a pool's targets."""
-        planning_round = cls(targets, fleet_share, now, demand, rate_limits)
+        planning_round = cls(targets, fleet_share, now, demand, rate_limits, pauses_by_target)
         min_end = now + OVERRUN_DELAY
         for name, load in targets.items():
             occupying = load.occupying_grants(now)
@@ -127,6 +133,11 @@
                 planning_round._next_send_by_target[name] = next_send
                 if rate_limits.is_check_due(name, now):
                     planning_round.limits_to_check.add(name)
+            if name in pauses_by_target:
+                pause = pauses_by_target[name]
+                planning_round._returns_by_target[name] = pause.free_slots(occupying, now)
+                if not planning_round._returns_by_target[name]:
+                    next_send = max(next_send, pause.next_send(now))
             if excess < 0:
                 planning_round.next_free_by_target[name] = next_send
                 planning_round.idle_targets += next_send <= now
@@ -146,6 +157,11 @@
             start = max(self.now, self._next_send_by_target[target])
             self._next_send_by_target[target] = start + self.rate_limits.interval(target)
             next_free = max(next_free, self._next_send_by_target[target])
+        if target in self._returns_by_target:
+            self._returns_by_target[target] -= 1
+            if self._returns_by_target[target] <= 0:
+                pause = self.pauses_by_target[target]
+                next_free = max(next_free, pause.next_send(self.now))
         if self.next_free_by_target[target] <= self.now < next_free:
             self.idle_targets -= 1
         self.next_free_by_target[target] = next_free
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -22,6 +22,7 @@
     SlotRequest,
 )
 from celeryrun.scheduling._part_history import PROBE_INTERVAL, ProbeGate
+from celeryrun.scheduling._pauses import TargetPause, TargetPauses
 from celeryrun.scheduling._placement import (
     Placement,
     PlanningRound,
@@ -77,6 +78,7 @@
         "_random",
         "_targets",
         "loads_by_target",
+        "pauses",
         "queues_by_pool",
         "rate_limits",
     )
@@ -102,6 +104,7 @@
         )
         self._probes = ProbeGate()
         self.rate_limits = TargetRateLimits(fleet_share)
+        self.pauses = TargetPauses()
         self._load_by_grant_id: dict[int, TargetLoad] = {}
         self._demand_by_pool: defaultdict[str, PoolDemand] = defaultdict(PoolDemand)
         self._fair_shares_by_pool: defaultdict[str, FairShares] = defaultdict(FairShares)
@@ -174,7 +177,12 @@
             return [], []
         targets = self._usable_loads(pool, now)
         planning_round = PlanningRound.from_loads(
-            targets, self._fleet_share(), now, self._demand_by_pool[pool], self.rate_limits
+            targets,
+            self._fleet_share(),
+            now,
+            self._demand_by_pool[pool],
+            self.rate_limits,
+            self._find_pauses(pool, now),
         )
         full_scan = full_scan or len(queue) * len(targets) <= FULL_SCAN_LIMIT
         if not full_scan and not planning_round.idle_targets:
@@ -227,8 +235,10 @@
         """Update the target's load from a measured time to the first byte."""
         load = self._load_by_grant_id.get(grant_id)
         if load is not None:
-            load.learn_first_byte(load.active_grants_by_id[grant_id], seconds)
+            active_grant = load.active_grants_by_id[grant_id]
+            load.learn_first_byte(active_grant, seconds)
             load.shorten_prefill(now)
+            self.pauses.record_served(active_grant.target, active_grant.granted, load.slots)
 
     def release(self, released: SlotReleased, now: float) -> str | None:
         """Free a slot and update the target's load from the outcome.
@@ -248,6 +258,8 @@
             case messages.COMPLETE:
                 load.record_result(failed=False)
                 load.learn_duration(active_grant, released.seconds, released.events)
+                if active_grant.first_byte_seconds is None:
+                    self.pauses.record_served(active_grant.target, active_grant.granted, load.slots)
                 self._crash_history.clear(active_grant.fingerprint)
             case messages.FAILED:
                 load.record_result(failed=True)
@@ -371,6 +383,13 @@
                 loads[target.id] = load
         return loads
 
+    def _find_pauses(self, pool: str, now: float) -> dict[str, TargetPause]:
+        """Return the pauses of a pool's targets."""
+        if not self.pauses:
+            return {}
+        found = ((target.id, self.pauses.find(target.run, now)) for target in self._targets(pool))
+        return {target: pause for target, pause in found if pause is not None}
+
     def _grant(self, queued: QueuedRequest, placement: Placement, now: float) -> Grant:
         slot_request = queued.slot_request
         del self.queues_by_pool[slot_request.pool][queued.node, slot_request.id]
--- a/celeryrun/transport/__init__.py
+++ b/celeryrun/transport/__init__.py
@@ -9,7 +9,6 @@
     accepts_connections,
     open_exchange,
 )
-from celeryrun.transport._fields import parse_bearer_token, parse_number
 from celeryrun.transport._message import (
     LAST_CHUNK,
     MalformedMessageError,
@@ -42,6 +41,4 @@
     "has_unaccepted",
     "ignore_new_connections",
     "open_exchange",
-    "parse_bearer_token",
-    "parse_number",
 ]
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -22,6 +23,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+DELAY = re.compile(rb"[0-9]+(\.[0-9]+)?")  # Retry-After in seconds, with fractions
 LAST_CHUNK = b"0\r\n\r\n"
 MIN_INTERIM_STATUS = 100
 MIN_FINAL_STATUS = 200
@@ -69,6 +71,17 @@
         """Return all values of a header, given its name in lower case."""
         return [value for key, value in self.headers if key == name]
 
+    def number(self, name: bytes) -> float | None:
+        """Return the first value of a header as a number; None if it is none in [0, inf)."""
+        return _parse_number(b"".join(self.values(name)[:1]))
+
+    def bearer_token(self) -> str | None:
+        """Return the token of the ``Authorization`` header, None without one."""
+        scheme, _, token = b"".join(self.values(b"authorization")).partition(b" ")
+        if scheme.lower() != b"bearer":
+            return None
+        return token.strip().decode("latin-1") or None
+
 
 @dataclass(slots=True)
 class ResponseHead:
@@ -93,6 +106,15 @@
         """Return all values of a header, given its name in lower case."""
         return [value for key, value in self.headers if key == name]
 
+    def number(self, name: bytes) -> float | None:
+        """Return the first value of a header as a number; None if it is none in [0, inf)."""
+        return _parse_number(b"".join(self.values(name)[:1]))
+
+    def retry_after(self) -> float | None:
+        """Return the longest ``Retry-After`` in seconds, None if there is no decimal number."""
+        delays = [float(value) for value in self.values(b"retry-after") if DELAY.fullmatch(value)]
+        return max(delays, default=None)
+
     def value(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its name in lower case, or None."""
         for key, value in self.headers:
@@ -101,6 +123,14 @@
         return None
 
 
+def _parse_number(value: bytes) -> float | None:
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0 <= number < float("inf") else None
+
+
 def _joined_values(headers: Headers, name: bytes) -> bytes:
     return b",".join(value for key, value in headers if key == name)
 
