--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -11,6 +11,7 @@
 import logbook
 import msgspec
 
+from celeryrun.catalog import TargetRun
 from celeryrun.history import Position
 from celeryrun.platform import KeyedPage, KeyedRecord
 from celeryrun.scheduling import (
@@ -34,13 +35,15 @@
     "Link",
     "Message",
     "NewerConfiguration",
+    "TargetLeaving",
     "TargetLimit",
+    "TargetPaused",
     "TraitsCompleted",
 ]
 
 log = logbook.Logger("links")
 
-PROTOCOL = 3  # incremented when a message changes meaning; nodes with another value are rejected
+PROTOCOL = 4  # incremented when a message changes meaning; nodes with another value are rejected
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME = 1024 * 1024  # bytes; the largest message lists all slots that a node holds
 MAX_DECOMPRESSED = 4 * 1024 * 1024  # bytes of records in one message, several reads of the store
@@ -190,6 +193,19 @@
     born: int = 0
 
 
+class TargetLeaving(msgspec.Struct, array_like=True, tag=True):
+    """Notice that a run of a target has stated that it leaves.
+
+    Parameters
+    ----------
+    age : float
+        Seconds since the response that says so.
+    """
+
+    run: TargetRun
+    age: float
+
+
 class TargetLimit(msgspec.Struct, array_like=True, tag="Limit"):
     """Notice that a target has named another limit, or none any more.
 
@@ -206,6 +222,19 @@
     age: float
 
 
+class TargetPaused(msgspec.Struct, array_like=True, tag=True):
+    """Notice that a run of a target wants no requests for some time.
+
+    Parameters
+    ----------
+    seconds : float
+        Time that remains.
+    """
+
+    run: TargetRun
+    seconds: float
+
+
 class TraitsCompleted(msgspec.Struct, array_like=True, tag="Completed"):
     """Notice that a suspect request, or one with suspect parts, has completed.
 
@@ -233,7 +262,9 @@
     | Grant
     | Denial
     | CrashReport
+    | TargetLeaving
     | TargetLimit
+    | TargetPaused
     | TraitsCompleted
 )
 
--- a/celeryrun/platform/_messages.py
+++ b/celeryrun/platform/_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from celeryrun.platform import _names as names
-from celeryrun.records import parse_count, parse_number
+from celeryrun.records import parse_count
 from celeryrun.transport import RequestHead, ResponseHead, end_to_end_headers, format_head
 
 __all__ = [
@@ -21,6 +21,7 @@
 HTTP_MISDIRECTED_REQUEST = 421
 MAX_TOKENS = 10**9  # of a prompt or an output; larger numbers count as this
 MAX_DEADLINE_MS = 10**9  # ms, eleven days; a caller that names more waits as long
+HTTP_SERVICE_UNAVAILABLE = 503
 
 
 @dataclass(slots=True)
@@ -80,6 +81,10 @@
         Whether the body has a content coding other than ``identity``.
     rate_limit : float or None
         Requests per second that the target takes from all nodes, None if it names no limit.
+    leaving : bool
+        Whether the target states that it leaves and wants no new requests.
+    pause : float or None
+        Seconds for which a target that turned the request away wants no others.
     """
 
     head: ResponseHead
@@ -88,6 +93,8 @@
     sealed: bool
     has_content_encoding: bool
     rate_limit: float | None = None
+    leaving: bool = False
+    pause: float | None = None
 
 
 def read_request(head: RequestHead, body: bytes) -> CallerRequest | str:
@@ -101,15 +108,15 @@
     host = b"".join(head.values(b"host"))
     if not attempt_id or not host:
         return "send a host and an attempt id"
-    deadline = _parse_number(head, names.DEADLINE_MS)
+    deadline = head.number(names.DEADLINE_MS)
     prompt_tokens, output_tokens, has_token_counts = _parse_token_counts(head)
-    length_hint = _parse_number(head, names.LENGTH_HINT)
+    length_hint = head.number(names.LENGTH_HINT)
     path = head.request_target.split(b"?", 1)[0]
     return CallerRequest(
         attempt_id,
         host.decode("latin-1").lower().partition(":")[0],
         path.decode("latin-1"),
-        _parse_bearer_token(head),
+        head.bearer_token(),
         min(deadline, MAX_DEADLINE_MS) / 1000 if deadline is not None else DEFAULT_DEADLINE,
         prompt_tokens,
         output_tokens,
@@ -122,10 +129,6 @@
     )
 
 
-def _parse_number(head: RequestHead | ResponseHead, name: bytes) -> float | None:
-    return parse_number(b"".join(head.values(name)[:1]))
-
-
 def _parse_token_counts(head: RequestHead) -> tuple[int, int, bool]:
     parts = b"".join(head.values(names.TOKEN_USAGE)).split(b",")
     match [parse_count(part, MAX_TOKENS) for part in parts]:
@@ -140,13 +143,6 @@
     return tuple(dict.fromkeys(id for id in ids if id))
 
 
-def _parse_bearer_token(head: RequestHead) -> str | None:
-    scheme, _, token = b"".join(head.values(b"authorization")).partition(b" ")
-    if scheme.lower() != b"bearer":
-        return None
-    return token.strip().decode("latin-1") or None
-
-
 def format_request(
     request: CallerRequest,
     target_id: str,
@@ -191,15 +187,21 @@
 def read_response(head: ResponseHead, request: CallerRequest) -> TargetResponse:
     """Decode the head of a target's response."""
     response_id = head.value(names.ATTEMPT_ID)
-    not_run = head.value(names.NOT_EXECUTED) is not None or head.status == HTTP_MISDIRECTED_REQUEST
+    # Another target, which has the address now, speaks of itself.
+    is_misdirected = head.status == HTTP_MISDIRECTED_REQUEST
+    not_run = head.value(names.NOT_EXECUTED) is not None or is_misdirected
+    # A refusal with the id of another request is repeated or misplaced.
+    not_run = not_run and response_id in (None, request.id)
+    is_turned_away = not_run and head.status == HTTP_SERVICE_UNAVAILABLE
     return TargetResponse(
         head,
         response_id == request.id,
-        # A refusal with the id of another request is repeated or misplaced.
-        not_run and response_id in (None, request.id),
+        not_run,
         head.value(names.RESPONSE_SEAL) is not None,
         head.value(b"content-encoding") not in (None, b"identity"),
-        _parse_number(head, names.RATE_LIMIT),
+        head.number(names.RATE_LIMIT),
+        not is_misdirected and set(head.values(names.LEAVING)) == {b"1"},
+        head.retry_after() if is_turned_away else None,
     )
 
 
--- a/celeryrun/scheduling/__init__.py
+++ b/celeryrun/scheduling/__init__.py
@@ -6,6 +6,7 @@
     CrashAssessment,
     CrashHistory,
 )
+from celeryrun.scheduling._leaving import LeavingTargets
 from celeryrun.scheduling._limits import FleetLimits
 from celeryrun.scheduling._load import ActiveGrant, TargetLoad
 from celeryrun.scheduling._messages import (
@@ -26,6 +27,7 @@
     SlotRequest,
 )
 from celeryrun.scheduling._part_history import PartAssessment, PartCrashHistory
+from celeryrun.scheduling._pauses import TargetPause, TargetPauses
 from celeryrun.scheduling._quota import RetryBudget, SlidingSum, TokenBucket
 from celeryrun.scheduling._rate_limits import NamedLimit, TargetRateLimits
 from celeryrun.scheduling._scheduler import Scheduler
@@ -49,6 +51,7 @@
     "FleetLimits",
     "Grant",
     "HeldSlot",
+    "LeavingTargets",
     "NamedLimit",
     "Outcome",
     "PartAssessment",
@@ -59,6 +62,8 @@
     "SlotReleased",
     "SlotRequest",
     "TargetLoad",
+    "TargetPause",
+    "TargetPauses",
     "TargetRateLimits",
     "TokenBucket",
 ]
