--- a/standins/runner.py
+++ b/standins/runner.py
@@ -160,6 +160,13 @@
         for connection in list(self.connections):
             connection.abort()
 
+    async def restart(self, version: str) -> None:
+        """Crash and start again at once, under the same id and address, at a version."""
+        self.crash()
+        self.version = version
+        self._born += 1
+        await self.start()
+
     def fall_silent(self, seconds: float) -> None:
         """Send nothing for some seconds and then go on, also with responses in progress."""
         self._silent_until = max(self._silent_until, now() + seconds)
--- a/standins/site.py
+++ b/standins/site.py
@@ -24,7 +24,7 @@
 [node]
 name = {name}
 zone = zone-a
-first_start = yes
+first_start = {first_start}
 caller_address = {host}:{caller}
 readiness_address = {host}:{ready}
 peer_address = {host}:{peer}
@@ -39,7 +39,9 @@
 """
 
 
-def format_settings(name="node-0", ports=(1, 2, 3, 4), store=5, bounds="", node=""):
+def format_settings(
+    name="node-0", ports=(1, 2, 3, 4), store=5, bounds="", node="", first_start="yes"
+):
     """Return the text of a gateway's settings.
 
     Parameters
@@ -50,6 +52,8 @@
         Port of the store.
     bounds, node : str
         Additional lines of these sections.
+    first_start : str
+        Whether the whole system starts for the first time, ``yes`` or ``no``.
     """
     caller, ready, peer, metrics = ports
     return SETTINGS.format(
@@ -62,6 +66,7 @@
         store=store,
         bounds=bounds,
         node=node,
+        first_start=first_start,
     )
 
 
@@ -210,10 +215,10 @@
         self.store.stop()
         self.log_file.close()
 
-    async def add_gateway(self, name):
+    async def add_gateway(self, name, first_start="yes"):
         """Start and return another gateway."""
         ports = lease_ports(4)
-        text = format_settings(name, ports, self.store.port, self.bounds, self.node)
+        text = format_settings(name, ports, self.store.port, self.bounds, self.node, first_start)
         settings = parse_gateway_settings(text)
         events = EventLog(name, os.dup(self.log_file.fileno()))
         gateway = Gateway.from_config(settings, f"{name}.ini", events)
