--- a/celeryrun/catalog/_model.py
+++ b/celeryrun/catalog/_model.py
@@ -213,6 +213,8 @@
         Start time in Unix milliseconds, 0 if unknown; distinguishes two runs with the same id.
     ready : bool
         Whether the target accepts new requests.
+    version : str
+        Version of its software; a stream goes on only at targets of the one that began it.
     sequence : float
         Number of heartbeats that this run had written before the entry; orders its entries.
     """
@@ -225,4 +227,5 @@
     slots: int
     ready: bool
     born: int = 0
+    version: str = ""
     sequence: float = field(default=0.0, compare=False)
--- a/celeryrun/continuity/_versions.py
+++ b/celeryrun/continuity/_versions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 __all__ = ["VersionHistory"]
 
@@ -69,10 +69,3 @@
         for version, age in ages.items():
             last_listed = self._last_listed_by_version.get(version, float("-inf"))
             self._last_listed_by_version[version] = max(last_listed, now - age)
-
-    def replace(self, versions: Iterable[str], now: float) -> None:
-        """Go on with another list, after a time in which the history is not known."""
-        for version in list(self._targets_by_version):
-            self._last_listed_by_version[version] = now
-        self._targets_by_version = Counter(versions)
-        self.observed_since = now
--- a/celeryrun/continuity/tests/test_continuity.py
+++ b/celeryrun/continuity/tests/test_continuity.py
@@ -99,6 +99,7 @@
 
     history: VersionHistory
     scheduler: int
+    listed: list
     table: OriginTable = field(default_factory=OriginTable)
     reads_store: bool = True
 
@@ -125,7 +126,7 @@
         history = VersionHistory(observed_since)
         for version in self.versions:
             history.add(version)
-        return Node(history, number)
+        return Node(history, number, list(self.versions))
 
     @initialize()
     def use_one_scheduler(self):
@@ -189,7 +190,15 @@
         node = self.nodes[number]
         if not node.reads_store:
             node.reads_store = True
-            node.history.replace(self.versions, self.now)
+            node.history.observed_since = self.now
+            self.read_list(node)
+
+    def read_list(self, node):
+        for index, version in enumerate(self.versions):
+            if node.listed[index] != version:
+                node.history.remove(node.listed[index], self.now)
+                node.history.add(version)
+                node.listed[index] = version
 
     @rule(number=NODE)
     def restart(self, number):
@@ -210,8 +219,7 @@
             self.removed_at = self.now
         for node in self.nodes:
             if node.reads_store:
-                node.history.remove(former, self.now)
-                node.history.add(version)
+                self.read_list(node)
 
     @rule(version=VERSIONS)
     def release(self, version):
--- a/celeryrun/gateway/_attempt.py
+++ b/celeryrun/gateway/_attempt.py
@@ -6,6 +6,7 @@
 
 from celeryrun.catalog import Target
 from celeryrun.gateway._client import SchedulerClient
+from celeryrun.gateway._stream_origins import RecordedOrigin
 from celeryrun.kernel import now
 from celeryrun.scheduling import CANCELLED, UNUSED, Grant, Outcome
 from celeryrun.transport import Exchange
@@ -62,11 +63,19 @@
         self.was_sent = False
         self.is_open = True
 
-    def report_first_byte(self) -> None:
-        """Report the first byte of the response to the scheduler, once."""
+    def report_first_byte(self, origin: RecordedOrigin | None = None) -> None:
+        """Report the first byte of the response to the scheduler, once.
+
+        Parameters
+        ----------
+        origin : RecordedOrigin, optional
+            Origin of the stream, as its first event is about to be passed on.
+        """
         if not self._has_first_byte:
             self._has_first_byte = True
-            self._scheduler_client.report_first_byte(self.grant, now() - self.began)
+            self._scheduler_client.report_first_byte(self.grant, now() - self.began, origin)
+        elif origin is not None:
+            self._scheduler_client.report_origin(origin)
 
     def close(self, outcome: Outcome | None = None, events: int = 0) -> None:
         """Abort the connection and release the slot, unless that was done.
--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -19,11 +19,14 @@
     Link,
     Message,
     NewerConfiguration,
+    OriginReport,
     TargetLimit,
     TraitsCompleted,
+    VersionReport,
 )
-from celeryrun.gateway._members import Members
+from celeryrun.gateway._members import SCHEDULER_KEY, Members
 from celeryrun.gateway._server import Reply, SchedulerServer
+from celeryrun.gateway._stream_origins import RecordedOrigin, StreamOrigins
 from celeryrun.history import Position
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import Store
@@ -41,7 +44,6 @@
 
 __all__ = ["SchedulerClient"]
 
-SCHEDULER_KEY = "scheduler"  # rendezvous hashing key that ranks the candidates
 HEARTBEATS_KEPT = 16  # latest heartbeats whose replies are accepted, a few seconds
 DIAL_INTERVAL = 1.0  # s between attempts to connect to a node
 MAX_DIALS = 2  # concurrent attempts, so that starting nodes do not all dial each other
@@ -87,6 +89,7 @@
         "_heartbeat_number",
         "_pending_by_request_id",
         "_members",
+        "_origins",
         "_sent_at_by_number",
         "_startup_done",
         "_store",
@@ -102,6 +105,8 @@
         self._store: Store = kernel.find("store")
         self._discovery: Discovery = kernel.find("discovery")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
+        self._origins: StreamOrigins = kernel.find("stream-origins")
+        self._origins.forward = self._send_origins
         self._crash_tracker.forward = self._forward
         self._crash_tracker.is_scheduler = self._is_scheduler
         self._name = settings.node.name
@@ -169,11 +174,27 @@
         finally:
             del self._pending_by_request_id[slot_request.id]
 
-    def report_first_byte(self, grant: Grant, seconds: float) -> None:
-        """Report the first byte of a response to the scheduler."""
+    def report_first_byte(
+        self, grant: Grant, seconds: float, origin: RecordedOrigin | None = None
+    ) -> None:
+        """Report the first byte of a response to the scheduler, and the origin of a stream."""
         active_grant = self._active_grants_by_id.get(grant.grant_id)
-        if active_grant is not None:
-            self._send(active_grant.scheduler, FirstByte(grant.grant_id, seconds))
+        scheduler = active_grant.scheduler if active_grant is not None else None
+        if scheduler is not None:
+            message = FirstByte(grant.grant_id, seconds)
+            if origin is not None:
+                message.stream, message.version = origin.stream, origin.version
+                message.lifetime = origin.lifetime
+            self._send(scheduler, message)
+        if origin is not None and scheduler != self._current_scheduler:
+            self.report_origin(origin)
+
+    def report_origin(self, origin: RecordedOrigin) -> None:
+        """Report the origin of a stream to the scheduler."""
+        self._send_origins(OriginReport(origin.version, (origin.stream,), (int(origin.lifetime),)))
+
+    def _send_origins(self, report: OriginReport) -> None:
+        self._send(self._current_scheduler, report)
 
     def report_limit(self, target: str, rate: float | None, sent_at: float) -> None:
         """Report what a response says of its target's limit to all nodes, if it is news."""
@@ -298,6 +319,12 @@
             self._local_server.add_held_slots(self._name, self._build_held_slots())
             for follower in self._local_server.followers:
                 follower.resume_reading()
+        else:
+            # What this node knows must precede the slot requests of callers that come back.
+            for report in self._origins.reports():
+                self._send(scheduler, report)
+            if (versions := self._origins.version_report()) is not None:
+                self._send(scheduler, versions)
 
     def _resend_orphaned(self) -> None:
         """Resend slot requests to the current scheduler if theirs is gone or leaving."""
@@ -396,6 +423,10 @@
             case TargetLimit():
                 if self._local_server.apply_limit(message):
                     self._local_server.send_to_nodes(message)
+            case OriginReport():
+                self._origins.merge(message)
+            case VersionReport():
+                self._origins.merge_versions(message)
             case Leaving():
                 self._leaving.add(link.node)
                 self._update_scheduler()
--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 
 from celeryrun.catalog import (
     Catalog,
@@ -51,6 +52,10 @@
         Newest configuration seen; its version never decreases.
     targets_by_id : dict
         Listed targets, including draining ones.
+    on_snapshot : callable
+        Called before a whole list is applied, as changes before it may have been missed.
+    on_target_change : callable
+        Called with the former and the new entry of a target that is listed, changed or removed.
     """
 
     __slots__ = (
@@ -66,6 +71,8 @@
         "_ready_targets_by_pool",
         "catalog",
         "configuration",
+        "on_snapshot",
+        "on_target_change",
         "targets",
         "targets_by_id",
     )
@@ -93,6 +100,10 @@
         self._ready_targets_by_pool: dict[str, list[Target]] = {}
         self.catalog: Catalog | None = None
         self.targets_by_id: dict[str, Target] = {}
+        self.on_snapshot: Callable[[], None] = lambda: None
+        self.on_target_change: Callable[[Target | None, Target | None], None] = (
+            lambda former, current: None
+        )
         self.configuration = TopicFollower(
             store,
             events,
@@ -197,6 +208,8 @@
     def _apply_targets(self, page: KeyedPage) -> None:
         if page.restored:
             self._restored_at = now()
+        if page.is_snapshot:
+            self.on_snapshot()
         for record in page.records:
             self._apply_target(record)
         if page.is_snapshot:
@@ -243,6 +256,7 @@
         known = self.targets_by_id.get(id)
         self.targets_by_id[id] = target
         if known is None or known != target:
+            self.on_target_change(known, target)
             self._ready_targets_by_pool.clear()
             if known is None or known.ready != target.ready or known.born != target.born:
                 self._events.emit(
@@ -250,6 +264,7 @@
                     target=id,
                     pool=target.pool,
                     ready=target.ready,
+                    version=target.version,
                     address=f"{target.host}:{target.port}",
                 )
 
@@ -267,6 +282,7 @@
         self._ready_targets_by_pool.clear()
         target = self.targets_by_id.pop(id, None)
         if target is not None:
+            self.on_target_change(target, None)
             self._removed_targets_by_id[id] = target
             self._removed_targets_by_id.move_to_end(id)
             if len(self._removed_targets_by_id) > MAX_REMOVED_TARGETS:
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -33,11 +33,13 @@
     "Link",
     "Message",
     "NewerConfiguration",
+    "OriginReport",
     "TargetLimit",
     "TraitsCompleted",
+    "VersionReport",
 ]
 
-PROTOCOL = 3  # incremented when a message changes meaning; nodes with another value are rejected
+PROTOCOL = 4  # incremented when a message changes meaning; nodes with another value are rejected
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME = 1024 * 1024  # bytes; the largest message lists all slots that a node holds
 MAX_DECOMPRESSED = 4 * 1024 * 1024  # bytes of records in one message, several reads of the store
@@ -214,6 +216,37 @@
     age: float
 
 
+class OriginReport(msgspec.Struct, array_like=True, tag="Origins"):
+    """Notice of the version that began streams.
+
+    Parameters
+    ----------
+    version : str
+        Version, empty if contradictory ones were reported.
+    streams, lifetimes : tuple of int
+        Keys of the streams, and the whole seconds for which their callers may resume them.
+    """
+
+    version: str
+    streams: tuple[int, ...]
+    lifetimes: tuple[int, ...]
+
+
+class VersionReport(msgspec.Struct, array_like=True, tag="Versions"):
+    """Notice of the versions that a node has observed in the list of targets.
+
+    Parameters
+    ----------
+    seconds : float
+        Time for which it has observed them without a gap.
+    ages_by_pool : dict
+        For each pool, the seconds since each version was last listed.
+    """
+
+    seconds: float
+    ages_by_pool: dict[str, dict[str, float]]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -229,6 +262,8 @@
     | CrashReport
     | TargetLimit
     | TraitsCompleted
+    | OriginReport
+    | VersionReport
 )
 
 
--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -13,11 +13,12 @@
 from celeryrun.platform import NODES_TOPIC, KeyedPage, KeyedRecord, Store, StoreUnavailableError
 from celeryrun.settings import Address, GatewaySettings
 
-__all__ = ["Members"]
+__all__ = ["SCHEDULER_KEY", "Members"]
 
 MAX_READ_WAIT = 10.0  # s that the store may hold a read; nodes rarely join or leave
 READ_DELAY = 0.3  # s between reads; nodes that start together are read together
 REGISTER_RETRY_DELAY = 0.5  # s between attempts
+SCHEDULER_KEY = "scheduler"  # rendezvous hashing key that ranks the candidates
 KEY_PREFIX = "node."
 
 
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -4,16 +4,19 @@
 
 from collections.abc import Iterable
 from functools import partial
+from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
 from celeryrun.gateway._admission import Admission
-from celeryrun.gateway._response_relay import ResponseRelay
 from celeryrun.gateway._topic_follower import TopicFollower
 from celeryrun.kernel import now
 from celeryrun.observe import WorkspaceLabels, seconds_histogram
 from celeryrun.platform import Store
 
+if TYPE_CHECKING:
+    from celeryrun.gateway._response_relay import ResponseRelay
+
 __all__ = ["GatewayMetrics"]
 
 
@@ -34,6 +37,7 @@
         "answers",
         "first_byte",
         "refusals",
+        "resumed_streams",
         "target_crashes",
         "whole_answer",
     )
@@ -71,6 +75,13 @@
             registry=self._registry,
         )
 
+        self.resumed_streams = Counter(
+            "celeryrun_resumed_streams",
+            "Streams that callers took up again, by how their version was found",
+            ("origin",),
+            registry=self._registry,
+        )
+
         self._store_era = Gauge(
             "celeryrun_store_era",
             "Latest era of the store that this node knows; it rises when a copy is restored",
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -37,13 +37,14 @@
     UNREACHABLE_TARGETS,
     RequestState,
     build_slot_request,
-    fingerprint,
     refusal_for_denial,
     silence_timeout,
 )
+from celeryrun.gateway._stream_origins import RecordedOrigin, StreamOrigins
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import CallerRequest, format_request, read_request
 from celeryrun.scheduling import (
+    BROKEN,
     COMPLETE,
     CRASHED,
     FAILED,
@@ -70,8 +71,8 @@
 MAX_FRESHNESS_WAIT = 0.3  # s that a request waits for a newer configuration before it is refused
 MAX_OVERLAP = 0.3  # s for which a silent target stays in reserve after its successor was sent to
 SEARCH_PAUSE = 0.2  # s after the first denial of a slot for a successor; doubles with each one
+CONTRADICTION_RETRY_AFTER = 1.0  # s before a stream of uncertain version may be resumed
 MAX_FAILED_CONNECTS = 4  # unreachable targets after which a request is given up
-RESPONSE_MARGIN = 0.004  # s before a request's deadline at which it is answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +95,7 @@
         "_crash_tracker",
         "_discovery",
         "_metrics",
+        "_origins",
         "_request_log",
         "_scheduler_client",
         "_settings",
@@ -103,6 +105,7 @@
         self._discovery: Discovery = kernel.find("discovery")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._scheduler_client: SchedulerClient = kernel.find("scheduler-client")
+        self._origins: StreamOrigins = kernel.find("stream-origins")
         self._request_log: RequestLog = kernel.find("request-log")
         self._metrics: GatewayMetrics = kernel.find("metrics")
         self._settings = settings
@@ -131,15 +134,7 @@
             connection.refuse(admission)
             return
         pool = self._discovery.find_pool(choose_pool(admission.route))
-        route = admission.route
-        state = RequestState(
-            request,
-            admission,
-            pool,
-            received.arrived_at,
-            received.arrived_at + min(request.deadline, route.timeout) - RESPONSE_MARGIN,
-            fingerprint(request, admission),
-        )
+        state = RequestState.from_admission(request, admission, pool, received.arrived_at)
         await self._serve_with_timeout(connection, state)
 
     async def _serve_with_timeout(self, connection: CallerConnection, state: RequestState) -> None:
@@ -191,6 +186,9 @@
                             return
                         continue
                     attempt = attempts.current = opened
+                if not self._may_continue(state, attempt.target):
+                    attempt.close(UNUSED)
+                    continue
                 result = await self._run_attempt(state, response_relay, attempts, attempt)
                 if isinstance(result, Silent):
                     self._leave_silent_target(state, response_relay, attempts, attempt)
@@ -275,11 +273,16 @@
         assessment = self._crash_tracker.assess(state.request.shared_prompt_parts)
         if assessment.refused:
             return Denial(0, "suspect", 0.0)
+        if state.version and self._origins.is_contradictory(state.stream):
+            return Denial(0, "stream-version", CONTRADICTION_RETRY_AFTER)
         reply = await self._scheduler_client.acquire(
             build_slot_request(state, now(), assessment.on_probation)
         )
         if isinstance(reply, Grant):
             state.charged = True
+            if state.is_resumed and not state.version:
+                state.version = reply.version
+                self._log_resumption(state, reply)
             self._request_log.emit(
                 state,
                 "placed",
@@ -294,6 +297,16 @@
             )
         return reply
 
+    def _log_resumption(self, state: RequestState, grant: Grant) -> None:
+        self._request_log.emit(
+            state,
+            "stream-resumed",
+            resumed=state.request.resumed_id.decode("latin-1"),
+            stream=f"{state.stream:016x}",
+            version=grant.version,
+            target=grant.target,
+        )
+
     def _recheck(self, state: RequestState) -> Refusal | None:
         """Check a request again that has waited; return None if it may still be sent."""
         if self._crash_tracker.assess(state.request.shared_prompt_parts).refused:
@@ -309,8 +322,13 @@
             listed is not None
             and listed.ready
             and (listed.host, listed.port, listed.born) == (target.host, target.port, target.born)
+            and listed.version == target.version
         )
 
+    def _may_continue(self, state: RequestState, target: Target) -> bool:
+        """Return whether a target is of the version to which a stream is bound, if it is."""
+        return not state.version or target.version == state.version
+
     async def _open_attempt(self, state: RequestState) -> Attempt | NotOpened:
         """Acquire a slot for a request and connect to its target."""
         reply = await self._acquire_slot(state)
@@ -321,7 +339,12 @@
         attempt: Attempt | None = None
         try:
             refusal = self._recheck(state)
-            if refusal is not None or target is None or not target.ready:
+            if (
+                refusal is not None
+                or target is None
+                or not target.ready
+                or not self._may_continue(state, target)
+            ):
                 return self._withdraw(state, reply.target, refusal)
             began = now()
             try:
@@ -335,7 +358,11 @@
             state.failed_connects = 0
             # The process may have been suspended since the checks before the connection.
             refusal = self._recheck(state)
-            if refusal is not None or not self._is_ready(target):
+            if (
+                refusal is not None
+                or not self._is_ready(target)
+                or not self._may_continue(state, target)
+            ):
                 exchange.close()
                 return self._withdraw(state, target.id, refusal)
             attempt = Attempt(self._scheduler_client, reply, target, exchange, began)
@@ -386,12 +413,21 @@
             attempt,
             silence,
             on_accepted=attempts.drop_reserve,
+            on_event=lambda: self._bind_stream(state, attempt.target),
             has_survived=lambda: self._has_survived(attempt.target),
             on_rate_limit=lambda rate: self._scheduler_client.report_limit(
                 attempt.target.id, rate, attempt.began
             ),
         )
 
+    def _bind_stream(self, state: RequestState, target: Target) -> RecordedOrigin | None:
+        """Bind a stream to the version of its first event; return the origin if it is news."""
+        if not state.stream or state.is_bound:
+            return None
+        state.is_bound = True
+        state.version = target.version
+        return self._origins.record_own(state.stream, target, state.request.deadline)
+
     async def _classify_result(
         self,
         state: RequestState,
@@ -418,6 +454,8 @@
                 )
                 self._metrics.target_crashes.inc()
                 return CRASHED
+            case Broken(kind="reset" | "closed" | "cut"):
+                return BROKEN
         return FAILED
 
     async def _has_survived(self, target: Target) -> bool:
@@ -490,12 +528,25 @@
             seconds=now() - state.arrived_at,
         )
         if may_repeat and route.kind.repeatable and response_relay.can_continue():
+            self._readmit_targets(state)
             if response_relay.events:
                 state.last_event = response_relay.last_id
             return False
         self._fail(connection, state, response_relay)
         return True
 
+    def _readmit_targets(self, state: RequestState) -> None:
+        """Let a bound stream return to targets that broke it off, if no other can continue it."""
+        if not state.version:
+            return
+        able = [
+            target.id
+            for target in self._discovery.ready_targets(state.pool.name)
+            if target.version == state.version
+        ]
+        if all(id in state.excluded_targets for id in able):
+            state.excluded_targets.clear()
+
     def _fail(
         self, connection: CallerConnection, state: RequestState, response_relay: ResponseRelay
     ) -> None:
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -9,6 +9,7 @@
 from celeryrun.gateway._attempt import Attempt
 from celeryrun.gateway._silence import SilenceWatch, SuccessorFoundError
 from celeryrun.gateway._stream import EventSplitter, EventTooLargeError
+from celeryrun.gateway._stream_origins import RecordedOrigin
 from celeryrun.kernel import now
 from celeryrun.platform import CallerRequest, TargetResponse, read_response, response_headers
 from celeryrun.transport import (
@@ -144,6 +145,7 @@
         attempt: Attempt,
         silence: SilenceWatch,
         on_accepted: Callable[[], None],
+        on_event: Callable[[], RecordedOrigin | None],
         has_survived: Callable[[], Awaitable[bool]],
         on_rate_limit: Callable[[float | None], None],
     ) -> Result | Silent:
@@ -155,6 +157,8 @@
             Waits for the target. Bytes that complete no event do not end the silence of a stream.
         on_accepted : callable
             Called when the target has begun a response to the request.
+        on_event : callable
+            Called before each event of a stream is passed on; returns the origin to report.
         has_survived : callable
             Returns whether the target is still up. A response that only the end of its connection
             delimits may have been cut by a crash.
@@ -175,7 +179,7 @@
             if head.status < MIN_FAILURE_STATUS and not response.sealed:
                 return Broken("unsealed")
             if self._route.kind.stream and head.status == 200:
-                body = self._relay_stream(attempt, head, silence, on_accepted)
+                body = self._relay_stream(attempt, head, silence, on_accepted, on_event)
             elif self._connection.response_started:
                 # Only further events can follow those that the caller has.
                 return Broken("malformed")
@@ -245,6 +249,7 @@
         head: ResponseHead,
         silence: SilenceWatch,
         on_accepted: Callable[[], None],
+        on_event: Callable[[], RecordedOrigin | None],
     ) -> Finished | Broken:
         self._splitter.restore_partial(attempt.received)
         line_count = self._splitter.line_count
@@ -257,7 +262,8 @@
             if not whole_events:
                 continue
             on_accepted()
-            attempt.report_first_byte()
+            # Comments bring nothing that another version must not continue.
+            attempt.report_first_byte(on_event() if self._splitter.line_count else None)
             self._record_first_byte()
             if not self._connection.response_started:
                 self._start_chunked_response(head)
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
+from itertools import islice
 
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._discovery import Discovery
@@ -22,11 +23,14 @@
     Link,
     Message,
     NewerConfiguration,
+    OriginReport,
     TargetLimit,
     TraitsCompleted,
+    VersionReport,
 )
 from celeryrun.gateway._listen import listen
-from celeryrun.gateway._members import Members
+from celeryrun.gateway._members import SCHEDULER_KEY, Members
+from celeryrun.gateway._stream_origins import StreamOrigins, merge_reports
 from celeryrun.gateway._topic_follower import TopicFollower
 from celeryrun.history import Position
 from celeryrun.kernel import Kernel, now
@@ -49,6 +53,9 @@
 PLANNING_INTERVAL = 0.05  # s between planning rounds over whole queues
 PLANNING_REST_FACTOR = 2.0  # pause in durations of a round; planning takes a third of the time
 MAX_FEED_BYTES = 2 * 1024 * 1024  # bytes of records in one page that is forwarded to nodes
+REPLICATION_INTERVAL = 0.1  # s between reports of new origins to the replicas
+REPLICAS = 3  # nodes ranked next that know the origins of all streams
+MAJORITY_SHARE = 0.5  # fleet share above which most nodes have told what they know
 SWEEP_INTERVAL = 1.0  # s between sweeps for grants that were not released
 EXTRA_HEARTBEATS = 1.0  # heartbeats; a scheduler waits this much longer for a node than vice versa
 SILENT_SHARE_TIMEOUT = 30.0  # s after which a silent node's fleet share is redistributed
@@ -96,11 +103,16 @@
         "_crash_tracker",
         "_delayed_pools",
         "_members",
+        "_origins",
+        "_replicas",
+        "_replicas_are_stale",
+        "_replicated_at",
         "_server",
         "_settings",
         "_started_at",
         "_tasks",
         "_unlisted_nodes",
+        "_unreplicated",
         "_work_available",
         "followers",
         "has_local_requests",
@@ -112,6 +124,12 @@
         self._events: EventLog = kernel.find("events")
         self._members: Members = kernel.find("members")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
+        self._origins: StreamOrigins = kernel.find("stream-origins")
+        self._origins.has_majority = self._has_majority
+        self._replicas: list[Link] = []
+        self._replicas_are_stale = False
+        self._replicated_at = 0.0
+        self._unreplicated: list[OriginReport] = []
         self._settings = settings
         self._name = settings.node.name
         self._links_by_node: dict[str, Link] = {}
@@ -138,6 +156,9 @@
             self.fleet_share,
             no_prior_usage=settings.node.first_start == "yes",
             crash_history=self._crash_tracker.requests,
+            resolve_origin=self._origins.resolve,
+            list_confirmed_at=lambda: self._discovery.targets.confirmed_at,
+            confirm_list=self._discovery.targets.hurry,
         )
 
     def start(self) -> None:
@@ -215,11 +236,46 @@
                 self.scheduler.cancel(node, message.slot_request_id)
             case FirstByte():
                 self.scheduler.report_first_byte(message.grant_id, message.seconds, time)
+                if message.stream:
+                    self._apply_origins(
+                        OriginReport(message.version, (message.stream,), (int(message.lifetime),))
+                    )
+            case OriginReport():
+                self._apply_origins(message)
+            case VersionReport():
+                self._origins.merge_versions(message)
             case SlotReleased():
                 pool = self.scheduler.release(message, time)
                 if pool is not None:
                     self._schedule_plan(pool)
 
+    def _has_majority(self) -> bool:
+        return self.fleet_share() > MAJORITY_SHARE
+
+    def _apply_origins(self, report: OriginReport) -> None:
+        """Record origins and note them for the replicas."""
+        self._origins.merge(report)
+        if self._links_by_node:
+            self._unreplicated.append(report)
+
+    def _replicate_origins(self) -> None:
+        """Report new origins to the nodes that would schedule next, all of them to new ones."""
+        reports = merge_reports(self._unreplicated)
+        self._unreplicated = []
+        if self._replicas_are_stale:
+            self._replicas_are_stale = False
+            former = self._replicas
+            candidates = self._members.scheduler_candidates(SCHEDULER_KEY, self._name)
+            linked = (node for node in candidates if node in self._links_by_node)
+            self._replicas = [self._links_by_node[node] for node in islice(linked, REPLICAS)]
+            for link in self._replicas:
+                if link not in former:
+                    for report in self._origins.reports():
+                        link.send(report)
+        for link in self._replicas:
+            for report in reports:
+                link.send(report)
+
     def send_to_nodes(self, message: Message, sender: Link | None = None) -> None:
         """Send a message to all connected nodes but its sender."""
         for link in list(self._links_by_node.values()):
@@ -335,6 +391,9 @@
                     self._events.emit("node-silent", peer=node, silent=time - link.last_received_at)
                     link.close()
             self._process_unlisted_nodes(time)
+            if time - self._replicated_at >= REPLICATION_INTERVAL:
+                self._replicated_at = time
+                self._replicate_origins()
             if time - swept_at > SWEEP_INTERVAL:
                 swept_at = time
                 self.scheduler.expire(time)
@@ -385,6 +444,7 @@
             self._mark_usage_unknown_if_late()
         previous = self._links_by_node.get(hello.node)
         self._links_by_node[hello.node] = link
+        self._replicas_are_stale = True
         self._work_available.set()
         if previous is not None and previous is not link:
             previous.close()
@@ -395,6 +455,8 @@
             link.send(report)
         for notice in self.limit_notices():
             link.send(notice)
+        if (versions := self._origins.version_report()) is not None:
+            link.send(versions)
         if self._leaving:
             link.send(Leaving())
 
@@ -439,6 +501,7 @@
         if not link.node or self._links_by_node.get(link.node) is not link:
             return
         del self._links_by_node[link.node]
+        self._replicas_are_stale = True
         pools = self.scheduler.drop_node(link.node, now())
         self._events.emit("node-left", peer=link.node)
         for pool in pools:
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from celeryrun.catalog import Pool
+from celeryrun.continuity import hash_attempt
 from celeryrun.exception import Refusal
 from celeryrun.gateway._admission import Admission
 from celeryrun.platform import CallerRequest
@@ -32,9 +33,11 @@
     "suspect": "do not send it again; it took its targets down",
     "no-target": "send it again later; the pool has no target",
     "retry-budget": "send it again later; its target rejected it",
+    "stream-version": "send it again later; it is not known which version began the stream",
 }
 
 
+RESPONSE_MARGIN = 0.004  # s before a request's deadline at which it is answered
 MIN_SILENCE_TIMEOUT = 0.25  # s before a repeatable request is sent to another target
 SILENCE_TIMEOUT_FACTOR = 5.0  # multiple of the predicted time to the first byte
 MIN_STREAM_SILENCE_TIMEOUT = 1.2  # s without an event before a resumable stream changes target
@@ -70,6 +73,12 @@
         Ids of targets that must not be granted again.
     last_event : bytes or None
         Id of the last event sent to the caller, from which another target continues the stream.
+    stream : int
+        Key of the stream, 0 if it can't be resumed or its first attempt is not known.
+    version : str
+        Version to which the stream is bound, empty while it is not, or not known.
+    is_bound : bool
+        Whether the response has brought an event, so that its version is certain.
     """
 
     request: CallerRequest
@@ -83,6 +92,34 @@
     charged: bool = False
     excluded_targets: list[str] = field(default_factory=list)
     last_event: bytes | None = None
+    stream: int = 0
+    version: str = ""
+    is_bound: bool = False
+
+    @classmethod
+    def from_admission(
+        cls, request: CallerRequest, admission: Admission, pool: Pool, arrived_at: float
+    ) -> RequestState:
+        """Return the state of a request that was admitted just now."""
+        route = admission.route
+        stream = 0
+        if route.kind.resumable and (request.resumed_id or not request.last_event_id):
+            stream = hash_attempt(request.resumed_id or request.id)
+        return cls(
+            request,
+            admission,
+            pool,
+            arrived_at,
+            arrived_at + min(request.deadline, route.timeout) - RESPONSE_MARGIN,
+            fingerprint(request, admission),
+            stream=stream,
+        )
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller takes up a stream of which it has events."""
+        has_events = self.request.last_event_id or self.request.resumed_id
+        return self.admission.route.kind.resumable and bool(has_events)
 
     @property
     def logged_parts(self) -> list[str] | None:
@@ -151,6 +188,9 @@
         retry=state.attempts > 0,
         excluded_targets=tuple(state.excluded_targets),
         probed_parts=probed_parts,
+        stream=state.stream,
+        resumed=state.is_resumed,
+        version=state.version,
     )
 
 
--- /dev/null
+++ b/celeryrun/gateway/_stream_origins.py
@@ -0,0 +1,304 @@
+"""Versions that began the streams in progress, as the nodes tell each other."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+from celeryrun.catalog import Catalog, Target
+from celeryrun.continuity import (
+    CONTRADICTORY,
+    Bound,
+    OriginTable,
+    Resolution,
+    StreamOrigin,
+    Unknown,
+    VersionHistory,
+    resolve,
+)
+from celeryrun.gateway._discovery import Discovery
+from celeryrun.gateway._events import EventLog
+from celeryrun.gateway._links import OriginReport, VersionReport
+from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.kernel import Kernel, now
+from celeryrun.scheduling import SlotRequest
+from celeryrun.settings import GatewaySettings
+
+__all__ = ["RecordedOrigin", "StreamOrigins", "merge_reports"]
+
+CALLER_MARGIN = 5.0  # s beyond its caller's deadline for which an origin is kept
+STREAM_LIFE_FACTOR = 2.0  # longest life of a stream over all tries, in its route's timeouts
+LIST_AGE_FACTOR = 2.0  # age of the newest list of targets, in values of drain_lag
+LIST_LAG = 2.0  # s for which a target may run before its entry is read
+TOLD_EARLY = 2.0  # s before the first list of targets in which another node's history holds
+MAX_OBSERVED = 3600.0  # s; a longer history is told as this
+REPORT_SIZE = 4096  # origins in one message
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedOrigin:
+    """Origin of a stream that this node has recorded, for its scheduler.
+
+    Parameters
+    ----------
+    lifetime : float
+        Seconds for which the stream's caller may still take it up again.
+    """
+
+    stream: int
+    version: str
+    lifetime: float
+
+
+class StreamOrigins:
+    """Service that records which version began a stream, and resolves resumed ones.
+
+    A node records the origins of its own streams and reports them to its scheduler, which
+    replicates all of them to the nodes that would schedule next.
+
+    Attributes
+    ----------
+    forward : callable
+        Sends a report to this node's scheduler.
+    has_majority : callable
+        Returns whether most nodes use this node's scheduler.
+    """
+
+    __slots__ = (
+        "_catalog",
+        "_discovery",
+        "_events",
+        "_histories_by_pool",
+        "_is_first_start",
+        "_life_by_pool",
+        "_max_list_age",
+        "_metrics",
+        "_observed_since",
+        "_own_streams_by_target",
+        "_table",
+        "_told",
+        "forward",
+        "has_majority",
+    )
+
+    def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
+        self._discovery: Discovery = kernel.find("discovery")
+        self._events: EventLog = kernel.find("events")
+        self._metrics: GatewayMetrics = kernel.find("metrics")
+        self._is_first_start = settings.node.first_start == "yes"
+        self._max_list_age = LIST_AGE_FACTOR * settings.bounds.drain_lag
+        self._table = OriginTable()
+        self._histories_by_pool: dict[str, VersionHistory] = {}
+        self._observed_since: float | None = None
+        self._told: list[tuple[float, VersionReport]] = []
+        self._catalog: Catalog | None = None
+        self._life_by_pool: dict[str, float] = {}
+        self._own_streams_by_target: dict[str, deque[tuple[float, int]]] = {}
+        self.forward: Callable[[OriginReport], None] = lambda report: None
+        self.has_majority: Callable[[], bool] = lambda: False
+        self._discovery.on_snapshot = self._on_snapshot
+        self._discovery.on_target_change = self._on_target_change
+
+    def start(self) -> None:
+        """Do nothing; the service has no task."""
+
+    def stop(self) -> None:
+        """Do nothing; the service has nothing to close."""
+
+    def record_own(self, stream: int, target: Target, deadline: float) -> RecordedOrigin:
+        """Record the origin of a stream whose first event this node is about to pass on.
+
+        Parameters
+        ----------
+        deadline : float
+            Seconds that the stream's caller waits for it.
+        """
+        time = now()
+        origin = RecordedOrigin(stream, target.version, deadline + CALLER_MARGIN)
+        self._table.record(stream, origin.version, origin.lifetime, time)
+        own_streams = self._own_streams_by_target.setdefault(target.id, deque())
+        while own_streams and time - own_streams[0][0] > LIST_LAG:
+            own_streams.popleft()
+        own_streams.append((time, stream))
+        return origin
+
+    def is_contradictory(self, stream: int) -> bool:
+        """Return whether two versions were reported for a stream."""
+        origin = self._table.find(stream, now())
+        return origin is not None and origin.version == CONTRADICTORY
+
+    def merge(self, report: OriginReport) -> bool:
+        """Record the origins that another node reports; return whether there is any news."""
+        time = now()
+        news = False
+        for stream, lifetime in zip(report.streams, report.lifetimes, strict=False):
+            news |= self._table.record(stream, report.version, lifetime, time)
+        return news
+
+    def reports(self) -> Iterator[OriginReport]:
+        """Yield reports of all origins in the table."""
+        return build_reports(self._table.origins(now()))
+
+    def resolve(self, slot_request: SlotRequest, time: float, is_last: bool) -> Resolution:
+        """Return the version at which a resumed stream may go on.
+
+        Parameters
+        ----------
+        is_last : bool
+            Whether a stream of unknown origin is refused now.
+        """
+        resolution = self._resolve(slot_request.stream, slot_request.pool, time)
+        stream = f"{slot_request.stream:016x}"
+        match resolution:
+            case Bound(version, why, age):
+                self._events.emit(
+                    "stream-bound",
+                    stream=stream,
+                    pool=slot_request.pool,
+                    version=version,
+                    why=why,
+                    age=round(age, 3),
+                )
+                self._metrics.resumed_streams.labels(why).inc()
+            case Unknown(why) if is_last:
+                self._events.emit("stream-unknown", stream=stream, pool=slot_request.pool, why=why)
+                self._metrics.resumed_streams.labels("unknown").inc()
+        return resolution
+
+    def _resolve(self, stream: int, pool: str, time: float) -> Resolution:
+        life = self._longest_life(pool)
+        if life is None or self._observed_since is None:
+            return Unknown("the routes or targets are not known")
+        return resolve(
+            self._table.find(stream, time) if stream else None,
+            self._history(pool),
+            life,
+            self._youngest_target(pool) if self.has_majority() else 0.0,
+            time,
+            self._list_is_current(),
+        )
+
+    def _list_is_current(self) -> bool:
+        return self._discovery.targets.age() <= self._max_list_age
+
+    def _longest_life(self, pool: str) -> float | None:
+        """Return the seconds that a stream of a pool may last, by all routes ever in force."""
+        catalog = self._discovery.catalog
+        if catalog is not None and catalog is not self._catalog:
+            self._catalog = catalog
+            for route in catalog.routes:
+                life = STREAM_LIFE_FACTOR * route.timeout
+                for split in route.splits if route.kind.resumable else ():
+                    known = self._life_by_pool.get(split.pool, 0.0)
+                    self._life_by_pool[split.pool] = max(known, life)
+        return self._life_by_pool.get(pool)
+
+    def _youngest_target(self, pool: str) -> float:
+        """Return the seconds since the start of a pool's youngest target, by the time of day."""
+        born = [
+            target.born for target in self._discovery.targets_by_id.values() if target.pool == pool
+        ]
+        return time.time() - max(born) / 1000 if born and min(born) > 0 else 0.0
+
+    def version_report(self) -> VersionReport | None:
+        """Return the versions that this node has observed, None if its list may be old."""
+        if self._observed_since is None or not self._list_is_current():
+            return None
+        time = now()
+        return VersionReport(
+            min(time - self._observed_since, MAX_OBSERVED),
+            {pool: history.ages(time) for pool, history in self._histories_by_pool.items()},
+        )
+
+    def merge_versions(self, report: VersionReport) -> None:
+        """Add the versions that another node has observed."""
+        if self._observed_since is None:
+            self._told.append((now(), report))
+            return
+        self._add_observations(report, now())
+
+    def _add_observations(self, report: VersionReport, told_at: float) -> None:
+        observed_since = told_at - report.seconds
+        for pool, ages in report.ages_by_pool.items():
+            self._history(pool).merge(observed_since, ages, told_at)
+        self._observe_since(min(observed_since, self._observed_since or observed_since))
+
+    def _observe_since(self, time: float) -> None:
+        self._observed_since = time
+        for history in self._histories_by_pool.values():
+            history.observed_since = time
+
+    def _history(self, pool: str) -> VersionHistory:
+        history = self._histories_by_pool.get(pool)
+        if history is None:
+            observed_since = now() if self._observed_since is None else self._observed_since
+            history = self._histories_by_pool[pool] = VersionHistory(observed_since)
+        return history
+
+    def _on_snapshot(self) -> None:
+        """Observe anew, since other versions may have been listed since the last list."""
+        is_first = self._observed_since is None
+        time = now()
+        self._observe_since(float("-inf") if is_first and self._is_first_start else time)
+        told, self._told = self._told, []
+        for told_at, report in told:
+            if time - told_at < TOLD_EARLY:
+                self._add_observations(report, told_at)
+
+    def _on_target_change(self, former: Target | None, current: Target | None) -> None:
+        if former is not None and current is not None:
+            if (former.pool, former.version) == (current.pool, current.version):
+                return
+            if former.version != current.version:
+                self._contradict_recent_streams(current.id)
+        if former is not None:
+            self._history(former.pool).remove(former.version, now())
+        if current is not None:
+            self._history(current.pool).add(current.version)
+
+    def _contradict_recent_streams(self, target: str) -> None:
+        """Give up the origins that a target may have made after it started at another version."""
+        time = now()
+        origins = []
+        for recorded_at, stream in self._own_streams_by_target.pop(target, ()):
+            origin = self._table.find(stream, time)
+            if origin is not None and time - recorded_at <= LIST_LAG:
+                self._table.record(stream, CONTRADICTORY, origin.expires_at - time, time)
+                origins.append((stream, origin))
+        for report in build_reports(origins):
+            self.forward(report)
+
+
+def build_reports(origins: Iterable[tuple[int, StreamOrigin]]) -> Iterator[OriginReport]:
+    """Yield reports of origins, grouped by their versions."""
+    time = now()
+    entries_by_version: defaultdict[str, list[tuple[int, int]]] = defaultdict(list)
+    for stream, origin in origins:
+        # Rounded down, so that an origin that nodes tell each other does not outlive its stream.
+        entries_by_version[origin.version].append((stream, int(origin.expires_at - time)))
+    return _split_entries(entries_by_version)
+
+
+def merge_reports(reports: Iterable[OriginReport]) -> list[OriginReport]:
+    """Return as few reports as possible with the origins of several.
+
+    Examples
+    --------
+    >>> merge_reports([OriginReport("1.4", (7,), (30,)), OriginReport("1.4", (8,), (20,))])
+    [OriginReport(version='1.4', streams=(7, 8), lifetimes=(30, 20))]
+    """
+    entries_by_version: defaultdict[str, list[tuple[int, int]]] = defaultdict(list)
+    for report in reports:
+        entries_by_version[report.version] += zip(report.streams, report.lifetimes, strict=False)
+    return list(_split_entries(entries_by_version))
+
+
+def _split_entries(
+    entries_by_version: Mapping[str, list[tuple[int, int]]],
+) -> Iterator[OriginReport]:
+    for version, entries in entries_by_version.items():
+        for start in range(0, len(entries), REPORT_SIZE):
+            streams, lifetimes = zip(*entries[start : start + REPORT_SIZE], strict=True)
+            yield OriginReport(version, streams, lifetimes)
--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -19,6 +19,7 @@
 INITIAL_RETRY_DELAY = 0.1  # s after the first failed call
 MAX_MISSED_CONFIRMATIONS = 3.5  # heartbeats without a confirmation before a node reads by itself
 MAX_FEED_DELAY = 0.2  # s for which the snapshot of a new era may come from another node
+HURRY_INTERVAL = 0.2  # s between two reads that are made at once
 CONFIRMATION_MARGIN = 0.15  # s by which another node's confirmation may be late
 
 
@@ -61,6 +62,9 @@
         "_cursor",
         "_long_read",
         "_confirmed",
+        "_hurried_at",
+        "_is_hurried",
+        "_hurry",
         "_initial_delay",
         "_store",
         "_task",
@@ -96,6 +100,9 @@
         self._suspended_until = float("-inf")
         self._confirmed = asyncio.Event()
         self._resumed = asyncio.Event()
+        self._hurry = asyncio.Event()
+        self._hurried_at = float("-inf")
+        self._is_hurried = False
         self._task: asyncio.Task[None] | None = None
         self.confirmed_at = float("-inf")
         self.recovered_at = float("-inf")
@@ -163,6 +170,17 @@
             due, now() + max(MAX_MISSED_CONFIRMATIONS * heartbeat_interval, self._max_wait)
         )
 
+    def hurry(self) -> None:
+        """Read the topic at once and without a wait, for a decision that needs the newest data."""
+        if self._store_lost or now() - self._hurried_at < HURRY_INTERVAL:
+            return
+        self._hurried_at = now()
+        self._is_hurried = True
+        self._hurry.set()
+        self.resume_reading()
+        if self._long_read is not None:
+            self._long_read.cancel()
+
     def resume_reading(self) -> None:
         """Resume reading the topic, as the other node has lost the store."""
         self._suspended_until = float("-inf")
@@ -206,8 +224,11 @@
                 await asyncio.sleep(max_retry_delay(1))
                 continue
             retry_delay = INITIAL_RETRY_DELAY
-            if self._read_delay:
-                await asyncio.sleep(self._read_delay)
+            if self._read_delay and not self._is_hurried:
+                self._hurry.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(self._read_delay):
+                        await self._hurry.wait()
 
     async def _read_page(self) -> None:
         began = now()
@@ -235,7 +256,9 @@
 
     async def _read_changes(self, start: Position) -> KeyedPage | None:
         """Read the changes from a position on; return None if a snapshot must be read instead."""
-        self._long_read = asyncio.ensure_future(self._store.read(self.topic, start, self._max_wait))
+        wait = 0.0 if self._is_hurried else self._max_wait
+        self._is_hurried = False
+        self._long_read = asyncio.ensure_future(self._store.read(self.topic, start, wait))
         try:
             page = await self._long_read
         except asyncio.CancelledError:
--- a/celeryrun/gateway/tests/callers.py
+++ b/celeryrun/gateway/tests/callers.py
@@ -117,6 +117,20 @@
     return names.index(site.events("scheduler-chosen")[-1]["peer"])
 
 
+async def restart_gateways(site):
+    """End all gateways and start them again under their names."""
+    count = len(site.gateways)
+    for number in range(count):
+        stop_gateway(site, number)
+    site.gateways.clear()
+    for number in range(count):
+        await site.add_gateway(f"node-{number}", first_start="no")
+    await site.wait_until(lambda: all(gateway.is_ready() for gateway in site.gateways))
+    schedulers = [gateway.kernel.find("scheduler") for gateway in site.gateways]
+    await site.wait_until(lambda: any(len(s._links_by_node) == count - 1 for s in schedulers))
+    await asyncio.sleep(0.3)
+
+
 def stop_gateway(site, number):
     """End a gateway as its process would be killed."""
     site.gateways[number].kernel.stop()
--- a/celeryrun/gateway/tests/test_peers.py
+++ b/celeryrun/gateway/tests/test_peers.py
@@ -8,6 +8,7 @@
 from celeryrun.gateway._links import PROTOCOL, Feed, Heartbeat, Hello, Link
 from celeryrun.history import Position
 from celeryrun.platform import KeyedPage, KeyedRecord
+from celeryrun.scheduling import Denial, Grant
 from celeryrun.scheduling.tests.builders import build_slot_request
 from celeryrun.settings import Address
 from standins.site import Site, run
@@ -27,6 +28,10 @@
     return link
 
 
+def is_reply(message):
+    return isinstance(message, Grant | Denial)
+
+
 def test_unregistered_node_is_rejected():
     async def scenario():
         async with Site() as site:
@@ -53,8 +58,9 @@
             await asyncio.sleep(0.1)
             members = site.gateways[0].kernel.find("members")
             members.address_by_node["node-new"] = Address("127.0.0.1", 1)
-            await site.wait_until(lambda: received)
-            assert received[0].slot_request_id == SLOT_REQUEST.id
+            await site.wait_until(lambda: any(is_reply(message) for message in received))
+            (reply,) = filter(is_reply, received)
+            assert reply.slot_request_id == SLOT_REQUEST.id
             link.close()
 
     run(scenario())
--- a/celeryrun/gateway/tests/test_stream_versions.py
+++ b/celeryrun/gateway/tests/test_stream_versions.py
@@ -9,6 +9,7 @@
     begin_streams,
     build_mixed_site,
     join_gateways,
+    restart_gateways,
     resume_streams,
     stop_gateway,
 )
@@ -145,16 +146,13 @@
     run(scenario())
 
 
-def test_streams_go_on_at_a_restarted_gateway_while_one_version_serves():
+def test_streams_go_on_at_restarted_gateways_while_one_version_serves():
     async def scenario():
         async with build_mixed_site(versions=("v1", "v1")) as site:
             await join_gateways(site)
             callers = await begin_streams(site, STREAMS)
-            for number in range(3):
-                stop_gateway(site, number)
-            restarted = await site.add_gateway("node-new", first_start="no")
-            await site.wait_until(restarted.is_ready)
-            await resume_streams(callers, gateway=3)
+            await restart_gateways(site)
+            await resume_streams(callers, gateway=2)
             assert count_whole(callers) == STREAMS
 
     run(scenario())
@@ -188,23 +186,44 @@
     run(scenario())
 
 
+async def return_at_another_version(site, down, streams_meanwhile):
+    """Resume streams after a target returned under its id; return their callers."""
+    callers = await begin_streams(site, STREAMS)
+    restarting = asyncio.create_task(site.models[0].restart("v2", down))
+    new = []
+    for number in range(streams_meanwhile):
+        new.append(asyncio.create_task(StreamCaller(site).take(number % 3)))
+        await asyncio.sleep(down / streams_meanwhile)
+    await restarting
+    await resume_streams(callers, gateway=2)
+    for caller in callers:
+        if not caller.is_whole and caller.statuses[-1] == 503:
+            await caller.take(1)
+    await asyncio.gather(*new)
+    return callers
+
+
 def test_target_that_returns_under_its_id_at_another_version_takes_no_earlier_stream():
     async def scenario():
         async with build_mixed_site(versions=("v1", "v1", "v2")) as site:
             await join_gateways(site)
-            callers = await begin_streams(site, STREAMS)
-            await site.models[0].restart("v2")
-            await resume_streams(callers, gateway=2)
-            assert_one_version(callers)
-            for caller in callers:
-                if not caller.is_whole and caller.statuses[-1] == 503:
-                    await caller.take(1)
+            callers = await return_at_another_version(site, 0.6, streams_meanwhile=12)
             assert_one_version(callers)
             assert count_whole(callers) >= STREAMS // 2
 
     run(scenario())
 
 
+def test_target_that_returns_unnoticed_at_another_version_takes_no_earlier_stream():
+    async def scenario():
+        async with build_mixed_site(versions=("v1", "v1", "v2")) as site:
+            await join_gateways(site)
+            callers = await return_at_another_version(site, 0.0, streams_meanwhile=0)
+            assert_one_version(callers)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("versions", [("v1", "v1", "v2", "v2"), ("v1", "v2")])
 def test_stream_of_a_silent_target_moves_to_no_other_version(versions):
     async def scenario():
--- a/celeryrun/platform/_decode.py
+++ b/celeryrun/platform/_decode.py
@@ -89,6 +89,7 @@
     service: str
     address: str
     zone: str
+    version: str
     state: str
     slots: int = 1
     born: int = 0
@@ -183,8 +184,7 @@
     except msgspec.MsgspecError as error:
         raise UnreadableRecordError(f"entry of target {id!r} is not readable ({error})") from error
     host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or entry.state not in ("ready", "draining"):
-        raise UnreadableRecordError(f"entry of target {id!r} has no usable address or state")
-    ready = entry.state == "ready"
-    run = (entry.born, entry.sequence)
-    return Target(id, entry.service, host, int(port), entry.zone, entry.slots, ready, *run)
+    if not (host and port.isdigit() and entry.version) or entry.state not in ("ready", "draining"):
+        raise UnreadableRecordError(f"entry of {id!r} has no usable address, version or state")
+    run = (entry.state == "ready", entry.born, entry.version, entry.sequence)
+    return Target(id, entry.service, host, int(port), entry.zone, entry.slots, *run)
--- a/celeryrun/platform/_messages.py
+++ b/celeryrun/platform/_messages.py
@@ -40,6 +40,8 @@
         Output tokens that the caller expects, at most ``output_tokens``.
     last_event_id : bytes
         Id of the event after which a stream resumes, empty for its start.
+    resumed_id : bytes
+        Id of the attempt that brought the first event of the stream that resumes, empty without.
     has_token_counts : bool
         Whether the token usage header is present and valid.
     shared_prompt_parts : tuple of bytes
@@ -59,6 +61,7 @@
     body: bytes
     has_token_counts: bool = False
     shared_prompt_parts: tuple[bytes, ...] = ()
+    resumed_id: bytes = b""
 
 
 @dataclass(slots=True)
@@ -101,11 +104,10 @@
     deadline = _parse_number(head, names.DEADLINE_MS)
     prompt_tokens, output_tokens, has_token_counts = _parse_token_counts(head)
     length_hint = _parse_number(head, names.LENGTH_HINT)
-    path = head.request_target.split(b"?", 1)[0]
     return CallerRequest(
         attempt_id,
         host.decode("latin-1").lower().partition(":")[0],
-        path.decode("latin-1"),
+        head.request_target.split(b"?", 1)[0].decode("latin-1"),
         _parse_bearer_token(head),
         deadline / 1000 if deadline is not None else DEFAULT_DEADLINE,
         prompt_tokens,
@@ -116,6 +118,7 @@
         body,
         has_token_counts,
         _parse_shared_prompt_parts(head),
+        b"".join(head.values(b"resumes")),
     )
 
 
@@ -178,8 +181,7 @@
     headers.append((names.EXPECT_TARGET, target_id.encode("latin-1", "replace")))
     if workspace is not None:
         headers.append((names.TENANT, workspace.encode()))
-    has_body = request.body or b"content-length" in {name for name, _ in request.head.headers}
-    if has_body:
+    if request.body or b"content-length" in {name for name, _ in request.head.headers}:
         headers.append((b"Content-Length", b"%d" % len(request.body)))
     start = b"%b %b HTTP/1.1" % (request.head.method, request.head.request_target)
     return format_head(start, headers) + request.body
--- a/celeryrun/platform/tests/test_decode.py
+++ b/celeryrun/platform/tests/test_decode.py
@@ -56,6 +56,9 @@
         {"state": "odd"},
         {"slots": "six"},
         {"born": 1.5},
+        {"version": 2},
+        {"version": None},
+        {"version": ""},
     ],
 )
 def test_target_entry_with_an_invalid_field_is_unreadable(change):
@@ -63,7 +66,7 @@
         decode_target("t", json.dumps(TARGET_ENTRY | change).encode())
 
 
-@pytest.mark.parametrize("field", ["service", "address", "state"])
+@pytest.mark.parametrize("field", ["service", "address", "state", "version"])
 def test_target_entry_without_a_required_field_is_unreadable(field):
     entry = {name: value for name, value in TARGET_ENTRY.items() if name != field}
     with pytest.raises(UnreadableRecordError):
--- a/celeryrun/scheduling/__init__.py
+++ b/celeryrun/scheduling/__init__.py
@@ -9,6 +9,7 @@
 from celeryrun.scheduling._limits import FleetLimits
 from celeryrun.scheduling._load import ActiveGrant, TargetLoad
 from celeryrun.scheduling._messages import (
+    BROKEN,
     CANCELLED,
     COMPLETE,
     CRASHED,
@@ -31,6 +32,7 @@
 from celeryrun.scheduling._scheduler import Scheduler
 
 __all__ = [
+    "BROKEN",
     "CANCELLED",
     "COMPLETE",
     "CRASHED",
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -90,6 +90,10 @@
         Time of the latest grant whose first byte has arrived.
     next_overdue : float
         Time before which no first byte is overdue.
+    busy_since : float
+        Time since which a slot has been in use without a break; infinite if none is.
+    broken_at : float
+        Time at which the target was last known to be down or to end a connection early.
     """
 
     engine: bool
@@ -104,6 +108,8 @@
     backoff: float = INITIAL_BACKOFF
     last_responsive_grant: float = -math.inf
     next_overdue: float = math.inf
+    busy_since: float = math.inf
+    broken_at: float = -math.inf
     active_grants_by_id: dict[int, ActiveGrant] = field(default_factory=dict)
 
     def predict(
@@ -143,6 +149,8 @@
 
     def add_grant(self, grant_id: int, active_grant: ActiveGrant) -> None:
         """Occupy a slot."""
+        if not self.active_grants_by_id:
+            self.busy_since = active_grant.granted
         self.active_grants_by_id[grant_id] = active_grant
         self.next_overdue = min(self.next_overdue, active_grant.overdue_time())
         if self.engine:
@@ -152,6 +160,8 @@
     def remove_grant(self, grant_id: int, now: float) -> ActiveGrant | None:
         """Free a slot and return the grant that occupied it, or None if there is none."""
         active_grant = self.active_grants_by_id.pop(grant_id, None)
+        if not self.active_grants_by_id:
+            self.busy_since = math.inf
         self.shorten_prefill(now)
         return active_grant
 
@@ -233,6 +243,11 @@
         """Update the failure rate."""
         self.failure_rate += ((1.0 if failed else 0.0) - self.failure_rate) * FAILURE_WEIGHT
 
+    def record_break(self, now: float) -> None:
+        """Note that the target may have started again."""
+        self.broken_at = now
+        self.busy_since = now if self.active_grants_by_id else math.inf
+
     def record_unreachable(self, now: float) -> None:
         """Exclude the target for a time that doubles with each consecutive failure."""
         if now >= self.excluded_until:
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 __all__ = [
+    "BROKEN",
     "CANCELLED",
     "COMPLETE",
     "CRASHED",
@@ -25,6 +26,7 @@
 
 COMPLETE = "complete"
 FAILED = "failed"  # the target ran the request, or may have, without a usable response
+BROKEN = "broken"  # as failed; the target ended its connection and accepts others
 CRASHED = "crashed"  # the target went down while it ran the request
 REJECTED = "rejected"  # the target responded that it did not run the request
 UNREACHABLE = "unreachable"  # nothing was sent
@@ -66,6 +68,13 @@
         Targets on which the request must not run.
     probed_parts : tuple of int
         Parts of its prompt that crashed targets before, and that it may try again.
+    stream : int
+        Key of the stream, 0 if it can't be resumed or its key is not known.
+    resumed : bool
+        Whether the caller has events of the stream, from an earlier try.
+    version : str
+        Version of which the target must be, empty if any will do or, where the stream is resumed,
+        if the node does not know it.
     """
 
     id: int
@@ -87,6 +96,9 @@
     retry: bool = False
     excluded_targets: tuple[str, ...] = ()
     probed_parts: tuple[int, ...] = ()
+    stream: int = 0
+    resumed: bool = False
+    version: str = ""
 
     @property
     def urgency(self) -> tuple[int, int]:
@@ -101,12 +113,15 @@
     ----------
     expected_first_byte : float
         Predicted seconds to the first byte.
+    version : str
+        Version to which the stream is bound, empty for a new one.
     """
 
     slot_request_id: int
     grant_id: int
     target: str
     expected_first_byte: float
+    version: str = ""
 
 
 class Denial(msgspec.Struct, array_like=True, tag=True):
@@ -115,7 +130,7 @@
     Parameters
     ----------
     kind : str
-        ``quota``, ``overload``, ``suspect``, ``retry-budget`` or ``no-target``.
+        ``quota``, ``overload``, ``suspect``, ``retry-budget``, ``no-target`` or ``stream-version``.
     retry_after : float
         Seconds after which a new request may succeed.
     """
@@ -138,10 +153,16 @@
     ----------
     seconds : float
         Time since the request was sent to the target.
+    stream, version, lifetime : int, str, float
+        Origin of a stream whose first event is about to be passed on: its key, 0 if there is
+        nothing to report, its version, and the seconds for which its caller may resume it.
     """
 
     grant_id: int
     seconds: float
+    stream: int = 0
+    version: str = ""
+    lifetime: float = 0.0
 
 
 class SlotReleased(msgspec.Struct, array_like=True, tag="Done"):
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from celeryrun.scheduling._demand import PoolDemand
@@ -91,6 +91,8 @@
         shows that their limit has ended.
     placed : int
         Number of queued requests for which a placement was searched.
+    loads_of_version : callable
+        Returns those of the targets that are certainly of the version that a request needs.
     """
 
     targets: dict[str, TargetLoad]
@@ -102,6 +104,7 @@
     idle_targets: int = 0
     limits_to_check: set[str] = field(default_factory=set)
     placed: int = 0
+    loads_of_version: Callable[[QueuedRequest], dict[str, TargetLoad]] = lambda queued: {}
     _next_send_by_target: dict[str, float] = field(default_factory=dict)
     _free_times_by_target: dict[str, list[float]] = field(default_factory=dict)
     grants: list[tuple[str, Grant]] = field(default_factory=list)
@@ -135,6 +138,10 @@
                 planning_round.next_free_by_target[name] = max(min_end, ends[excess], next_send)
         return planning_round
 
+    def candidates(self, queued: QueuedRequest) -> dict[str, TargetLoad]:
+        """Return the targets on which a request may run, apart from those that it excludes."""
+        return self.loads_of_version(queued) if queued.slot_request.version else self.targets
+
     def occupy(self, target: str, end: float) -> None:
         """Occupy a target's next free slot until a time."""
         free_times = self._free_times_by_target.get(target)
@@ -223,7 +230,7 @@
     objective = max(MIN_OBJECTIVE, slot_request.objective)
     best: Placement | None = None
     min_cost = math.inf
-    for name, load in planning_round.targets.items():
+    for name, load in planning_round.candidates(queued).items():
         if name in slot_request.excluded_targets:
             continue
         start = planning_round.next_free_by_target[name]
@@ -257,7 +264,11 @@
     slot_request = queued.slot_request
     next_free_by_target = planning_round.next_free_by_target
     name = min(
-        (name for name in next_free_by_target if name not in slot_request.excluded_targets),
+        (
+            name
+            for name in planning_round.candidates(queued)
+            if name not in slot_request.excluded_targets
+        ),
         key=next_free_by_target.__getitem__,
         default=None,
     )
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
 from celeryrun.catalog import Pool, Target
+from celeryrun.continuity import Bound, Resolution, Unknown
 from celeryrun.scheduling import _messages as messages
 from celeryrun.scheduling._crash_history import CrashHistory
 from celeryrun.scheduling._demand import PoolDemand
@@ -39,6 +41,10 @@
 RETRY_JITTER = 0.5  # fraction of a retry delay that may be added at random
 HELD_SLOT_LIFETIME = 60.0  # s, the longest deadline; a held slot is reported without its own
 FULL_SCAN_LIMIT = 400  # targets times queued requests scanned on each event, about a millisecond
+MAX_ORIGIN_WAIT = 1.0  # s for which a stream's origin may still be on its way to a new scheduler
+ENTRY_DELAY = 0.2  # s after its start within which a target writes its entry
+MIN_RUN_AGE = 0.5  # s since a grant after which its connection is made
+BREAK_REPORT_DELAY = 0.1  # s within which all nodes report that a target ended its connections
 GRANT_EXPIRY_DELAY = 1.0  # s past its deadline after which an unreleased grant expires
 
 
@@ -62,19 +68,30 @@
         Whether no usage precedes this scheduler, as at the system's first start.
     crash_history : CrashHistory, optional
         Crashes by request, shared with other nodes; by default, those of this scheduler's grants.
+    resolve_origin : callable, optional
+        Returns the version at which a resumed stream may go on; by default, none is known. Its
+        last argument is whether a stream of unknown origin will be denied.
+    list_confirmed_at : callable, optional
+        Returns the start of the last read that showed the list of targets to be the newest.
+    confirm_list : callable, optional
+        Called when the list must be read again before a resumed stream can be placed.
     """
 
     __slots__ = (
+        "_confirm_list",
         "_crash_history",
         "_demand_by_pool",
         "_fair_shares_by_pool",
         "_fleet_share",
         "_grant_ids",
         "_limits",
+        "_list_confirmed_at",
         "_load_by_grant_id",
         "_pool",
         "_probes",
         "_random",
+        "_resolve_origin",
+        "_resolve_by_key_by_pool",
         "_targets",
         "loads_by_target",
         "queues_by_pool",
@@ -90,6 +107,11 @@
         seed: int | None = None,
         no_prior_usage: bool = False,
         crash_history: CrashHistory | None = None,
+        resolve_origin: Callable[[SlotRequest, float, bool], Resolution] = (
+            lambda slot_request, now, is_last: Unknown("no origins are recorded")
+        ),
+        list_confirmed_at: Callable[[], float] = lambda: math.inf,
+        confirm_list: Callable[[], None] = lambda: None,
     ) -> None:
         self._limits = LimitEnforcer(limits, fleet_share, no_prior_usage)
         self._targets = targets
@@ -101,6 +123,10 @@
             CrashHistory(CRASH_RETENTION) if crash_history is None else crash_history
         )
         self._probes = ProbeGate()
+        self._resolve_origin = resolve_origin
+        self._resolve_by_key_by_pool: dict[str, dict[tuple[str, int], float]] = {}
+        self._list_confirmed_at = list_confirmed_at
+        self._confirm_list = confirm_list
         self.rate_limits = TargetRateLimits(fleet_share)
         self._load_by_grant_id: dict[int, TargetLoad] = {}
         self._demand_by_pool: defaultdict[str, PoolDemand] = defaultdict(PoolDemand)
@@ -145,6 +171,10 @@
             now + slot_request.deadline,
         )
         self.queues_by_pool.setdefault(slot_request.pool, {})[node, slot_request.id] = queued
+        if slot_request.resumed and not slot_request.version:
+            wait = min(MAX_ORIGIN_WAIT, slot_request.patience / 2)
+            resolve_by_key = self._resolve_by_key_by_pool.setdefault(slot_request.pool, {})
+            resolve_by_key[node, slot_request.id] = now + wait
         self._record_work(slot_request, now)
         return None
 
@@ -172,13 +202,21 @@
         queue = self.queues_by_pool.get(pool)
         if not queue:
             return [], []
+        denials = self._resolve_origins(pool, queue, now) if self._resolve_by_key_by_pool else []
+        unresolved = self._resolve_by_key_by_pool.get(pool)
+        if unresolved:
+            queue = {key: queued for key, queued in queue.items() if key not in unresolved}
         targets = self._usable_loads(pool, now)
         planning_round = PlanningRound.from_loads(
             targets, self._fleet_share(), now, self._demand_by_pool[pool], self.rate_limits
         )
+        planning_round.denials += denials
+        planning_round.loads_of_version = lambda queued: self._loads_of_version(
+            queued, targets, now
+        )
         full_scan = full_scan or len(queue) * len(targets) <= FULL_SCAN_LIMIT
         if not full_scan and not planning_round.idle_targets:
-            return [], []
+            return [], denials
         late = []
         for queued in sort_by_urgency(
             queue.values(), targets, self._fair_shares_by_pool[pool], now
@@ -193,6 +231,57 @@
             self._decide(queued, planning_round, may_be_late=True)
         return planning_round.grants, planning_round.denials
 
+    def _resolve_origins(
+        self, pool: str, queue: dict[tuple[str, int], QueuedRequest], now: float
+    ) -> list[tuple[str, Denial]]:
+        """Bind resumed streams to their versions, and deny those unknown for too long."""
+        denials = []
+        unresolved = self._resolve_by_key_by_pool.get(pool, {})
+        for key, resolve_by in list(unresolved.items()):
+            queued = queue.get(key)
+            if queued is None:
+                del unresolved[key]
+                continue
+            is_last = now >= resolve_by
+            match self._resolve_origin(queued.slot_request, now, is_last):
+                case Bound(version):
+                    queued.slot_request.version = version
+                    del unresolved[key]
+                case Unknown() if is_last:
+                    del unresolved[key]
+                    retry_time = now + MAX_ORIGIN_WAIT
+                    denials.append(self._deny(queued, "stream-version", retry_time, now))
+        if not unresolved:
+            self._resolve_by_key_by_pool.pop(pool, None)
+        return denials
+
+    def _loads_of_version(
+        self, queued: QueuedRequest, loads: dict[str, TargetLoad], now: float
+    ) -> dict[str, TargetLoad]:
+        """Return the loads of targets that are of a request's version beyond doubt.
+
+        A target may have started again at another version since the list was read. None has that
+        has been at work without a break since, or whose entry was read after the slot request.
+        """
+        slot_request = queued.slot_request
+        earliest = queued.arrived + (BREAK_REPORT_DELAY if slot_request.retry else 0.0)
+        confirmed_at = self._list_confirmed_at()
+        busy_since = confirmed_at - ENTRY_DELAY - MIN_RUN_AGE if now >= earliest else -math.inf
+        found = {}
+        is_certain = True
+        for target in self._targets(slot_request.pool):
+            load = loads.get(target.id)
+            if load is None or target.version != slot_request.version:
+                continue
+            read_by = max(earliest, load.broken_at + ENTRY_DELAY)
+            if confirmed_at >= read_by or load.busy_since <= busy_since:
+                found[target.id] = load
+            else:
+                is_certain = False
+        if not is_certain:
+            self._confirm_list()
+        return found
+
     def _decide(
         self, queued: QueuedRequest, planning_round: PlanningRound, may_be_late: bool
     ) -> bool:
@@ -206,6 +295,8 @@
         now = planning_round.now
         placement = find_placement(queued, planning_round)
         if placement is None:
+            # A target of its version may be certain again within what is left of its patience.
+            queued.is_scheduled |= bool(queued.slot_request.version)
             if queued.give_up_time <= now:
                 planning_round.denials.append(self._deny(queued, "no-target", now, now))
             return True
@@ -251,11 +342,16 @@
                 self._crash_history.clear(active_grant.fingerprint)
             case messages.FAILED:
                 load.record_result(failed=True)
+            case messages.BROKEN:
+                load.record_result(failed=True)
+                load.record_break(now)
             case messages.CRASHED:
                 load.record_unreachable(now)
+                load.record_break(now)
                 self._crash_history.record_crash(active_grant.fingerprint, active_grant.target, now)
             case messages.UNREACHABLE:
                 load.record_unreachable(now)
+                load.record_break(now)
                 self.rate_limits.refund(active_grant.target, now)
             case messages.UNUSED:
                 self.rate_limits.refund(active_grant.target, now)
@@ -391,7 +487,13 @@
         load.add_grant(grant_id, active_grant)
         self.rate_limits.consume(placement.target, now)
         self._load_by_grant_id[grant_id] = load
-        return Grant(slot_request.id, grant_id, placement.target, placement.first_byte)
+        return Grant(
+            slot_request.id,
+            grant_id,
+            placement.target,
+            placement.first_byte,
+            slot_request.version,
+        )
 
     def _deny(
         self, queued: QueuedRequest, kind: str, retry_time: float, now: float
--- a/celeryrun/scheduling/tests/builders.py
+++ b/celeryrun/scheduling/tests/builders.py
@@ -13,9 +13,9 @@
 )
 
 
-def build_target(id="t0", pool="model", slots=2, ready=True):
+def build_target(id="t0", pool="model", slots=2, ready=True, version="v1"):
     """Build a target of one pool."""
-    return Target(id, pool, "127.0.0.1", 1, "zone-a", slots, ready)
+    return Target(id, pool, "127.0.0.1", 1, "zone-a", slots, ready, version=version)
 
 
 def build_slot_request(id=1, **changes):
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -160,9 +160,10 @@
         for connection in list(self.connections):
             connection.abort()
 
-    async def restart(self, version: str) -> None:
-        """Crash and start again at once, under the same id and address, at a version."""
+    async def restart(self, version: str, down: float = 0.0) -> None:
+        """Crash and start again after some seconds, under the same id and address, at a version."""
         self.crash()
+        await asyncio.sleep(down)
         self.version = version
         self._born += 1
         await self.start()
