gateway: a caller's patience counts from its last event, not from its request's arrival

Callers saw a stream closed in the middle although another target was free: once a response had lasted longer than its caller waits for an event (2 s or more), the slot request for its continuation had no patience left and was denied. Evidence: the new test failed before (a stream of 3.2 s whose target breaks off after 2.5 s) and passes.

--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -422,6 +422,7 @@
 
     def _bind_stream(self, state: RequestState, target: Target) -> RecordedOrigin | None:
         """Bind a stream to the version of its first event; return the origin if it is news."""
+        state.waiting_since = now()
         if not state.stream or state.is_bound:
             return None
         state.is_bound = True
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -77,6 +77,8 @@
         Key of the stream, 0 if it can't be resumed or its first attempt is not known.
     version : str
         Version to which the stream is bound, empty while it is not, or not known.
+    waiting_since : float
+        Time since which the caller waits for the first or the next event, in seconds.
     is_bound : bool
         Whether the response has brought an event, so that its version is certain.
     """
@@ -95,6 +97,11 @@
     stream: int = 0
     version: str = ""
     is_bound: bool = False
+    waiting_since: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Let the caller wait since the arrival of its request."""
+        self.waiting_since = self.arrived_at
 
     @classmethod
     def from_admission(
@@ -164,7 +171,7 @@
     """
     request, admission = state.request, state.admission
     workspace, route = admission.workspace, admission.route
-    elapsed, remaining = time - state.arrived_at, state.respond_by - time
+    elapsed, remaining = time - state.waiting_since, state.respond_by - time
     events = 0.0
     if state.pool.engine:
         events = max(1.0, request.expected_output_tokens / state.pool.tokens_per_event)
--- a/celeryrun/gateway/tests/test_stream_versions.py
+++ b/celeryrun/gateway/tests/test_stream_versions.py
@@ -224,6 +224,21 @@
     run(scenario())
 
 
+def test_response_goes_on_after_more_time_than_its_caller_waits_for_an_event():
+    async def scenario():
+        async with build_mixed_site(versions=("v1", "v1"), gateways=1) as site:
+            for model in site.models:
+                model.work = 0.2
+            caller = StreamCaller(site)
+            begun = asyncio.create_task(caller.take())
+            await asyncio.sleep(2.5)
+            next(model for model in site.models if model.running).faults["cut"] = 1
+            await begun
+            assert caller.is_whole
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("versions", [("v1", "v1", "v2", "v2"), ("v1", "v2")])
 def test_stream_of_a_silent_target_moves_to_no_other_version(versions):
     async def scenario():
