scheduling: a target whose other responses outlast a break has not started again

Proof that it went on spares the read; where none is, the read is asked for later, once it can decide.

--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -19,7 +19,7 @@
 INITIAL_RETRY_DELAY = 0.1  # s after the first failed call
 MAX_MISSED_CONFIRMATIONS = 3.5  # heartbeats without a confirmation before a node reads by itself
 MAX_FEED_DELAY = 0.2  # s for which the snapshot of a new era may come from another node
-HURRY_INTERVAL = 0.2  # s between two reads that are made at once
+HURRY_INTERVAL = 0.1  # s between two reads that are made at once
 CONFIRMATION_MARGIN = 0.15  # s by which another node's confirmation may be late
 
 
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["ActiveGrant", "TargetLoad"]
+__all__ = ["BREAK_REPORT_DELAY", "ActiveGrant", "TargetLoad"]
 
 INITIAL_PREFILL_TIME = 0.00002  # s per prompt token before any sample; a current accelerator's
 INITIAL_EVENT_GAP = 0.02  # s between events before any sample
@@ -20,6 +20,7 @@
 MAX_BACKOFF = 4.0  # s
 OVERDUE_FACTOR = 4.0  # multiple of the prediction after which a missing first byte is overdue
 MIN_OVERDUE_DELAY = 1.0  # s
+BREAK_REPORT_DELAY = 0.05  # s within which all nodes report that a target ended its connections
 
 
 @dataclass(slots=True)
@@ -93,7 +94,8 @@
     busy_since : float
         Time since which a slot has been in use without a break; infinite if none is.
     broken_at : float
-        Time at which the target was last known to be down or to end a connection early.
+        Time at which the target was last known to be down or to end a connection early, unless
+        another response outlasted that.
     """
 
     engine: bool
@@ -246,7 +248,26 @@
     def record_break(self, now: float) -> None:
         """Note that the target may have started again."""
         self.broken_at = now
-        self.busy_since = now if self.active_grants_by_id else math.inf
+
+    def record_completion(self, active_grant: ActiveGrant, seconds: float) -> None:
+        """Note that the target was at work for some seconds from a grant on."""
+        end = active_grant.granted + seconds
+        if self._began_before_break(active_grant) and end > self.broken_at + BREAK_REPORT_DELAY:
+            self.broken_at = -math.inf
+
+    def at_work_since(self, now: float) -> float:
+        """Return since when the target has certainly not started again, infinite if idle."""
+        if now > self.broken_at + BREAK_REPORT_DELAY and any(
+            map(self._began_before_break, self.active_grants_by_id.values())
+        ):
+            self.broken_at = -math.inf
+        return max(self.busy_since, self.broken_at)
+
+    def _began_before_break(self, active_grant: ActiveGrant) -> bool:
+        seconds = active_grant.first_byte_seconds
+        if seconds is None:
+            return False
+        return active_grant.granted + seconds < self.broken_at - BREAK_REPORT_DELAY
 
     def record_unreachable(self, now: float) -> None:
         """Exclude the target for a time that doubles with each consecutive failure."""
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -15,7 +15,7 @@
 from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
 from celeryrun.scheduling._limits import FleetLimits, LimitEnforcer
-from celeryrun.scheduling._load import ActiveGrant, TargetLoad
+from celeryrun.scheduling._load import BREAK_REPORT_DELAY, ActiveGrant, TargetLoad
 from celeryrun.scheduling._messages import (
     Denial,
     Grant,
@@ -44,7 +44,6 @@
 MAX_ORIGIN_WAIT = 1.0  # s for which a stream's origin may still be on its way to a new scheduler
 ENTRY_DELAY = 0.2  # s after its start within which a target writes its entry
 MIN_RUN_AGE = 0.5  # s since a grant after which its connection is made
-BREAK_REPORT_DELAY = 0.1  # s within which all nodes report that a target ended its connections
 GRANT_EXPIRY_DELAY = 1.0  # s past its deadline after which an unreleased grant expires
 
 
@@ -274,11 +273,11 @@
             if load is None or target.version != slot_request.version:
                 continue
             read_by = max(earliest, load.broken_at + ENTRY_DELAY)
-            if confirmed_at >= read_by or load.busy_since <= busy_since:
+            if confirmed_at >= read_by or load.at_work_since(now) <= busy_since:
                 found[target.id] = load
             else:
                 is_certain = False
-        if not is_certain:
+        if not is_certain and now >= earliest:
             self._confirm_list()
         return found
 
@@ -339,6 +338,7 @@
             case messages.COMPLETE:
                 load.record_result(failed=False)
                 load.learn_duration(active_grant, released.seconds, released.events)
+                load.record_completion(active_grant, released.seconds)
                 self._crash_history.clear(active_grant.fingerprint)
             case messages.FAILED:
                 load.record_result(failed=True)
