scheduling: rely on an origin once the list was read after it was recorded

A target that starts again under its id is listed at its former version for up to a second. The scheduler now lets such a resumption wait for a read of the list (0.2 s after the first event at the earliest), and gives up the origins of streams that the target may have begun since it started again: those younger than the last read that still showed its former entry, than the last break that was noticed, and than its birth.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -106,7 +106,6 @@
         self._discovery: Discovery = kernel.find("discovery")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._origins: StreamOrigins = kernel.find("stream-origins")
-        self._origins.forward = self._send_origins
         self._crash_tracker.forward = self._forward
         self._crash_tracker.is_scheduler = self._is_scheduler
         self._name = settings.node.name
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -71,7 +71,6 @@
 MAX_FRESHNESS_WAIT = 0.3  # s that a request waits for a newer configuration before it is refused
 MAX_OVERLAP = 0.3  # s for which a silent target stays in reserve after its successor was sent to
 SEARCH_PAUSE = 0.2  # s after the first denial of a slot for a successor; doubles with each one
-CONTRADICTION_RETRY_AFTER = 1.0  # s before a stream of uncertain version may be resumed
 MAX_FAILED_CONNECTS = 4  # unreachable targets after which a request is given up
 
 
@@ -273,8 +272,6 @@
         assessment = self._crash_tracker.assess(state.request.shared_prompt_parts)
         if assessment.refused:
             return Denial(0, "suspect", 0.0)
-        if state.version and self._origins.is_contradictory(state.stream):
-            return Denial(0, "stream-version", CONTRADICTION_RETRY_AFTER)
         reply = await self._scheduler_client.acquire(
             build_slot_request(state, now(), assessment.on_probation)
         )
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -126,6 +126,8 @@
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._origins: StreamOrigins = kernel.find("stream-origins")
         self._origins.has_majority = self._has_majority
+        self._origins.broken_at = self._broken_at
+        self._origins.on_contradiction = self._apply_origins
         self._replicas: list[Link] = []
         self._replicas_are_stale = False
         self._replicated_at = 0.0
@@ -237,6 +239,9 @@
             case FirstByte():
                 self.scheduler.report_first_byte(message.grant_id, message.seconds, time)
                 if message.stream:
+                    target = self.scheduler.target_of(message.grant_id)
+                    if target is not None:
+                        self._origins.note_target(message.stream, target)
                     self._apply_origins(
                         OriginReport(message.version, (message.stream,), (int(message.lifetime),))
                     )
@@ -252,6 +257,10 @@
     def _has_majority(self) -> bool:
         return self.fleet_share() > MAJORITY_SHARE
 
+    def _broken_at(self, target: str) -> float:
+        load = self.scheduler.loads_by_target.get(target)
+        return load.broken_at if load is not None else float("-inf")
+
     def _apply_origins(self, report: OriginReport) -> None:
         """Record origins and note them for the replicas."""
         self._origins.merge(report)
--- a/celeryrun/gateway/_stream_origins.py
+++ b/celeryrun/gateway/_stream_origins.py
@@ -31,7 +31,9 @@
 CALLER_MARGIN = 5.0  # s beyond its caller's deadline for which an origin is kept
 STREAM_LIFE_FACTOR = 2.0  # longest life of a stream over all tries, in its route's timeouts
 LIST_AGE_FACTOR = 2.0  # age of the newest list of targets, in values of drain_lag
-LIST_LAG = 2.0  # s for which a target may run before its entry is read
+LIST_LAG = 5.0  # s for which a target may run before its entry is read
+CLOCK_MARGIN = 0.5  # s by which the times of day of two VMs may differ
+ENTRY_DELAY = 0.2  # s after its start within which a target writes its entry
 TOLD_EARLY = 2.0  # s before the first list of targets in which another node's history holds
 MAX_OBSERVED = 3600.0  # s; a longer history is told as this
 REPORT_SIZE = 4096  # origins in one message
@@ -60,8 +62,10 @@
 
     Attributes
     ----------
-    forward : callable
-        Sends a report to this node's scheduler.
+    broken_at : callable
+        Returns the time at which a target was last seen to end a connection early.
+    on_contradiction : callable
+        Called with a report of origins that this node's scheduler no longer relies on.
     has_majority : callable
         Returns whether most nodes use this node's scheduler.
     """
@@ -76,11 +80,12 @@
         "_max_list_age",
         "_metrics",
         "_observed_since",
-        "_own_streams_by_target",
+        "_recent_streams_by_target",
         "_table",
         "_told",
-        "forward",
+        "broken_at",
         "has_majority",
+        "on_contradiction",
     )
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
@@ -95,8 +100,9 @@
         self._told: list[tuple[float, VersionReport]] = []
         self._catalog: Catalog | None = None
         self._life_by_pool: dict[str, float] = {}
-        self._own_streams_by_target: dict[str, deque[tuple[float, int]]] = {}
-        self.forward: Callable[[OriginReport], None] = lambda report: None
+        self._recent_streams_by_target: dict[str, deque[tuple[float, int]]] = {}
+        self.broken_at: Callable[[str], float] = lambda target: float("-inf")
+        self.on_contradiction: Callable[[OriginReport], None] = lambda report: None
         self.has_majority: Callable[[], bool] = lambda: False
         self._discovery.on_snapshot = self._on_snapshot
         self._discovery.on_target_change = self._on_target_change
@@ -115,19 +121,17 @@
         deadline : float
             Seconds that the stream's caller waits for it.
         """
-        time = now()
         origin = RecordedOrigin(stream, target.version, deadline + CALLER_MARGIN)
-        self._table.record(stream, origin.version, origin.lifetime, time)
-        own_streams = self._own_streams_by_target.setdefault(target.id, deque())
-        while own_streams and time - own_streams[0][0] > LIST_LAG:
-            own_streams.popleft()
-        own_streams.append((time, stream))
+        self._table.record(stream, origin.version, origin.lifetime, now())
         return origin
 
-    def is_contradictory(self, stream: int) -> bool:
-        """Return whether two versions were reported for a stream."""
-        origin = self._table.find(stream, now())
-        return origin is not None and origin.version == CONTRADICTORY
+    def note_target(self, stream: int, target: str) -> None:
+        """Note which target made the first event of a stream, as this node's scheduler knows."""
+        time = now()
+        streams = self._recent_streams_by_target.setdefault(target, deque())
+        while streams and time - streams[0][0] > LIST_LAG:
+            streams.popleft()
+        streams.append((time, stream))
 
     def merge(self, report: OriginReport) -> bool:
         """Record the origins that another node reports; return whether there is any news."""
@@ -149,10 +153,10 @@
         is_last : bool
             Whether a stream of unknown origin is refused now.
         """
-        resolution = self._resolve(slot_request.stream, slot_request.pool, time)
+        resolution = self._resolve(slot_request, time)
         stream = f"{slot_request.stream:016x}"
         match resolution:
-            case Bound(version, why, age):
+            case Bound(version, why, age) if slot_request.resumed:
                 self._events.emit(
                     "stream-bound",
                     stream=stream,
@@ -167,12 +171,26 @@
                 self._metrics.resumed_streams.labels("unknown").inc()
         return resolution
 
-    def _resolve(self, stream: int, pool: str, time: float) -> Resolution:
+    def _resolve(self, slot_request: SlotRequest, time: float) -> Resolution:
+        stream, pool = slot_request.stream, slot_request.pool
+        origin = self._table.find(stream, time) if stream else None
+        if origin is None and slot_request.version:
+            return Bound(slot_request.version, "claimed", 0.0)
+        follower = self._discovery.targets
+        if (
+            origin is not None
+            and origin.version != CONTRADICTORY
+            and follower.confirmed_at < origin.recorded_at + ENTRY_DELAY
+        ):
+            # The target may have been another run of it, at another version, than the one listed.
+            if time >= origin.recorded_at + ENTRY_DELAY:
+                follower.hurry()
+            return Unknown("the target that began it is not confirmed")
         life = self._longest_life(pool)
         if life is None or self._observed_since is None:
             return Unknown("the routes or targets are not known")
         return resolve(
-            self._table.find(stream, time) if stream else None,
+            origin,
             self._history(pool),
             life,
             self._youngest_target(pool) if self.has_majority() else 0.0,
@@ -252,23 +270,29 @@
             if (former.pool, former.version) == (current.pool, current.version):
                 return
             if former.version != current.version:
-                self._contradict_recent_streams(current.id)
+                self._contradict_recent_streams(current)
         if former is not None:
             self._history(former.pool).remove(former.version, now())
         if current is not None:
             self._history(current.pool).add(current.version)
 
-    def _contradict_recent_streams(self, target: str) -> None:
+    def _contradict_recent_streams(self, target: Target) -> None:
         """Give up the origins that a target may have made after it started at another version."""
-        time = now()
+        moment = now()
+        started_at = moment - (time.time() - target.born / 1000)
+        since = max(
+            self._discovery.targets.formerly_confirmed_at - ENTRY_DELAY,
+            self.broken_at(target.id),
+            started_at - CLOCK_MARGIN,
+        )
         origins = []
-        for recorded_at, stream in self._own_streams_by_target.pop(target, ()):
-            origin = self._table.find(stream, time)
-            if origin is not None and time - recorded_at <= LIST_LAG:
-                self._table.record(stream, CONTRADICTORY, origin.expires_at - time, time)
+        for recorded_at, stream in self._recent_streams_by_target.pop(target.id, ()):
+            origin = self._table.find(stream, moment)
+            if origin is not None and recorded_at >= since:
+                self._table.record(stream, CONTRADICTORY, origin.expires_at - moment, moment)
                 origins.append((stream, origin))
         for report in build_reports(origins):
-            self.forward(report)
+            self.on_contradiction(report)
 
 
 def build_reports(origins: Iterable[tuple[int, StreamOrigin]]) -> Iterator[OriginReport]:
--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -43,6 +43,8 @@
         Name of the topic.
     confirmed_at : float
         Start of the last read that showed the data to be the newest, -inf before the first.
+    formerly_confirmed_at : float
+        Its value before the page that is being applied, or was last.
     recovered_at : float
         Time of the store's first reply after its last outage, or of the first records after it was
         restored from a copy, -inf before both.
@@ -73,6 +75,7 @@
         "count_readers",
         "on_page",
         "confirmed_at",
+        "formerly_confirmed_at",
         "recovered_at",
         "topic",
     )
@@ -105,6 +108,7 @@
         self._is_hurried = False
         self._task: asyncio.Task[None] | None = None
         self.confirmed_at = float("-inf")
+        self.formerly_confirmed_at = float("-inf")
         self.recovered_at = float("-inf")
         self.count_readers: Callable[[], int] = lambda: 1
         self.on_page: Callable[[Position | None, KeyedPage], None] = lambda start, page: None
@@ -140,6 +144,7 @@
     def apply_page(self, start: Position | None, page: KeyedPage) -> None:
         """Apply a page that another node read, if it follows what this node has applied."""
         former = self._cursor.position
+        self.formerly_confirmed_at = self.confirmed_at
         self._apply_accepted(self._decide(start, page), former, page)
 
     def confirm_fresh(self, read_began: float, end: Position, heartbeat_interval: float) -> None:
@@ -247,6 +252,7 @@
             self._events.emit("store-regained", topic=self.topic, age=self.age())
         former, decision = self._cursor.position, self._decide(start, page)
         # Whoever is told of the page may ask whether the topic has been read to its end.
+        self.formerly_confirmed_at = self.confirmed_at
         if page.at_end and self._cursor.covers(page.end):
             self.confirmed_at = max(self.confirmed_at, began)
             self._confirmed.set()
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -170,7 +170,7 @@
             now + slot_request.deadline,
         )
         self.queues_by_pool.setdefault(slot_request.pool, {})[node, slot_request.id] = queued
-        if slot_request.resumed and not slot_request.version:
+        if slot_request.resumed or slot_request.version:
             wait = min(MAX_ORIGIN_WAIT, slot_request.patience / 2)
             resolve_by_key = self._resolve_by_key_by_pool.setdefault(slot_request.pool, {})
             resolve_by_key[node, slot_request.id] = now + wait
@@ -313,6 +313,11 @@
             planning_round.grants.append((queued.node, self._grant(queued, placement, now)))
         return True
 
+    def target_of(self, grant_id: int) -> str | None:
+        """Return the target of an active grant, None if the grant is unknown."""
+        load = self._load_by_grant_id.get(grant_id)
+        return None if load is None else load.active_grants_by_id[grant_id].target
+
     def report_first_byte(self, grant_id: int, seconds: float, now: float) -> None:
         """Update the target's load from a measured time to the first byte."""
         load = self._load_by_grant_id.get(grant_id)
--- a/celeryrun/scheduling/tests/test_versions.py
+++ b/celeryrun/scheduling/tests/test_versions.py
@@ -16,7 +16,7 @@
         self.asked_to_confirm = 0
 
     def resolve(self, slot_request, now, is_last):
-        version = self.versions_by_stream.get(slot_request.stream)
+        version = slot_request.version or self.versions_by_stream.get(slot_request.stream)
         return Unknown("nobody knows") if version is None else Bound(version, "recorded", 0.0)
 
     def confirm(self):
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -23,6 +23,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -165,7 +166,7 @@
         self.crash()
         await asyncio.sleep(down)
         self.version = version
-        self._born += 1
+        self._born = int(time.time() * 1000)
         await self.start()
 
     def fall_silent(self, seconds: float) -> None:
