--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import replace
 
 from celeryrun.catalog import (
@@ -57,6 +58,10 @@
         Runs of targets that have stated that they leave.
     targets_by_id : dict
         Listed targets, including draining ones.
+    on_snapshot : callable
+        Called before a whole list is applied, as changes before it may have been missed.
+    on_target_change : callable
+        Called with the former and the new entry of a target that is listed, changed or removed.
     """
 
     __slots__ = (
@@ -74,6 +79,8 @@
         "catalog",
         "configuration",
         "leaving",
+        "on_snapshot",
+        "on_target_change",
         "targets",
         "targets_by_id",
     )
@@ -103,6 +110,10 @@
         self.leaving = LeavingTargets()
         self.catalog: Catalog | None = None
         self.targets_by_id: dict[str, Target] = {}
+        self.on_snapshot: Callable[[], None] = lambda: None
+        self.on_target_change: Callable[[Target | None, Target | None], None] = (
+            lambda former, current: None
+        )
         self.configuration = TopicFollower(
             store,
             events,
@@ -224,6 +235,8 @@
     def _apply_targets(self, page: KeyedPage) -> None:
         if page.restored:
             self._restored_at = now()
+        if page.is_snapshot:
+            self.on_snapshot()
         for record in page.records:
             with isolated(self._events, TARGETS_TOPIC, record.key):
                 self._apply_target(record)
@@ -286,6 +299,7 @@
             target = replace(target, ready=False)
         self.targets_by_id[id] = target
         if known is None or known != target:
+            self.on_target_change(known, target)
             self._ready_targets_by_pool.clear()
             if known is None or known.ready != target.ready or known.born != target.born:
                 self._events.emit(
@@ -293,6 +307,7 @@
                     target=id,
                     pool=target.pool,
                     ready=target.ready,
+                    version=target.version,
                     address=f"{target.host}:{target.port}",
                 )
 
@@ -310,6 +325,7 @@
         self._ready_targets_by_pool.clear()
         target = self.targets_by_id.pop(id, None)
         if target is not None:
+            self.on_target_change(target, None)
             self._removed_targets_by_id[id] = target
             self._removed_targets_by_id.move_to_end(id)
             if len(self._removed_targets_by_id) > MAX_REMOVED_TARGETS:
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -35,10 +35,12 @@
     "Link",
     "Message",
     "NewerConfiguration",
+    "OriginReport",
     "TargetLeaving",
     "TargetLimit",
     "TargetPaused",
     "TraitsCompleted",
+    "VersionReport",
 ]
 
 log = logbook.Logger("links")
@@ -249,6 +251,37 @@
     age: float
 
 
+class OriginReport(msgspec.Struct, array_like=True, tag="Origins"):
+    """Notice of the version that began streams.
+
+    Parameters
+    ----------
+    version : str
+        Version, empty if contradictory ones were reported.
+    streams, lifetimes : tuple of int
+        Keys of the streams, and the whole seconds for which their callers may resume them.
+    """
+
+    version: str
+    streams: tuple[int, ...]
+    lifetimes: tuple[int, ...]
+
+
+class VersionReport(msgspec.Struct, array_like=True, tag="Versions"):
+    """Notice of the versions that a node has observed in the list of targets.
+
+    Parameters
+    ----------
+    seconds : float
+        Time for which it has observed them without a gap.
+    ages_by_pool : dict
+        For each pool, the seconds since each version was last listed.
+    """
+
+    seconds: float
+    ages_by_pool: dict[str, dict[str, float]]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -266,6 +299,8 @@
     | TargetLimit
     | TargetPaused
     | TraitsCompleted
+    | OriginReport
+    | VersionReport
 )
 
 
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -39,13 +39,14 @@
     RequestState,
     build_slot_request,
     expected_events,
-    fingerprint,
     refusal_for_denial,
     silence_timeout,
 )
+from celeryrun.gateway._stream_origins import RecordedOrigin, StreamOrigins
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import CallerRequest, TargetResponse, format_request, read_request
 from celeryrun.scheduling import (
+    BROKEN,
     COMPLETE,
     CRASHED,
     FAILED,
@@ -73,7 +74,6 @@
 MAX_OVERLAP = 0.3  # s for which a silent target stays in reserve after its successor was sent to
 SEARCH_PAUSE = 0.2  # s after the first denial of a slot for a successor; doubles with each one
 MAX_FAILED_CONNECTS = 4  # unreachable targets after which a request is given up
-RESPONSE_MARGIN = 0.004  # s before a request's deadline at which it is answered
 STOPPING_DENIAL = Denial(0, "stopping", 0.0)
 
 
@@ -98,6 +98,7 @@
         "_discovery",
         "_durations",
         "_metrics",
+        "_origins",
         "_planned_stop",
         "_request_log",
         "_scheduler_client",
@@ -108,6 +109,7 @@
         self._discovery: Discovery = kernel.find("discovery")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._scheduler_client: SchedulerClient = kernel.find("scheduler-client")
+        self._origins: StreamOrigins = kernel.find("stream-origins")
         self._request_log: RequestLog = kernel.find("request-log")
         self._metrics: GatewayMetrics = kernel.find("metrics")
         self._settings = settings
@@ -146,15 +148,7 @@
             connection.refuse(admission)
             return
         pool = self._discovery.find_pool(choose_pool(admission.route))
-        route = admission.route
-        state = RequestState(
-            request,
-            admission,
-            pool,
-            received.arrived_at,
-            received.arrived_at + min(request.deadline, route.timeout) - RESPONSE_MARGIN,
-            fingerprint(request, admission),
-        )
+        state = RequestState.from_admission(request, admission, pool, received.arrived_at)
         await self._serve_with_timeout(connection, state)
 
     async def _serve_with_timeout(self, connection: CallerConnection, state: RequestState) -> None:
@@ -207,6 +201,9 @@
                             return
                         continue
                     attempt = attempts.current = opened
+                if not self._may_continue(state, attempt.target):
+                    attempt.close(UNUSED)
+                    continue
                 result = await self._run_attempt(state, response_relay, attempts, attempt)
                 if isinstance(result, Silent):
                     self._leave_silent_target(state, response_relay, attempts, attempt)
@@ -316,6 +313,9 @@
             return STOPPING_DENIAL
         if isinstance(reply, Grant):
             state.charged = True
+            if state.is_resumed and not state.version:
+                state.version = reply.version
+                self._log_resumption(state, reply)
             self._request_log.emit(
                 state,
                 "placed",
@@ -336,6 +336,16 @@
             return 0.0
         return self._durations.expect(state.admission.route.name, _expected_size(state))
 
+    def _log_resumption(self, state: RequestState, grant: Grant) -> None:
+        self._request_log.emit(
+            state,
+            "stream-resumed",
+            resumed=state.request.resumed_id.decode("latin-1"),
+            stream=f"{state.stream:016x}",
+            version=grant.version,
+            target=grant.target,
+        )
+
     def _recheck(self, state: RequestState, grant: Grant) -> Refusal | None:
         """Check a request again that has waited; return None if it may still be sent."""
         expected_duration = max(self._expected_duration(state), grant.expected_first_byte)
@@ -354,11 +364,20 @@
             listed is not None
             and listed.ready
             and (listed.host, listed.port, listed.born) == (target.host, target.port, target.born)
+            and listed.version == target.version
         )
 
-    def _may_send(self, target: Target) -> bool:
-        """Return whether a target takes new requests of this node."""
-        return self._is_ready(target) and not self._scheduler_client.pause_left(target.run)
+    def _may_send(self, state: RequestState, target: Target) -> bool:
+        """Return whether a target takes new requests of this node and may continue a stream."""
+        return (
+            self._is_ready(target)
+            and self._may_continue(state, target)
+            and not self._scheduler_client.pause_left(target.run)
+        )
+
+    def _may_continue(self, state: RequestState, target: Target) -> bool:
+        """Return whether a target is of the version to which a stream is bound, if it is."""
+        return not state.version or target.version == state.version
 
     async def _open_attempt(self, state: RequestState) -> Attempt | NotOpened:
         """Acquire a slot for a request and connect to its target."""
@@ -370,7 +389,7 @@
         attempt: Attempt | None = None
         try:
             refusal = self._recheck(state, reply)
-            if refusal is not None or target is None or not self._may_send(target):
+            if refusal is not None or target is None or not self._may_send(state, target):
                 return self._withdraw(state, reply.target, refusal)
             began = now()
             try:
@@ -385,7 +404,7 @@
             state.failed_connects = 0
             # The process may have been suspended since the checks before the connection.
             refusal = self._recheck(state, reply)
-            if refusal is not None or not self._may_send(target):
+            if refusal is not None or not self._may_send(state, target):
                 exchange.close()
                 return self._withdraw(state, target.id, refusal)
             attempt = Attempt(self._scheduler_client, reply, target, exchange, began)
@@ -452,6 +471,7 @@
             attempt,
             silence,
             on_accepted=attempts.drop_reserve,
+            on_event=lambda: self._bind_stream(state, attempt.target),
             has_survived=lambda: self._has_survived(attempt.target),
             on_statements=lambda response: self._report_statements(attempt, response),
         )
@@ -465,6 +485,14 @@
         if response.leaving:
             self._scheduler_client.report_leaving(target.run)
 
+    def _bind_stream(self, state: RequestState, target: Target) -> RecordedOrigin | None:
+        """Bind a stream to the version of its first event; return the origin if it is news."""
+        if not state.stream or state.is_bound:
+            return None
+        state.is_bound = True
+        state.version = target.version
+        return self._origins.record_own(state.stream, target, state.request.deadline)
+
     async def _classify_result(
         self,
         state: RequestState,
@@ -491,6 +519,8 @@
                 )
                 self._metrics.target_crashes.inc()
                 return CRASHED
+            case Broken(kind="reset" | "closed" | "cut"):
+                return BROKEN
         return FAILED
 
     async def _has_survived(self, target: Target) -> bool:
@@ -566,11 +596,24 @@
             seconds=now() - state.arrived_at,
         )
         if may_repeat and route.kind.repeatable and response_relay.can_continue():
+            self._readmit_targets(state)
             _record_progress(state, response_relay)
             return False
         self._fail(connection, state, response_relay)
         return True
 
+    def _readmit_targets(self, state: RequestState) -> None:
+        """Let a bound stream return to targets that broke it off, if no other can continue it."""
+        if not state.version:
+            return
+        able = [
+            target.id
+            for target in self._discovery.ready_targets(state.pool.name)
+            if target.version == state.version
+        ]
+        if all(id in state.excluded_targets for id in able):
+            state.excluded_targets.clear()
+
     def _fail(
         self, connection: CallerConnection, state: RequestState, response_relay: ResponseRelay
     ) -> None:
--- a/celeryrun/platform/_decode.py
+++ b/celeryrun/platform/_decode.py
@@ -24,6 +24,7 @@
     Slots,
     Small,
     UnreadableRecordError,
+    Version,
     Weight,
     Whole,
     decode_json,
@@ -101,6 +102,7 @@
     service: str
     address: str
     zone: str
+    version: Version
     state: str
     slots: Slots = 1
     born: Whole = 0
@@ -197,5 +199,6 @@
     if address is None or entry.state not in ("ready", "draining") or not TARGET_ID.fullmatch(id):
         raise UnreadableRecordError(f"entry of target {id!r} has no usable id, address or state")
     ready = entry.state == "ready"
-    run = (entry.born, entry.sequence)
-    return Target(id, entry.service, *address, entry.zone, entry.slots, ready, *run)
+    place = (*address, entry.zone)
+    run = (entry.born, entry.version)
+    return Target(id, entry.service, *place, entry.slots, ready, *run, entry.sequence)
--- a/celeryrun/platform/_messages.py
+++ b/celeryrun/platform/_messages.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from celeryrun.platform import _names as names
 from celeryrun.records import parse_count
-from celeryrun.transport import RequestHead, ResponseHead, end_to_end_headers, format_head
+from celeryrun.transport import (
+    CallerRequest,
+    RequestHead,
+    ResponseHead,
+    TargetResponse,
+    end_to_end_headers,
+    format_head,
+)
 
 __all__ = [
     "CallerRequest",
@@ -24,79 +29,6 @@
 HTTP_SERVICE_UNAVAILABLE = 503
 
 
-@dataclass(slots=True)
-class CallerRequest:
-    """Request of a caller, decoded from its headers.
-
-    Parameters
-    ----------
-    id : bytes
-        Attempt id; the target repeats it in its response.
-    host, path : str
-        Select the route; the host has no port, the path no query.
-    api_key : str or None
-        Bearer token of the ``Authorization`` header, None if absent.
-    deadline : float
-        Seconds from arrival that the caller waits for the response.
-    prompt_tokens, output_tokens : int
-        Sizes from the token usage header, 0 without it.
-    expected_output_tokens : int
-        Output tokens that the caller expects, at most ``output_tokens``.
-    last_event_id : bytes
-        Id of the event after which a stream resumes, empty for its start.
-    has_token_counts : bool
-        Whether the token usage header is present and valid.
-    shared_prompt_parts : tuple of bytes
-        Ids of the parts of the prompt that other requests may share, in order: all but the last.
-    """
-
-    id: bytes
-    host: str
-    path: str
-    api_key: str | None
-    deadline: float
-    prompt_tokens: int
-    output_tokens: int
-    expected_output_tokens: int
-    last_event_id: bytes
-    head: RequestHead
-    body: bytes
-    has_token_counts: bool = False
-    shared_prompt_parts: tuple[bytes, ...] = ()
-
-
-@dataclass(slots=True)
-class TargetResponse:
-    """Head of a target's response, with its platform headers decoded.
-
-    Parameters
-    ----------
-    matches_request : bool
-        Whether the response carries the attempt id of the request.
-    not_run : bool
-        Whether the target states that it did not run the request.
-    sealed : bool
-        Whether the response seal header, the target's signature, is present.
-    has_content_encoding : bool
-        Whether the body has a content coding other than ``identity``.
-    rate_limit : float or None
-        Requests per second that the target takes from all nodes, None if it names no limit.
-    leaving : bool
-        Whether the target states that it leaves and wants no new requests.
-    pause : float or None
-        Seconds for which a target that turned the request away wants no others.
-    """
-
-    head: ResponseHead
-    matches_request: bool
-    not_run: bool
-    sealed: bool
-    has_content_encoding: bool
-    rate_limit: float | None = None
-    leaving: bool = False
-    pause: float | None = None
-
-
 def read_request(head: RequestHead, body: bytes) -> CallerRequest | str:
     """Decode a caller's request, or return the text of the refusal of a malformed one."""
     for name in (names.ATTEMPT_ID, names.DEADLINE_MS, b"host", b"authorization", names.TOKEN_USAGE):
@@ -111,11 +43,10 @@
     deadline = head.number(names.DEADLINE_MS)
     prompt_tokens, output_tokens, has_token_counts = _parse_token_counts(head)
     length_hint = head.number(names.LENGTH_HINT)
-    path = head.request_target.split(b"?", 1)[0]
     return CallerRequest(
         attempt_id,
         host.decode("latin-1").lower().partition(":")[0],
-        path.decode("latin-1"),
+        head.request_target.split(b"?", 1)[0].decode("latin-1"),
         head.bearer_token(),
         min(deadline, MAX_DEADLINE_MS) / 1000 if deadline is not None else DEFAULT_DEADLINE,
         prompt_tokens,
@@ -126,6 +57,7 @@
         body,
         has_token_counts,
         _parse_shared_prompt_parts(head),
+        b"".join(head.values(b"resumes")),
     )
 
 
@@ -173,8 +105,7 @@
     headers.append((names.EXPECT_TARGET, target_id.encode("latin-1", "replace")))
     if workspace is not None:
         headers.append((names.TENANT, workspace.encode()))
-    has_body = request.body or b"content-length" in {name for name, _ in request.head.headers}
-    if has_body:
+    if request.body or b"content-length" in {name for name, _ in request.head.headers}:
         headers.append((b"Content-Length", b"%d" % len(request.body)))
     start = b"%b %b HTTP/1.1" % (request.head.method, request.head.request_target)
     return format_head(start, headers) + request.body
--- a/celeryrun/records/__init__.py
+++ b/celeryrun/records/__init__.py
@@ -10,6 +10,7 @@
     Sequence,
     Slots,
     Small,
+    Version,
     Weight,
     Whole,
 )
@@ -22,6 +23,7 @@
     "Slots",
     "Small",
     "UnreadableRecordError",
+    "Version",
     "Weight",
     "Whole",
     "decode_json",
--- a/celeryrun/records/_ranges.py
+++ b/celeryrun/records/_ranges.py
@@ -13,6 +13,7 @@
     "Sequence",
     "Slots",
     "Small",
+    "Version",
     "Weight",
     "Whole",
 ]
@@ -23,6 +24,7 @@
 MAX_MILLISECONDS = 1e12  # 30 years
 MAX_RATE = 1e12  # units per second, or units of a burst
 MAX_WEIGHT = 1e9
+MAX_VERSION_CHARS = 255  # of a target's software
 
 HeaderText = Annotated[str, Meta(pattern=r"^[^\x00-\x1f\x7f]*\Z")]
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_MILLISECONDS)]
@@ -30,5 +32,6 @@
 Sequence = Annotated[float, Meta(ge=0, le=MAX_WHOLE)]
 Slots = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
 Small = Annotated[int, Meta(ge=-MAX_SMALL, le=MAX_SMALL)]
+Version = Annotated[str, Meta(min_length=1, max_length=MAX_VERSION_CHARS)]
 Weight = Annotated[float, Meta(ge=0, le=MAX_WEIGHT)]
 Whole = Annotated[int, Meta(ge=0, le=MAX_WHOLE)]
--- a/celeryrun/scheduling/__init__.py
+++ b/celeryrun/scheduling/__init__.py
@@ -10,6 +10,7 @@
 from celeryrun.scheduling._limits import FleetLimits
 from celeryrun.scheduling._load import ActiveGrant, TargetLoad
 from celeryrun.scheduling._messages import (
+    BROKEN,
     CANCELLED,
     COMPLETE,
     CRASHED,
@@ -33,6 +34,7 @@
 from celeryrun.scheduling._scheduler import Scheduler
 
 __all__ = [
+    "BROKEN",
     "CANCELLED",
     "COMPLETE",
     "CRASHED",
--- a/celeryrun/transport/__init__.py
+++ b/celeryrun/transport/__init__.py
@@ -3,6 +3,7 @@
 from celeryrun.transport._accept import has_unaccepted, ignore_new_connections
 from celeryrun.transport._budget import ByteBudget
 from celeryrun.transport._caller import CallerConnection, ReceivedRequest, RequestHandler
+from celeryrun.transport._decoded import CallerRequest, TargetResponse
 from celeryrun.transport._exchange import (
     Exchange,
     TargetFailedError,
@@ -25,6 +26,7 @@
     "LAST_CHUNK",
     "ByteBudget",
     "CallerConnection",
+    "CallerRequest",
     "Exchange",
     "MalformedMessageError",
     "ReceivedRequest",
@@ -34,6 +36,7 @@
     "ResponseHead",
     "ResponseParser",
     "TargetFailedError",
+    "TargetResponse",
     "accepts_connections",
     "end_to_end_headers",
     "format_chunk",
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -23,6 +23,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -160,6 +161,19 @@
         for connection in list(self.connections):
             connection.abort()
 
+    async def restart(self, version: str | None = None, down: float = 0.0) -> None:
+        """Crash and start again after some seconds, under the same id and address.
+
+        It knows nothing of what the run before has stated; its version changes if one is given.
+        """
+        self.crash()
+        await asyncio.sleep(down)
+        self.leaving = False
+        self.retry_after = None
+        self.version = version or self.version
+        self._born = max(self._born + 1, int(time.time() * 1000))
+        await self.start()
+
     def fall_silent(self, seconds: float) -> None:
         """Send nothing for some seconds and then go on, also with responses in progress."""
         self._silent_until = max(self._silent_until, now() + seconds)
@@ -181,14 +195,6 @@
         self._restart_task = None
         await self.start()
 
-    async def restart(self) -> None:
-        """Crash and start again under the same id, without what the run before has stated."""
-        self.crash()
-        self.leaving = False
-        self.retry_after = None
-        self._born += 1
-        await self.start()
-
     def register(self, state: str | None) -> None:
         """Write the entry with a state to the store; None removes the entry."""
         self.state = state
