soak: sound targets fall silent, change versions, leave and name a Retry-After

The checks order and cut count from the event after which a request resumes, which is 0 for all requests before. The stand-in runner records of each request which run received it, what the response said and whether the runner broke off.

--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -13,11 +13,17 @@
     "DrainPeriod",
     "FaultPeriod",
     "SentRequest",
+    "VersionPeriod",
     "Violation",
     "check_crashing_part",
     "check_drains",
+    "check_leaving",
     "check_limits",
     "check_requests",
+    "check_resumed",
+    "check_retry_after",
+    "check_versions",
+    "check_whole_responses",
 ]
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -28,6 +34,13 @@
 MAX_LATER_REQUESTS = 3
 LIMIT_WINDOW = 4.0  # s
 REVOCATION_LAG = 5.0  # s, the revocation lag of the settings
+DEADLINE_MARGIN = 0.1  # s by which a caller's clock may start after its node's
+MAX_MIXED_STREAMS = 2  # streams with events of two versions
+MIN_RESUMED_STREAMS = 12  # fewer tries say nothing about their share
+MIN_RESUMED_RATIO = 0.5  # of the share of new streams that begin
+MIN_VERSION_TARGETS = 2  # of the version that began a stream
+RETRY_AFTER_DELAY = 0.5  # s after which a node must obey a Retry-After
+MAX_EARLY_REQUESTS = 2  # from one node before the end of a Retry-After
 
 
 @dataclass
@@ -42,6 +55,20 @@
         Whether the whole response was received.
     parse_error : str
         Error of the HTTP parser for a malformed response, or empty.
+    deadline : float
+        Seconds that the caller waits.
+    target : str
+        Target that sealed the response, empty without a seal.
+    responded_at : float
+        Time at which the head of the response was received.
+    last_event_id : int
+        Event after which the stream resumes, 0 for its start.
+    resumes : str
+        Id of the attempt that brought the stream's first event, empty for a new stream.
+    events : list of tuple
+        Id and version of each whole event of a stream.
+    broken_by_caller : bool
+        Whether the caller's connection was broken before the end of the response.
     """
 
     attempt_id: str
@@ -57,6 +84,13 @@
     event_ids: list[int] = field(default_factory=list)
     parse_error: str = ""
     parts: tuple[str, ...] = ()
+    deadline: float = 2.0
+    target: str = ""
+    responded_at: float = 0.0
+    last_event_id: int = 0
+    resumes: str = ""
+    events: list[tuple[int, str]] = field(default_factory=list)
+    broken_by_caller: bool = False
 
 
 @dataclass(frozen=True)
@@ -82,6 +116,16 @@
     end: float
 
 
+@dataclass(frozen=True)
+class VersionPeriod:
+    """Period in which a target of a version is registered as ready."""
+
+    target: str
+    version: str
+    start: float
+    end: float = float("inf")
+
+
 @dataclass(frozen=True)
 class Violation:
     """Violated guarantee."""
@@ -211,6 +255,230 @@
     return violations
 
 
+def check_whole_responses(
+    sent_requests: Iterable[SentRequest],
+    recorded_by_target: dict[str, list[RecordedRequest]],
+    unplanned_faults: list[FaultPeriod],
+) -> list[Violation]:
+    """Return a violation for each successful response that its node broke off."""
+    broken_off = {
+        recorded.attempt_id
+        for recorded_requests in recorded_by_target.values()
+        for recorded in recorded_requests
+        if recorded.broken_off
+    }
+    return [
+        Violation(
+            "lost",
+            request.attempt_id,
+            f"{request.node} broke off {request.path} after"
+            f" {request.ended_at - request.sent_at:.2f} s and {len(request.events)} events",
+        )
+        for request in sent_requests
+        if request.status == 200
+        and not request.complete
+        and not request.parse_error
+        and not request.broken_by_caller
+        and request.attempt_id not in broken_off
+        and request.ended_at - request.sent_at < request.deadline - DEADLINE_MARGIN
+        and not any(
+            fault.affects(request.node, request.sent_at, request.ended_at)
+            for fault in unplanned_faults
+        )
+    ]
+
+
+def check_versions(sent_requests: Iterable[SentRequest]) -> list[Violation]:
+    """Return violations of the order and of the single version of streams over all tries."""
+    violations = []
+    mixed = []
+    for tries in _group_by_stream(sent_requests).values():
+        events = [event for request in tries for event in request.events]
+        ids = [id for id, _ in events]
+        if ids != list(range(1, len(ids) + 1)):
+            text = f"events {ids} over {len(tries)} tries"
+            violations.append(Violation("order", tries[0].attempt_id, text))
+        versions = list(dict.fromkeys(version for _, version in events))
+        if len(versions) > 1:
+            mixed.append((tries, versions))
+    if len(mixed) > MAX_MIXED_STREAMS:
+        inside = sum(any(len({v for _, v in each.events}) > 1 for each in t) for t, _ in mixed)
+        tries, versions = mixed[-1]
+        text = (
+            f"{len(mixed)} streams hold events of two versions, {inside} in one response;"
+            f" the last one {versions} over {[request.attempt_id for request in tries]}"
+        )
+        violations.append(Violation("versions", tries[0].attempt_id, text))
+    return violations
+
+
+def check_resumed(
+    sent_requests: Iterable[SentRequest],
+    version_periods: list[VersionPeriod],
+    disturbances: list[FaultPeriod],
+    target_outages: list[FaultPeriod],
+) -> list[Violation]:
+    """Return a violation if too few streams go on that callers took up again.
+
+    Parameters
+    ----------
+    disturbances : list of FaultPeriod
+        Faults and restarts of nodes.
+    target_outages : list of FaultPeriod
+        Periods in which the target named as `node` may not serve.
+    """
+    streams = _group_by_stream(sent_requests).values()
+    new, resumed = [], []
+    for first, *later in streams:
+        for request in (first, *later):
+            start = request.sent_at - STABILITY_WINDOW
+            if any(
+                fault.node in ("", request.node)
+                and fault.start <= request.ended_at
+                and start <= fault.end
+                for fault in disturbances
+            ):
+                continue
+            targets_by_version: dict[str, set[str]] = defaultdict(set)
+            for period in version_periods:
+                if (
+                    period.start <= start
+                    and request.ended_at <= period.end
+                    and not any(
+                        outage.node == period.target
+                        and outage.start <= request.ended_at
+                        and start <= outage.end
+                        for outage in target_outages
+                    )
+                ):
+                    targets_by_version[period.version].add(period.target)
+            if request is first:
+                if any(len(each) >= MIN_VERSION_TARGETS for each in targets_by_version.values()):
+                    new.append(request)
+            elif len(targets_by_version[first.events[0][1]]) >= MIN_VERSION_TARGETS:
+                resumed.append(request)
+    if len(resumed) < MIN_RESUMED_STREAMS or not new:
+        return []
+    new_ratio = sum(bool(request.events) for request in new) / len(new)
+    resumed_ratio = sum(bool(request.events) for request in resumed) / len(resumed)
+    if resumed_ratio >= MIN_RESUMED_RATIO * new_ratio:
+        return []
+    text = (
+        f"{resumed_ratio:.2f} of {len(resumed)} streams taken up go on,"
+        f" {new_ratio:.2f} of {len(new)} new ones begin"
+    )
+    return [Violation("resumed", resumed[-1].attempt_id, text)]
+
+
+def check_leaving(
+    sent_requests: Iterable[SentRequest],
+    recorded_by_target: dict[str, list[RecordedRequest]],
+    node_stops: list[FaultPeriod],
+) -> list[Violation]:
+    """Return a violation for each node that still sends to a target that said that it leaves.
+
+    Parameters
+    ----------
+    node_stops : list of FaultPeriod
+        Restarts and pauses of nodes; they excuse what follows.
+    """
+    sent_by_attempt_id = {request.attempt_id: request for request in sent_requests}
+    violations = []
+    for target, recorded_requests in recorded_by_target.items():
+        passed_on: dict[tuple[str, int], list[float]] = defaultdict(list)
+        for recorded in recorded_requests:
+            request = sent_by_attempt_id.get(recorded.attempt_id)
+            if request and recorded.leaving and request.responded_at and request.target == target:
+                passed_on[request.node, recorded.born].append(request.responded_at)
+        late: dict[tuple[str, int], list[tuple[float, str]]] = defaultdict(list)
+        for recorded in recorded_requests:
+            request = sent_by_attempt_id.get(recorded.attempt_id)
+            if request is None or not _is_meant_for(recorded, target):
+                continue
+            known = [
+                time
+                for time in passed_on[request.node, recorded.born]
+                if time + DRAIN_LAG < request.sent_at
+                and not _is_stopped(request.node, time, recorded.arrived_at, node_stops)
+            ]
+            if known:
+                delay = request.sent_at - min(known)
+                late[request.node, recorded.born].append((delay, request.attempt_id))
+        for (node, _), delays in late.items():
+            delay, attempt_id = max(delays)
+            text = (
+                f"{target} received {len(delays)} requests from {node}, the last one sent"
+                f" {delay:.2f} s after it had said that it leaves"
+            )
+            violations.append(Violation("leaving", attempt_id, text))
+    return violations
+
+
+def check_retry_after(
+    sent_requests: Iterable[SentRequest],
+    recorded_by_target: dict[str, list[RecordedRequest]],
+    node_stops: list[FaultPeriod],
+) -> list[Violation]:
+    """Return a violation for each node that came back too often before the end of a Retry-After.
+
+    Parameters
+    ----------
+    node_stops : list of FaultPeriod
+        Restarts, pauses and cuts of nodes; they excuse what follows.
+    """
+    sent_by_attempt_id = {request.attempt_id: request for request in sent_requests}
+    violations = []
+    for target, recorded_requests in recorded_by_target.items():
+        by_node_and_run: dict[tuple[str, int], list[RecordedRequest]] = defaultdict(list)
+        for recorded in recorded_requests:
+            request = sent_by_attempt_id.get(recorded.attempt_id)
+            if request is not None and _is_meant_for(recorded, target):
+                by_node_and_run[request.node, recorded.born].append(recorded)
+        for (node, _), requests in by_node_and_run.items():
+            counts = []
+            for answered in requests:
+                if answered.retry_after is None:
+                    continue
+                start = answered.arrived_at
+                early = [
+                    recorded
+                    for recorded in requests
+                    if start + RETRY_AFTER_DELAY
+                    < recorded.arrived_at
+                    < start + answered.retry_after
+                    and not _is_stopped(node, start, recorded.arrived_at, node_stops)
+                ]
+                counts.append((len(early), answered))
+            count, answered = max(counts, key=lambda each: each[0], default=(0, None))
+            if answered is not None and count > MAX_EARLY_REQUESTS:
+                text = (
+                    f"{target} received {count} requests from {node} within"
+                    f" {answered.retry_after:g} s for which it wanted none"
+                )
+                violations.append(Violation("retry-after", answered.attempt_id, text))
+    return violations
+
+
+def _group_by_stream(sent_requests: Iterable[SentRequest]) -> dict[str, list[SentRequest]]:
+    """Return the tries of each resumable stream, in order."""
+    tries_by_stream: dict[str, list[SentRequest]] = defaultdict(list)
+    for request in sorted(sent_requests, key=lambda request: request.sent_at):
+        if request.path.startswith("/chats/"):
+            tries_by_stream[request.resumes or request.attempt_id].append(request)
+    return tries_by_stream
+
+
+def _is_meant_for(recorded: RecordedRequest, target: str) -> bool:
+    """Return whether a target may accept a request, rather than respond that it is another one."""
+    return recorded.headers.get(b"celeryrun-expect-instance", b"") == target.encode()
+
+
+def _is_stopped(node: str, start: float, end: float, node_stops: list[FaultPeriod]) -> bool:
+    return any(
+        stop.node in ("", node) and stop.start <= end and start <= stop.end for stop in node_stops
+    )
+
+
 def _is_disturbed(time: float, unplanned_faults: list[FaultPeriod]) -> bool:
     """Return whether a node was killed or paused shortly before."""
     return any(
@@ -259,9 +527,10 @@
     if request.status != 200:
         return
     if request.path.startswith(("/drafts/", "/chats/")):
-        if request.event_ids != list(range(1, len(request.event_ids) + 1)):
+        first = request.last_event_id + 1
+        if request.event_ids != list(range(first, first + len(request.event_ids))):
             yield Violation("order", request.attempt_id, f"events {request.event_ids}")
-        if request.complete and len(request.event_ids) != events:
+        if request.complete and request.last_event_id + len(request.event_ids) != events:
             yield Violation(
                 "cut", request.attempt_id, f"complete with {len(request.event_ids)} events"
             )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,12 +7,15 @@
 
 __all__ = [
     "FAULT_KINDS",
+    "KINDS",
     "PLANNED_KINDS",
     "PLANNED_TARGET_KINDS",
     "RESTORE_KIND",
+    "SOUND_TARGET_KINDS",
     "TARGET_KINDS",
     "Fault",
     "draw_faults",
+    "draw_sound_target_faults",
 ]
 
 INITIAL_DELAY = 1.0  # s before the first fault
@@ -47,6 +50,17 @@
 MAX_RESTORES = 2
 MAX_COPY_AGE = 5.0  # s
 
+# What sound targets do; each kind is drawn by itself, so that the others stay the same without it.
+SOUND_TARGET_KINDS = ("silence", "versions", "leaving", "retry-after")
+MEAN_INTERVAL_BY_KIND = {"silence": 1.5, "versions": 8.0, "leaving": 4.0, "retry-after": 2.0}  # s
+DURATION_RANGE_BY_KIND = {  # s
+    "silence": (1.0, 3.0),
+    "versions": (0.2, MAX_DURATION),
+    "leaving": (3.0, 6.0),
+    "retry-after": (0.5, MAX_DURATION),
+}
+KINDS = tuple(dict.fromkeys((*FAULT_KINDS, *TARGET_KINDS, RESTORE_KIND, *SOUND_TARGET_KINDS)))
+
 
 @dataclass(frozen=True)
 class Fault:
@@ -100,3 +114,24 @@
             for _ in range(rng.randint(1, MAX_RESTORES))
         ]
     return sorted(faults, key=lambda fault: fault.start)
+
+
+def draw_sound_target_faults(seed: int, seconds: float) -> list[Fault]:
+    """Return what sound targets do in a soak, at least once each; it excuses no violation.
+
+    Examples
+    --------
+    >>> {fault.kind for fault in draw_sound_target_faults(1, 4.0)} == set(SOUND_TARGET_KINDS)
+    True
+    """
+    faults = []
+    for kind in SOUND_TARGET_KINDS:
+        rng = random.Random(f"{seed} {kind}")
+        start = rng.uniform(INITIAL_DELAY, max(INITIAL_DELAY, 0.5 * seconds))
+        while True:
+            duration = rng.uniform(*DURATION_RANGE_BY_KIND[kind])
+            faults.append(Fault(kind, start, duration, rng.randrange(1000)))
+            start += rng.expovariate(1 / MEAN_INTERVAL_BY_KIND[kind])
+            if start >= seconds:
+                break
+    return sorted(faults, key=lambda fault: fault.start)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -51,6 +51,14 @@
         Whether its execution began.
     arrived_at : float
         Time of arrival, on the clock of `celeryrun.kernel.now`.
+    born : int
+        Start of the run that received it, as in the store's entry.
+    leaving : bool
+        Whether the response said that the runner leaves.
+    retry_after : float or None
+        Seconds named as it was turned away, None without them.
+    broken_off : bool
+        Whether the runner broke off the response or crashed before its end.
     """
 
     attempt_id: str
@@ -60,6 +68,10 @@
     method: bytes = b"POST"
     executed: bool = False
     arrived_at: float = field(default_factory=now)
+    born: int = 1
+    leaving: bool = False
+    retry_after: float | None = None
+    broken_off: bool = False
 
     @property
     def shared_parts(self) -> list[str]:
@@ -119,6 +131,7 @@
         self.faults: Counter[str] = Counter()
         self.requests: list[RecordedRequest] = []
         self.running = 0
+        self._in_progress: dict[int, RecordedRequest] = {}
         self.max_running = 0
         self.cancelled_count = 0
         self.port = 0
@@ -157,9 +170,19 @@
     def crash(self) -> None:
         """Stop and abort every connection, as when the process dies."""
         self.stop()
+        for recorded in self._in_progress.values():
+            recorded.broken_off = True
         for connection in list(self.connections):
             connection.abort()
 
+    async def start_again(self, version: str) -> None:
+        """Start a new run under the same id, at a version."""
+        self._born += 1
+        self.version = version
+        self.leaving = False
+        self.retry_after = None
+        await self.start()
+
     def fall_silent(self, seconds: float) -> None:
         """Send nothing for some seconds and then go on, also with responses in progress."""
         self._silent_until = max(self._silent_until, now() + seconds)
@@ -209,22 +232,27 @@
         recorded = RecordedRequest(
             attempt_id, request.head.request_target, headers, request.body, request.head.method
         )
+        recorded.born = self._born
         self.requests.append(recorded)
         if headers.get(b"celeryrun-expect-instance") != self.id.encode():
             send_response(connection, 421, b"", Celeryrun_Runner_Id=self.id)
             return
         if self.retry_after is not None or self._consume_fault("rejected"):
+            recorded.leaving = self.leaving
+            recorded.retry_after = self.retry_after
             send_response(connection, 503, b"", Celeryrun_Not_Executed="1", **self._own_headers())
             return
         recorded.executed = True
         self.running += 1
         self.max_running = max(self.max_running, self.running)
+        self._in_progress[id(recorded)] = recorded
         try:
             await self._execute(connection, recorded)
         except asyncio.CancelledError:
             self.cancelled_count += 1
             raise
         finally:
+            del self._in_progress[id(recorded)]
             self.running -= 1
 
     def _own_headers(self) -> dict[str, str]:
@@ -247,6 +275,7 @@
                 connection, 503, b"", Celeryrun_Not_Executed="1", Celeryrun_Attempt_Id="earlier"
             )
         if self._consume_fault("half-head"):
+            recorded.broken_off = True
             fields = {"Celeryrun_Attempt_Id": recorded.attempt_id, "Content-Length": "0"}
             fields["Celeryrun_Response_Seal"] = f"seal-{self.id}"
             connection.write(format_head(b"HTTP/1.1 200 OK", _format_fields(fields))[:-2])
@@ -256,9 +285,11 @@
             self._crash_and_restart()
             return
         if self._consume_fault("lost"):
+            recorded.broken_off = True
             connection.abort()
             return
         attempt_id = "another" if self._consume_fault("foreign") else recorded.attempt_id
+        recorded.leaving = self.leaving
         common_headers = {"Celeryrun_Attempt_Id": attempt_id, **self._own_headers()}
         if not self._consume_fault("unsealed"):
             common_headers["Celeryrun_Response_Seal"] = f"seal-{self.id}"
@@ -297,6 +328,7 @@
             parts[-1] = parts[-1][:8]
         elif fault == "dies-between":
             del parts[-1]
+        recorded.broken_off = fault != "unframed"
         connection.write(format_head(b"HTTP/1.1 200 OK", _format_fields(headers)))
         for part in parts:
             connection.write(part)
@@ -333,6 +365,7 @@
             if self.faults["no-ids"]:
                 event = event.partition(b"\n")[2]
             if event_id > last_event_id + 2 and self._consume_fault("cut"):
+                recorded.broken_off = True
                 connection.write(format_chunk(event[:8]))
                 await asyncio.sleep(self.work)
                 connection.abort()
