--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -17,6 +17,7 @@
     "Violation",
     "check_crashing_part",
     "check_drains",
+    "check_failures",
     "check_leaving",
     "check_limits",
     "check_requests",
@@ -27,6 +28,7 @@
 ]
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+BAD_GATEWAY = 502
 FAULT_WINDOW = 4.0  # s after a fault in which requests may be lost, as documented for operators
 DRAIN_LAG = 2.5  # s: the drain lag of the settings and the delay from this process to the node
 STABILITY_WINDOW = 3.0  # s after which nodes must know of a crash or a limit
@@ -261,12 +263,7 @@
     unplanned_faults: list[FaultPeriod],
 ) -> list[Violation]:
     """Return a violation for each successful response that its node broke off."""
-    broken_off = {
-        recorded.attempt_id
-        for recorded_requests in recorded_by_target.values()
-        for recorded in recorded_requests
-        if recorded.broken_off
-    }
+    broken_off = _find_broken_off(recorded_by_target)
     return [
         Violation(
             "lost",
@@ -288,6 +285,25 @@
     ]
 
 
+def check_failures(
+    sent_requests: Iterable[SentRequest],
+    recorded_by_target: dict[str, list[RecordedRequest]],
+    unplanned_faults: list[FaultPeriod],
+) -> list[Violation]:
+    """Return a violation for each request that failed though its targets were sound."""
+    broken_off = _find_broken_off(recorded_by_target)
+    return [
+        Violation("failed", request.attempt_id, f"{request.node} responded {request.status}")
+        for request in sent_requests
+        if request.status == BAD_GATEWAY
+        and request.attempt_id not in broken_off
+        and not any(
+            fault.affects(request.node, request.sent_at, request.ended_at)
+            for fault in unplanned_faults
+        )
+    ]
+
+
 def check_versions(sent_requests: Iterable[SentRequest]) -> list[Violation]:
     """Return violations of the order and of the single version of streams over all tries."""
     violations = []
@@ -459,6 +475,16 @@
     return violations
 
 
+def _find_broken_off(recorded_by_target: dict[str, list[RecordedRequest]]) -> set[str]:
+    """Return the attempts whose responses targets broke off."""
+    return {
+        recorded.attempt_id
+        for recorded_requests in recorded_by_target.values()
+        for recorded in recorded_requests
+        if recorded.broken_off
+    }
+
+
 def _group_by_stream(sent_requests: Iterable[SentRequest]) -> dict[str, list[SentRequest]]:
     """Return the tries of each resumable stream, in order."""
     tries_by_stream: dict[str, list[SentRequest]] = defaultdict(list)
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -18,6 +18,7 @@
     Violation,
     check_crashing_part,
     check_drains,
+    check_failures,
     check_leaving,
     check_limits,
     check_requests,
@@ -163,7 +164,7 @@
     async def _start(self) -> None:
         await self.store.start()
         self._publish_configuration()
-        await self._fleet.start("versions" in self._kinds)
+        await self._fleet.start(self._kinds)
         for number in range(self._node_count):
             name = f"node-{number}"
             proxy = self._store_proxies[name] = Proxy(self.store.port)
@@ -399,6 +400,7 @@
         outages = [*self._fleet.outages, *(period for period, _ in self._limit_periods)]
         return [
             *check_whole_responses(sent_requests, recorded_by_target, self._unplanned_faults),
+            *check_failures(sent_requests, recorded_by_target, self._unplanned_faults),
             *check_versions(sent_requests),
             *check_resumed(
                 valid_requests,
--- a/soak/_targets.py
+++ b/soak/_targets.py
@@ -7,7 +7,7 @@
 
 from celeryrun.kernel import now
 from soak._checker import DrainPeriod, FaultPeriod, VersionPeriod
-from soak._faults import Fault
+from soak._faults import SOUND_TARGET_KINDS, Fault
 from soak._proxy import Proxy
 from standins.runner import RunnerStandIn
 
@@ -66,13 +66,14 @@
         """Runners of the pool of models."""
         return [runner for runner in self.all_runners if runner.events]
 
-    async def start(self, with_versions: bool) -> None:
-        """Start the runners; with two versions side by side, add two models of the second one."""
-        for runner in self.runners:
-            await self._start_runner(runner)
-        if with_versions:
+    async def start(self, kinds: frozenset[str]) -> None:
+        """Start the runners, of models in two versions side by side if releases are played."""
+        if not kinds.isdisjoint(SOUND_TARGET_KINDS):
             for runner in self.models:
                 runner.work = STREAM_WORK
+        for runner in self.runners:
+            await self._start_runner(runner)
+        if "versions" in kinds:
             for number in range(2):
                 await self._add_model(f"model-next-{number}", "v2")
 
--- a/soak/tests/test_checker.py
+++ b/soak/tests/test_checker.py
@@ -8,6 +8,7 @@
     SentRequest,
     VersionPeriod,
     check_drains,
+    check_failures,
     check_leaving,
     check_requests,
     check_resumed,
@@ -168,6 +169,24 @@
     assert len(check_whole_responses([request], {"m": [recorded]}, faults)) == count
 
 
+@pytest.mark.parametrize(
+    ("status", "broken_off", "faults", "count"),
+    [
+        (502, False, [], 1),
+        (503, False, [], 0),
+        (504, False, [], 0),
+        (502, True, [], 0),
+        (502, False, [FaultPeriod("runner-reset", 9.0, 9.0)], 0),
+        (502, False, [FaultPeriod("runner-reset", 5.0, 5.0)], 1),
+    ],
+)
+def test_failure_is_reported_unless_a_target_broke_off(status, broken_off, faults, count):
+    recorded = build_recorded()
+    recorded.broken_off = broken_off
+    request = build_request(status=status)
+    assert len(check_failures([request], {"app-0": [recorded]}, faults)) == count
+
+
 @pytest.mark.parametrize(
     ("ids", "guarantees"), [([2, 3], []), ([3], ["order"]), ([1, 2], ["order"])]
 )
