--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -28,6 +28,7 @@
 BROKEN_SHARE = 0.5  # of the resumable streams, by a failure of the caller's network
 MAX_TRIES = 3  # of one stream
 RETRY_DELAY = 0.05  # s before a stream is taken up again
+MAX_RETRY_AFTER = 2.0  # s that a refused caller waits at most, a third of its deadline
 
 
 class Caller:
@@ -125,6 +126,7 @@
         request.complete = response.complete
         request.status = parser.get_status_code() if response.headers else 0
         request.response_body = response.body
+        request.retry_after = float(response.headers.get("retry-after", 0))
         request.target = response.headers.get(SEAL_HEADER, "").removeprefix("seal-")
         request.event_ids = (
             response.event_ids if request.path.startswith(("/drafts/", "/chats/")) else []
@@ -161,7 +163,7 @@
             event_count += len(request.events)
             if request.complete and request.status == 200 or not first.events:
                 return
-            await asyncio.sleep(RETRY_DELAY)
+            await asyncio.sleep(max(RETRY_DELAY, min(request.retry_after, MAX_RETRY_AFTER)))
             previous = request
             request = self._build_request(first.path, previous.node)
             request.key, request.body, request.parts = first.key, first.body, first.parts
--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -71,6 +71,8 @@
         Id and version of each whole event of a stream.
     broken_by_caller : bool
         Whether the caller's connection was broken before the end of the response.
+    retry_after : float
+        Seconds after which a refused caller may come back, 0 if none were named.
     """
 
     attempt_id: str
@@ -93,6 +95,7 @@
     resumes: str = ""
     events: list[tuple[int, str]] = field(default_factory=list)
     broken_by_caller: bool = False
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True)
