--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -195,6 +195,7 @@
                 if isinstance(result, Silent):
                     self._leave_silent_target(state, response_relay, attempts, attempt)
                     continue
+                attempts.keep_reserve()
                 events = response_relay.events
                 outcome = await self._classify_result(state, result, attempt.target, events)
                 self._report_suspects(state, attempt.target, outcome, attempt.began)
@@ -213,15 +214,21 @@
         attempts: AttemptChain,
         attempt: Attempt,
     ) -> None:
-        """Turn to the successor of a silent target, which stays in reserve for a moment."""
+        """Turn to the successor of a silent target, which stays in reserve for a moment.
+
+        Without a successor, the target in reserve goes on, and the current one is not needed.
+        """
+        if attempts.successor is None:
+            self._request_log.emit(state, "silence-ended", unused=attempt.target.id)
+            attempt.close()
+            return
         attempt.outcome = FAILED
-        if response_relay.events:
-            state.last_event = response_relay.last_id
+        _record_progress(state, response_relay)
         self._request_log.emit(
             state,
             "target-silent",
             target=attempt.target.id,
-            successor=attempts.successor.target.id if attempts.successor else None,
+            successor=attempts.successor.target.id,
             events=response_relay.events,
             seconds=round(now() - attempt.began, 4),
         )
@@ -258,6 +265,7 @@
         if not response_relay.can_continue():
             return False
         state.excluded_targets.append(attempts.current.target.id)
+        _record_progress(state, response_relay)
         pause = SEARCH_PAUSE
         while True:
             match await self._open_attempt(state):
@@ -329,7 +337,8 @@
             except TargetFailedError:
                 outcome = UNREACHABLE
                 self._request_log.emit(state, "unreachable", target=target.id)
-                state.excluded_targets.append(target.id)
+                if self._has_other_target(state, target):
+                    state.excluded_targets.append(target.id)
                 state.failed_connects += 1
                 return Unreachable()
             state.failed_connects = 0
@@ -344,6 +353,13 @@
             if attempt is None:
                 self._scheduler_client.release(reply, outcome)
 
+    def _has_other_target(self, state: RequestState, target: Target) -> bool:
+        """Return whether a request may be sent to another target than this one."""
+        return any(
+            other.id != target.id and other.id not in state.excluded_targets
+            for other in self._discovery.ready_targets(state.pool.name)
+        )
+
     def _withdraw(
         self, state: RequestState, target_id: str, refusal: Refusal | None
     ) -> Withdrawn | Refusal:
@@ -377,10 +393,12 @@
                     state.last_event,
                 )
             )
+        is_stream = state.admission.route.kind.stream
         silence = SilenceWatch(
             silence_timeout(state, attempt.grant.expected_first_byte),
             lambda: self._find_successor(state, response_relay, attempts),
             attempts.drop_successor,
+            (lambda: attempts.reserve_goes_on(is_stream)) if attempts.has_reserve else None,
         )
         return await response_relay.relay(
             attempt,
@@ -473,7 +491,7 @@
                 )
                 return True
             case Rejected(status=status):
-                if has_reserve or (may_repeat and not connection.response_started):
+                if has_reserve or (may_repeat and response_relay.can_continue()):
                     self._request_log.emit(state, "rejected", status=status, target=target.id)
                     return False
                 if connection.response_started:
@@ -490,8 +508,7 @@
             seconds=now() - state.arrived_at,
         )
         if may_repeat and route.kind.repeatable and response_relay.can_continue():
-            if response_relay.events:
-                state.last_event = response_relay.last_id
+            _record_progress(state, response_relay)
             return False
         self._fail(connection, state, response_relay)
         return True
@@ -575,3 +592,10 @@
     ) -> None:
         self._request_log.log_refusal(state.request, refusal, by, state)
         connection.refuse(refusal)
+
+
+def _record_progress(state: RequestState, response_relay: ResponseRelay) -> None:
+    """Note how much of a stream its caller has, for the target that continues it."""
+    if response_relay.events:
+        state.last_event = response_relay.last_id
+        state.last_event_at = response_relay.last_event_at
