--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -51,8 +51,11 @@
 def test_proxy_forwards_blocks_one_direction_and_resets():
     async def scenario():
         async def echo(reader, writer):
-            while data := await reader.read(100):
-                writer.write(data)
+            try:
+                while data := await reader.read(100):
+                    writer.write(data)
+            finally:
+                writer.close()
 
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
         proxy = Proxy(server.sockets[0].getsockname()[1])
