--- a/soak/_checker.py
+++ b/soak/_checker.py
@@ -29,6 +29,7 @@
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
 FAULT_WINDOW = 4.0  # s after a fault in which requests may be lost, as documented for operators
 DRAIN_LAG = 2.5  # s: the drain lag of the settings and the delay from this process to the node
 STABILITY_WINDOW = 3.0  # s after which nodes must know of a crash or a limit
@@ -296,9 +297,14 @@
     """Return a violation for each request that failed though its targets were sound."""
     broken_off = _find_broken_off(recorded_by_target)
     return [
-        Violation("failed", request.attempt_id, f"{request.node} responded {request.status}")
+        Violation(
+            "failed",
+            request.attempt_id,
+            f"{request.node} responded {request.status} after"
+            f" {request.ended_at - request.sent_at:.2f} s",
+        )
         for request in sent_requests
-        if request.status == BAD_GATEWAY
+        if (request.status == BAD_GATEWAY or _timed_out_early(request))
         and request.attempt_id not in broken_off
         and not any(
             fault.affects(request.node, request.sent_at, request.ended_at)
@@ -478,6 +484,11 @@
     return violations
 
 
+def _timed_out_early(request: SentRequest) -> bool:
+    elapsed = request.ended_at - request.sent_at
+    return request.status == GATEWAY_TIMEOUT and elapsed < request.deadline - DEADLINE_MARGIN
+
+
 def _find_broken_off(recorded_by_target: dict[str, list[RecordedRequest]]) -> set[str]:
     """Return the attempts whose responses targets broke off."""
     return {
--- a/soak/tests/test_checker.py
+++ b/soak/tests/test_checker.py
@@ -174,7 +174,7 @@
     [
         (502, False, [], 1),
         (503, False, [], 0),
-        (504, False, [], 0),
+        (504, False, [], 1),
         (502, True, [], 0),
         (502, False, [FaultPeriod("runner-reset", 9.0, 9.0)], 0),
         (502, False, [FaultPeriod("runner-reset", 5.0, 5.0)], 1),
@@ -187,6 +187,11 @@
     assert len(check_failures([request], {"app-0": [recorded]}, faults)) == count
 
 
+def test_timeout_at_the_deadline_is_no_failure():
+    request = build_request(status=504, ended_at=11.95)
+    assert check_failures([request], {"app-0": [build_recorded()]}, []) == []
+
+
 @pytest.mark.parametrize(
     ("ids", "guarantees"), [([2, 3], []), ([3], ["order"]), ([1, 2], ["order"])]
 )
