--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -182,6 +182,8 @@
             self._rng.choice(self._keys),
             node,
             now(),
+            # Equal requests would share the suspicion of a crash.
+            attempt_id.encode(),
             parts=() if path.startswith("/calls/") else ("common", attempt_id),
             deadline=PATIENT_DEADLINE / 1000,
         )
--- a/soak/_nodes.py
+++ b/soak/_nodes.py
@@ -13,6 +13,8 @@
 __all__ = ["Node"]
 
 BOUNDS = "drain_lag = 2s\nrevocation_lag = 5s\nconfiguration_lag = 2s\nstop_grace = 8s"
+FIRST_START = "first_start = yes"
+LATER_START = "first_start = no"
 RESTART_DELAY = 0.2  # s until the platform restarts a process
 EXIT_TIMEOUT = 12.0  # s, the stop grace and a margin for a slow machine
 
@@ -70,6 +72,8 @@
                 return
             await self.wait_exit()
             await asyncio.sleep(RESTART_DELAY)
+            self._text = self._text.replace(FIRST_START, LATER_START)
+            self._path.write_text(self._path.read_text().replace(FIRST_START, LATER_START))
             await self.start()
 
     async def wait_exit(self) -> None:
