--- a/celeryrun/gateway/tests/test_odd_entries.py
+++ b/celeryrun/gateway/tests/test_odd_entries.py
@@ -12,6 +12,7 @@
     ODD_RECORDS,
     build_entry,
 )
+from celeryrun.gateway.tests.sites import grouped, run_each
 from standins.runner import RunnerStandIn
 from standins.site import Site, build_config, run
 
@@ -77,39 +78,38 @@
     assert not site.events("store-unreadable")
 
 
-@pytest.mark.parametrize("name", ODD_ENTRIES)
-def test_list_of_targets_is_followed_past_odd_entry(name):
-    async def scenario():
+@pytest.mark.parametrize("names", grouped(ODD_ENTRIES), ids=lambda names: names[0])
+def test_list_of_targets_is_followed_past_odd_entry(names):
+    async def scenario(name):
         async with build_site() as site:
             site.store.put("keyed.servers", "odd", ODD_ENTRIES[name])
             await wait_until_read(site, "keyed.servers")
             await check_list_is_followed(site)
 
-    run(scenario())
+    run_each(scenario, names)
 
 
-@pytest.mark.parametrize("name", ODD_IDS)
-def test_list_of_targets_is_followed_past_odd_id(name):
-    async def scenario():
+@pytest.mark.parametrize("names", grouped(ODD_IDS), ids=lambda names: names[0])
+def test_list_of_targets_is_followed_past_odd_id(names):
+    async def scenario(name):
         async with build_site() as site:
             key = ODD_IDS[name].encode()
             site.store.append("keyed.servers", bytes([len(key)]) + key + build_entry())
             await wait_until_read(site, "keyed.servers")
             await check_list_is_followed(site)
 
-    run(scenario())
+    run_each(scenario, names)
 
 
 @pytest.mark.parametrize("topic", ["keyed.servers", "keyed.op", "keyed.status"])
-@pytest.mark.parametrize("name", ODD_RECORDS)
-def test_topics_are_followed_past_odd_record(topic, name):
-    async def scenario():
+def test_topics_are_followed_past_odd_record(topic):
+    async def scenario(name):
         async with build_site() as site:
             site.store.append(topic, ODD_RECORDS[name])
             await wait_until_read(site, topic)
             await check_list_is_followed(site)
 
-    run(scenario())
+    run_each(scenario, ODD_RECORDS)
 
 
 @pytest.mark.parametrize("name", ["nested-arrays", "slots-2-to-62", "port-superscript"])
@@ -195,9 +195,9 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("name", ODD_CONFIGS)
-def test_odd_configuration_leaves_the_one_in_force(name):
-    async def scenario():
+@pytest.mark.parametrize("names", grouped(ODD_CONFIGS), ids=lambda names: names[0])
+def test_odd_configuration_leaves_the_one_in_force(names):
+    async def scenario(name):
         async with build_site() as site:
             site.store.put("keyed.op", "config", ODD_CONFIGS[name])
             await wait_until_read(site, "keyed.op")
@@ -210,12 +210,12 @@
             )
             await check_list_is_followed(site)
 
-    run(scenario())
+    run_each(scenario, names)
 
 
-@pytest.mark.parametrize("name", ODD_NODE_RECORDS)
-def test_node_joins_past_odd_record_of_the_nodes(name):
-    async def scenario():
+@pytest.mark.parametrize("names", grouped(ODD_NODE_RECORDS), ids=lambda names: names[0])
+def test_node_joins_past_odd_record_of_the_nodes(names):
+    async def scenario(name):
         async with build_site() as site:
             key, value = ODD_NODE_RECORDS[name]
             site.store.put("keyed.status", key, value)
@@ -228,4 +228,4 @@
             )
             await check_list_is_followed(site)
 
-    run(scenario())
+    run_each(scenario, names)
--- a/celeryrun/gateway/tests/test_planned_stop.py
+++ b/celeryrun/gateway/tests/test_planned_stop.py
@@ -5,8 +5,7 @@
 import signal
 import sys
 
-import pytest
-
+from celeryrun.gateway.tests.sites import run_each
 from celeryrun.kernel import now
 from standins.ports import lease_ports
 from standins.site import Site, build_config, format_settings, read_response, run
@@ -76,9 +75,8 @@
     return counts
 
 
-@pytest.mark.parametrize("path", PATHS)
-def test_requests_before_and_during_a_stop_are_answered_or_refused(path):
-    async def scenario():
+def test_requests_before_and_during_a_stop_are_answered_or_refused():
+    async def scenario(path):
         async with build_site() as site:
             responses = {}
             sends = [
@@ -95,12 +93,11 @@
             assert counts.keys() == {200, 503}
             assert counts[200] >= (2 if path == "/calls/a" else 4) and counts[503] >= 6
 
-    run(scenario())
+    run_each(scenario, PATHS)
 
 
-@pytest.mark.parametrize("path", PATHS)
-def test_request_that_does_not_fit_into_the_rest_is_refused_at_once(path):
-    async def scenario():
+def test_request_that_does_not_fit_into_the_rest_is_refused_at_once():
+    async def scenario(path):
         async with build_site() as site:
             responses = {}
             await send_at(site, 0.0, path, responses)
@@ -113,12 +110,11 @@
             assert count_answers(site, responses) == {200: 1, 503: 1}
             assert (await stop) < GRACE
 
-    run(scenario())
+    run_each(scenario, PATHS)
 
 
-@pytest.mark.parametrize("path", ["/bookings/a", "/calls/a", "/drafts/a"])
-def test_outcome_of_a_target_without_response_is_unknown_and_told_before_the_end(path):
-    async def scenario():
+def test_outcome_of_a_target_without_response_is_unknown_and_told_before_the_end():
+    async def scenario(path):
         async with build_site() as site:
             for runner in (*site.apps, *site.models):
                 runner.faults["hang"] = 9
@@ -132,12 +128,11 @@
             assert (await stop) < GRACE
             assert set(count_answers(site, responses)) <= {502, 504}
 
-    run(scenario())
+    run_each(scenario, ["/bookings/a", "/calls/a", "/drafts/a"])
 
 
-@pytest.mark.parametrize("path", ["/chats/a", "/drafts/a"])
-def test_stream_that_has_begun_is_broken_off_only_at_the_end(path):
-    async def scenario():
+def test_stream_that_has_begun_is_broken_off_only_at_the_end():
+    async def scenario(path):
         async with build_site(models=1) as site:
             site.models[0].events, site.models[0].work = 60, 0.1
             reader, writer = await site.connect()
@@ -156,12 +151,11 @@
             assert GRACE - 0.7 < last - began < GRACE
             assert not body.endswith(b"0\r\n\r\n")
 
-    run(scenario())
+    run_each(scenario, ["/chats/a", "/drafts/a"])
 
 
-@pytest.mark.parametrize("part", ["head", "body"])
-def test_request_that_is_still_being_received_at_the_end_is_refused(part):
-    async def scenario():
+def test_request_that_is_still_being_received_at_the_end_is_refused():
+    async def scenario(part):
         async with build_site() as site:
             reader, writer = await site.connect()
             data = site.format_request("/bookings/a", body=b"x" * 60)
@@ -173,7 +167,7 @@
             assert (await stop) < GRACE
             assert not site.apps[0].requests and not site.apps[1].requests
 
-    run(scenario())
+    run_each(scenario, ["head", "body"])
 
 
 def test_body_that_is_received_during_the_stop_is_served():
@@ -192,9 +186,8 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("path", ["/bookings/a", "/chats/a"])
-def test_pipelined_requests_are_all_answered(path):
-    async def scenario():
+def test_pipelined_requests_are_all_answered():
+    async def scenario(path):
         async with build_site() as site:
             reader, writer = await site.connect()
             writer.write(b"".join(site.format_request(path, deadline=8000) for _ in range(4)))
@@ -209,7 +202,7 @@
             executed = sum(len(runner.executed_requests) for runner in (*site.apps, *site.models))
             assert executed == statuses.count(b"200")
 
-    run(scenario())
+    run_each(scenario, ["/bookings/a", "/chats/a"])
 
 
 def test_signal_from_outside_ends_the_process_with_all_responses_sent(tmp_path):
