--- a/celeryrun/gateway/tests/test_events.py
+++ b/celeryrun/gateway/tests/test_events.py
@@ -78,3 +78,13 @@
             assert (await site.send_request("/calls/a")).status == 200
 
     run(scenario())
+
+
+def test_value_that_json_cannot_hold_is_escaped():
+    read_end, write_end = os.pipe()
+    events = EventLog("n", write_end)
+    events.emit("odd", text="\ud800", number=10**400)
+    events.flush()
+    (line,) = [json.loads(line) for line in os.read(read_end, 1 << 20).splitlines()]
+    assert "ud800" in line["text"] and len(line["number"]) <= 500
+    assert "odd" in line["event"]
--- a/celeryrun/gateway/tests/test_odd_entries.py
+++ b/celeryrun/gateway/tests/test_odd_entries.py
@@ -229,3 +229,30 @@
             await check_list_is_followed(site)
 
     run_each(scenario, names)
+
+
+def test_error_in_a_planning_round_stops_no_later_one(monkeypatch):
+    async def scenario():
+        async with Site(apps=1, models=0, bounds=BOUNDS) as site:
+            scheduler = site.gateways[0].kernel.find("scheduler").scheduler
+            plan, failures = type(scheduler).plan, []
+
+            def fail_twice(*arguments):
+                if len(failures) < 2:
+                    failures.append(arguments)
+                    raise OverflowError("x" * 9999)
+                return plan(*arguments)
+
+            monkeypatch.setattr(type(scheduler), "plan", fail_twice)
+            await send_requests_to_one(site)
+            assert len(failures) == 2
+            lines = site.events("plan-failed")
+            assert lines and all(len(line["why"]) < 300 for line in lines)
+
+    run(scenario())
+
+
+async def send_requests_to_one(site):
+    """Send requests to the only gateway and check their responses."""
+    responses = await asyncio.gather(*(site.send_request("/bookings/a") for _ in range(4)))
+    assert [response.status for response in responses] == [200] * 4
--- a/celeryrun/transport/tests/test_exchange.py
+++ b/celeryrun/transport/tests/test_exchange.py
@@ -139,3 +139,11 @@
 def test_many_small_chunks_are_not_mistaken_for_framing_without_end():
     chunks = b"1\r\nx\r\n" * MAX_FRAMING_BYTES
     run(check_body(b"x" * MAX_FRAMING_BYTES, CHUNKED, chunks, b"0\r\n\r\n"))
+
+
+@pytest.mark.parametrize(
+    ("host", "port"), [("a" * 300, 80), ("a..b", 80), ("127.0.0.1", 99_999), ("127.0.0.1\0", 80)]
+)
+def test_address_that_no_system_call_takes_is_refused(host, port):
+    with pytest.raises(TargetFailedError, match="refused"):
+        asyncio.run(open_exchange(host, port, 1.0))
