scheduling: rely on origins of targets at work without a read, and in an outage where one version serves

Each resumption of a young stream asked for a read of the list, and while the store was lost none was ever relied on: all resumed streams would have been refused in an outage. A target that has been at work without a break since before the last read is the one in the list; and in an outage a pool with a single version is taken as listed. The list is asked for only if no target that is certain may take the request.

--- a/celeryrun/continuity/_origins.py
+++ b/celeryrun/continuity/_origins.py
@@ -25,11 +25,14 @@
         Version, or `CONTRADICTORY`.
     recorded_at, expires_at : float
         Time at which this node learned of it, and at which its caller has given up, in seconds.
+    is_certain : bool
+        Whether the target was known to be the one in the list.
     """
 
     version: str
     recorded_at: float
     expires_at: float
+    is_certain: bool = False
 
 
 def hash_attempt(attempt_id: bytes) -> int:
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -159,7 +159,7 @@
             no_prior_usage=settings.node.first_start == "yes",
             crash_history=self._crash_tracker.requests,
             resolve_origin=self._origins.resolve,
-            list_confirmed_at=lambda: self._discovery.targets.confirmed_at,
+            list_confirmed_at=self._origins.list_confirmed_at,
             confirm_list=self._discovery.targets.hurry,
         )
 
@@ -239,12 +239,12 @@
             case FirstByte():
                 self.scheduler.report_first_byte(message.grant_id, message.seconds, time)
                 if message.stream:
-                    target = self.scheduler.target_of(message.grant_id)
-                    if target is not None:
-                        self._origins.note_target(message.stream, target)
                     self._apply_origins(
                         OriginReport(message.version, (message.stream,), (int(message.lifetime),))
                     )
+                    target = self.scheduler.target_of(message.grant_id, time)
+                    if target is not None:
+                        self._origins.note_target(message.stream, *target)
             case OriginReport():
                 self._apply_origins(message)
             case VersionReport():
--- a/celeryrun/gateway/_stream_origins.py
+++ b/celeryrun/gateway/_stream_origins.py
@@ -125,9 +125,19 @@
         self._table.record(stream, origin.version, origin.lifetime, now())
         return origin
 
-    def note_target(self, stream: int, target: str) -> None:
-        """Note which target made the first event of a stream, as this node's scheduler knows."""
+    def note_target(self, stream: int, target: str, is_certain: bool) -> None:
+        """Note which target made the first event of a stream, as this node's scheduler knows.
+
+        Parameters
+        ----------
+        is_certain : bool
+            Whether the target is the one in the list, and not another run of it.
+        """
         time = now()
+        origin = self._table.find(stream, time)
+        if is_certain and origin is not None:
+            origin.is_certain = True
+            return
         streams = self._recent_streams_by_target.setdefault(target, deque())
         while streams and time - streams[0][0] > LIST_LAG:
             streams.popleft()
@@ -176,15 +186,15 @@
         origin = self._table.find(stream, time) if stream else None
         if origin is None and slot_request.version:
             return Bound(slot_request.version, "claimed", 0.0)
-        follower = self._discovery.targets
         if (
             origin is not None
             and origin.version != CONTRADICTORY
-            and follower.confirmed_at < origin.recorded_at + ENTRY_DELAY
+            and not origin.is_certain
+            and self.list_confirmed_at(pool) < origin.recorded_at + ENTRY_DELAY
         ):
             # The target may have been another run of it, at another version, than the one listed.
             if time >= origin.recorded_at + ENTRY_DELAY:
-                follower.hurry()
+                self._discovery.targets.hurry()
             return Unknown("the target that began it is not confirmed")
         life = self._longest_life(pool)
         if life is None or self._observed_since is None:
@@ -198,6 +208,19 @@
             self._list_is_current(),
         )
 
+    def list_confirmed_at(self, pool: str) -> float:
+        """Return the start of the last read that showed the list of targets to be the newest.
+
+        While the store is lost, a list with one version counts as the newest: no target that starts
+        then can say that it is of another.
+        """
+        follower = self._discovery.targets
+        if follower.is_store_lost:
+            life = self._longest_life(pool) or MAX_OBSERVED
+            if len(self._history(pool).versions_since(now() - life)) == 1:
+                return float("inf")
+        return follower.confirmed_at
+
     def _list_is_current(self) -> bool:
         return self._discovery.targets.age() <= self._max_list_age
 
@@ -273,6 +296,8 @@
                 self._contradict_recent_streams(current)
         if former is not None:
             self._history(former.pool).remove(former.version, now())
+        if former is not None and current is None:
+            self._recent_streams_by_target.pop(former.id, None)
         if current is not None:
             self._history(current.pool).add(current.version)
 
--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -191,6 +191,11 @@
         self._suspended_until = float("-inf")
         self._resumed.set()
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._store_lost
+
     def freshness(self) -> tuple[float, int, int]:
         """Return the age of the data, -1 during an outage of the store, its era and its end."""
         position = self.position or Position(0, 0)
--- a/celeryrun/gateway/tests/test_stream_versions.py
+++ b/celeryrun/gateway/tests/test_stream_versions.py
@@ -257,6 +257,19 @@
     run(scenario())
 
 
+def test_streams_of_a_single_version_go_on_while_the_store_is_down():
+    async def scenario():
+        async with build_mixed_site(versions=("v1", "v1")) as site:
+            await join_gateways(site)
+            site.store.faults.add("down")
+            await site.wait_until(lambda: len(site.events("store-lost")) >= 2)
+            callers = await begin_streams(site, STREAMS, gateway=0)
+            await resume_streams(callers, gateway=1)
+            assert count_whole(callers) == STREAMS
+
+    run(scenario())
+
+
 def test_node_that_is_cut_off_takes_up_only_what_it_knows():
     async def scenario():
         async with build_mixed_site() as site:
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -71,7 +71,7 @@
         Returns the version at which a resumed stream may go on; by default, none is known. Its
         last argument is whether a stream of unknown origin will be denied.
     list_confirmed_at : callable, optional
-        Returns the start of the last read that showed the list of targets to be the newest.
+        Returns the start of the last read that showed the targets of a pool to be the newest list.
     confirm_list : callable, optional
         Called when the list must be read again before a resumed stream can be placed.
     """
@@ -109,7 +109,7 @@
         resolve_origin: Callable[[SlotRequest, float, bool], Resolution] = (
             lambda slot_request, now, is_last: Unknown("no origins are recorded")
         ),
-        list_confirmed_at: Callable[[], float] = lambda: math.inf,
+        list_confirmed_at: Callable[[str], float] = lambda pool: math.inf,
         confirm_list: Callable[[], None] = lambda: None,
     ) -> None:
         self._limits = LimitEnforcer(limits, fleet_share, no_prior_usage)
@@ -264,7 +264,7 @@
         """
         slot_request = queued.slot_request
         earliest = queued.arrived + (BREAK_REPORT_DELAY if slot_request.retry else 0.0)
-        confirmed_at = self._list_confirmed_at()
+        confirmed_at = self._list_confirmed_at(slot_request.pool)
         busy_since = confirmed_at - ENTRY_DELAY - MIN_RUN_AGE if now >= earliest else -math.inf
         found = {}
         is_certain = True
@@ -277,7 +277,8 @@
                 found[target.id] = load
             else:
                 is_certain = False
-        if not is_certain and now >= earliest:
+        can_wait = found.keys() - slot_request.excluded_targets
+        if not is_certain and not can_wait and now >= earliest:
             self._confirm_list()
         return found
 
@@ -313,10 +314,21 @@
             planning_round.grants.append((queued.node, self._grant(queued, placement, now)))
         return True
 
-    def target_of(self, grant_id: int) -> str | None:
-        """Return the target of an active grant, None if the grant is unknown."""
+    def target_of(self, grant_id: int, now: float) -> tuple[str, bool] | None:
+        """Return the target of an active grant, and whether its version is certain.
+
+        Returns
+        -------
+        tuple of (str, bool) or None
+            None if the grant is unknown.
+        """
         load = self._load_by_grant_id.get(grant_id)
-        return None if load is None else load.active_grants_by_id[grant_id].target
+        if load is None:
+            return None
+        active_grant = load.active_grants_by_id[grant_id]
+        confirmed_at = self._list_confirmed_at(active_grant.pool)
+        is_certain = load.at_work_since(now) <= confirmed_at - ENTRY_DELAY - MIN_RUN_AGE
+        return active_grant.target, is_certain
 
     def report_first_byte(self, grant_id: int, seconds: float, now: float) -> None:
         """Update the target's load from a measured time to the first byte."""
--- a/celeryrun/scheduling/tests/test_versions.py
+++ b/celeryrun/scheduling/tests/test_versions.py
@@ -30,7 +30,7 @@
     return build_scheduler(
         *targets,
         resolve_origin=knowledge.resolve,
-        list_confirmed_at=lambda: knowledge.confirmed_at,
+        list_confirmed_at=lambda pool: knowledge.confirmed_at,
         confirm_list=knowledge.confirm,
     )
 
