--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -325,10 +325,11 @@
     """Scheduler client with a replaced ``acquire``."""
 
     def __init__(self, client, acquire):
+        self._client = client
         self.acquire = acquire
-        self.report_first_byte = client.report_first_byte
-        self.report_limit = client.report_limit
-        self.release = client.release
+
+    def __getattr__(self, name):
+        return getattr(self._client, name)
 
 
 @pytest.mark.parametrize(
--- a/celeryrun/gateway/tests/test_paused_targets.py
+++ b/celeryrun/gateway/tests/test_paused_targets.py
@@ -1,6 +1,7 @@
 """Targets that turn a request away and say for how long they want no others."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -103,18 +104,19 @@
     run(scenario())
 
 
-def test_request_waits_for_the_end_of_a_short_pause_of_the_only_target():
+@pytest.mark.parametrize("seconds", [0.05, 0.3])
+def test_request_waits_for_the_end_of_a_short_pause_of_the_only_target(seconds):
     async def scenario():
         async with build_site(gateways=1, runners=1) as site:
             await joined_site(site)
             runner = site.apps[0]
-            runner.retry_after = 0.3
+            runner.retry_after = seconds
             sent = asyncio.create_task(site.send_request("/calls/a"))
             await site.wait_until(lambda: runner.requests)
             runner.retry_after = None
             assert (await sent).status == 200
             first, second = [request.arrived_at for request in runner.requests]
-            assert second - first >= 0.3
+            assert second - first >= seconds
 
     run(scenario())
 
@@ -130,13 +132,28 @@
             responses = await send_paths(site, 1.6, deadline=4000)
             back = sorted(request.arrived_at for request in runner.executed_requests)
             assert len(back) > 8
-            assert sum(time < back[0] + 0.2 for time in back) == 1
+            assert sum(arrived_at < back[0] + 0.2 for arrived_at in back) == 1
             assert any(response.status == 200 for response in responses)
             assert {line["target"] for line in site.events("target-resumed")} == {runner.id}
 
     run(scenario())
 
 
+def test_pause_ends_while_the_process_is_suspended():
+    async def scenario():
+        async with build_site(gateways=1, runners=1) as site:
+            await joined_site(site)
+            runner = site.apps[0]
+            await announce_pause(site, runner, 0.6)
+            runner.retry_after = None
+            time.sleep(1.0)
+            resumed_at = now()
+            assert (await site.send_request("/calls/a")).status == 200
+            assert now() - resumed_at < 0.5
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("seconds", ["garbage", "-1", "nan", "inf", "1e300", "0", "0.0"])
 def test_unusable_value_is_no_pause(seconds):
     async def scenario():
