gateway: a draining node does not close a connection that has just been made

Cause, by reading: a connection without a request counted as idle at once. It is left open for 0.2 s now.

--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -28,6 +28,7 @@
 READY_AGE_FRACTION = 0.8  # of revocation_lag; with an older configuration all keys are soon refused
 BODY_MEMORY_FRACTION = 0.2  # of memory; a body is held as chunks, joined, and once more while sent
 MAX_ACCEPT_DELAY = 0.5  # s for which a closing listener still accepts connections
+MIN_IDLE_TIME = 0.2  # s; a caller that has just connected is about to send its request
 ACCEPT_POLL_INTERVAL = 0.002  # s
 RESERVED_DESCRIPTORS = 200  # for files, and for connections to the store and between nodes
 DESCRIPTORS_PER_CALLER = 2  # a caller's connection and the one to its target
@@ -97,9 +98,11 @@
         self._server.close()
 
     def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+        """Close the connections that have had no request in progress for a moment."""
+        latest = now() - MIN_IDLE_TIME
         for connection in list(self.connections):
-            connection.close_if_idle()
+            if connection.idle_since <= latest:
+                connection.close_if_idle()
 
     def refuse_unread(self, refusal: Refusal) -> None:
         """Refuse the requests that are still being received."""
--- a/celeryrun/gateway/tests/test_planned_stop.py
+++ b/celeryrun/gateway/tests/test_planned_stop.py
@@ -248,3 +248,23 @@
             await send_at(site, 0.1, "/bookings/a", responses)
             if any(response.status == 200 for response in responses.values()):
                 return
+
+
+def test_request_of_a_caller_that_connects_at_the_end_of_the_listener_is_answered():
+    async def scenario():
+        async with Site(apps=1) as site:
+            callers = site.gateways[0].kernel.find("callers")
+            reader, writer = await site.connect()
+            await site.wait_until(lambda: callers.connections)
+            callers.close_idle()
+            await asyncio.sleep(0.05)
+            callers.close_idle()
+            writer.write(site.format_request("/calls/a"))
+            response = await read_response(reader)
+            assert response.status == 200
+            await asyncio.sleep(0.3)
+            callers.close_idle()
+            await site.wait_until(lambda: not callers.connections)
+            writer.close()
+
+    run(scenario())
