gateway: a response that the crash of a leaving target cuts does not look complete

Cause: whether a target has survived was not asked of one that is not ready, since a draining one may have exited after its response; a target that states that it leaves became not ready while it serves on, and may crash. It is probed now.

--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -524,8 +524,12 @@
         return FAILED
 
     async def _has_survived(self, target: Target) -> bool:
-        """Return whether a target still accepts connections, or was to leave anyway."""
-        return not self._is_ready(target) or await accepts_connections(
+        """Return whether a target still accepts connections, or was to leave anyway.
+
+        One that has only stated that it leaves goes on serving, and may crash like any other.
+        """
+        is_up_by_list = self._is_ready(target) or target.run in self._discovery.leaving
+        return not is_up_by_list or await accepts_connections(
             target.host, target.port, PROBE_TIMEOUT
         )
 
--- a/celeryrun/gateway/tests/test_leaving_targets.py
+++ b/celeryrun/gateway/tests/test_leaving_targets.py
@@ -206,3 +206,16 @@
             assert withdrawn and len(withdrawn) == len(set(withdrawn))
 
     run(scenario())
+
+
+@pytest.mark.parametrize("path", ["/calls/a", "/drafts/a"])
+def test_response_that_a_crash_of_a_leaving_target_cuts_does_not_look_complete(path):
+    async def scenario():
+        async with Site(apps=1, models=1) as site:
+            for target in (*site.apps, *site.models):
+                target.leaving = True
+                target.faults["dies-between"] = 9
+            response = await site.send_request(path)
+            assert response.status != 200 or not response.complete
+
+    run(scenario())
