--- a/celeryrun/gateway/tests/test_paused_targets.py
+++ b/celeryrun/gateway/tests/test_paused_targets.py
@@ -192,7 +192,7 @@
             await announce_pause(site, runner, 30.0)
             await runner.restart()
             found = [gateway.kernel.find("discovery") for gateway in site.gateways]
-            await site.wait_until(lambda: all(d.targets_by_id[runner.id].born == 2 for d in found))
+            await site.wait_until(lambda: all(d.targets_by_id[runner.id].born > 1 for d in found))
             assert (await site.send_request("/calls/a")).status == 200
 
     run(scenario())
