gateway: a successor that is found together with bytes without progress is not lost

Cause: the search and the read of a comment ended in the same turn of the event loop; the read went first, and a search that was done was not looked at again. A search that fails is logged once.

--- a/celeryrun/gateway/_silence.py
+++ b/celeryrun/gateway/_silence.py
@@ -60,7 +60,7 @@
         self._search: asyncio.Future[bool] | None = None
         self._reserve: asyncio.Future[bool] | None = None
         if reserve_goes_on is not None:
-            self._reserve = asyncio.ensure_future(reserve_goes_on())
+            self._reserve = _start(reserve_goes_on())
 
     def record_progress(self) -> None:
         """Note that the target goes on."""
@@ -102,21 +102,21 @@
     async def _wait_for_change(self, reading: asyncio.Future[T]) -> None:
         """Wait until a read is done; start the search for a successor when it is due."""
         if self._is_search_due():
-            self._search = asyncio.ensure_future(self._find_successor())
+            self._search = _start(self._find_successor())
         alternatives = [
-            alternative
-            for alternative in (self._reserve, self._search)
-            if alternative is not None and not alternative.done()
+            alternative for alternative in (self._reserve, self._search) if alternative is not None
         ]
-        awaited: list[asyncio.Future[Any]] = [reading, *alternatives]
+        # One may have been found together with bytes that were no progress.
+        if any(map(_is_found, alternatives)):
+            raise SuccessorFoundError
+        awaited: list[asyncio.Future[Any]] = [reading]
+        awaited += [alternative for alternative in alternatives if not alternative.done()]
         await asyncio.wait(
             awaited,
             timeout=self._time_to_search(),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if not reading.done() and any(
-            alternative.done() and _is_found(alternative) for alternative in alternatives
-        ):
+        if not reading.done() and any(map(_is_found, alternatives)):
             raise SuccessorFoundError
 
     def _time_to_search(self) -> float | None:
@@ -136,10 +136,19 @@
                 alternative.cancel()
 
 
-def _is_found(alternative: asyncio.Future[bool]) -> bool:
-    """Return the result of a search; one that failed has found nothing."""
-    try:
-        return alternative.result()
-    except Exception:
-        log.exception("the search for another target failed")
-        return False
+def _start(search: Awaitable[bool]) -> asyncio.Future[bool]:
+    """Start a search; one that fails is logged and has found nothing."""
+    future = asyncio.ensure_future(search)
+    future.add_done_callback(_log_failure)
+    return future
+
+
+def _log_failure(future: asyncio.Future[bool]) -> None:
+    if not future.cancelled() and future.exception() is not None:
+        log.error("the search for another target failed: {!r}", future.exception())
+
+
+def _is_found(future: asyncio.Future[bool]) -> bool:
+    """Return whether a search has found something."""
+    has_result = future.done() and not future.cancelled() and future.exception() is None
+    return has_result and future.result()
--- a/celeryrun/gateway/tests/test_silence.py
+++ b/celeryrun/gateway/tests/test_silence.py
@@ -140,3 +140,20 @@
         assert await watch.wait(read_after(3 * TIMEOUT)) == b"data"
 
     run(scenario)
+
+
+def test_successor_that_is_found_together_with_bytes_without_progress_is_not_lost():
+    async def scenario(search, watch):
+        loop = asyncio.get_running_loop()
+        arrived = loop.create_future()
+
+        def find_and_arrive():
+            search.result.set_result(True)
+            arrived.set_result(b": wait")
+
+        loop.call_later(2 * TIMEOUT, find_and_arrive)
+        assert await watch.wait(lambda: asyncio.shield(arrived)) == b": wait"
+        with pytest.raises(SuccessorFoundError):
+            await watch.wait(read_after(1.0))
+
+    run(scenario)
