--- a/celeryrun/gateway/_silence.py
+++ b/celeryrun/gateway/_silence.py
@@ -89,6 +89,9 @@
                     return await read()
             except TimeoutError:
                 pass
+        if self._has_found():
+            # It was found together with bytes that were no progress.
+            raise SuccessorFoundError
         reading = asyncio.ensure_future(read())
         try:
             # What arrived while the event loop was blocked is read before it counts as silence.
@@ -103,22 +106,23 @@
         """Wait until a read is done; start the search for a successor when it is due."""
         if self._is_search_due():
             self._search = _start(self._find_successor())
-        alternatives = [
-            alternative for alternative in (self._reserve, self._search) if alternative is not None
-        ]
-        # One may have been found together with bytes that were no progress.
-        if any(map(_is_found, alternatives)):
-            raise SuccessorFoundError
         awaited: list[asyncio.Future[Any]] = [reading]
-        awaited += [alternative for alternative in alternatives if not alternative.done()]
+        awaited += [search for search in self._searches() if not search.done()]
         await asyncio.wait(
             awaited,
             timeout=self._time_to_search(),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        if not reading.done() and any(map(_is_found, alternatives)):
+        if not reading.done() and self._has_found():
             raise SuccessorFoundError
 
+    def _searches(self) -> list[asyncio.Future[bool]]:
+        return [search for search in (self._reserve, self._search) if search is not None]
+
+    def _has_found(self) -> bool:
+        """Return whether another target is ready, or the one in reserve goes on."""
+        return any(map(_is_found, self._searches()))
+
     def _time_to_search(self) -> float | None:
         """Return the seconds until the search may start, None if it need not."""
         is_reserve_open = self._reserve is not None and not self._reserve.done()
@@ -131,9 +135,8 @@
 
     def close(self) -> None:
         """End the wait for alternatives; a successor that was found stays."""
-        for alternative in (self._reserve, self._search):
-            if alternative is not None and not alternative.done():
-                alternative.cancel()
+        for search in self._searches():
+            search.cancel()
 
 
 def _start(search: Awaitable[bool]) -> asyncio.Future[bool]:
