--- a/standins/tests/test_ports.py
+++ b/standins/tests/test_ports.py
@@ -1,5 +1,6 @@
 """Ports of test processes: one process each, also where several test runs share a machine."""
 
+import os
 import socket
 import subprocess
 import sys
@@ -8,7 +9,8 @@
 from standins.fleet import Fleet, FleetConfig
 from standins.ports import PortLease, lease_ports
 
-NARROW_RANGE = (31_900, 31_940)
+NARROW_FIRST = 20_000 + os.getpid() % 250 * 40  # so that test runs beside each other differ
+NARROW_RANGE = (NARROW_FIRST, NARROW_FIRST + 40)
 
 
 def test_port_is_given_once_before_anybody_listens(monkeypatch, tmp_path):
