--- a/celeryrun/cli/_explain.py
+++ b/celeryrun/cli/_explain.py
@@ -43,7 +43,8 @@
             )
             head = f"{event.get('time')} {event.get('node')} {event.get('event')}"
             events.append(f"{head} {fields}".rstrip())
-    return sorted(events)
+    # Events of one millisecond stay in the order in which they were logged.
+    return sorted(events, key=lambda line: line.partition(" ")[0])
 
 
 def decode_event(line: str) -> dict[str, Any] | None:
