--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/bash
+# The refusal of a HEAD request has a body, which stands where the next answer is due.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH="$PWD/target/deps:$PWD" exec python3 review/3/case.py
