--- a/review/support.py
+++ b/review/support.py
@@ -178,7 +178,7 @@
 
 
 async def start_process(*words: str, log: Path) -> asyncio.subprocess.Process:
-    """Start a program of the repository as the deploy file does, with the libraries of its build."""
+    """Start a program of the repository with the libraries of the deploy file's build."""
     environment = {
         name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
     }
