--- a/review/support.py
+++ b/review/support.py
@@ -202,6 +202,7 @@
         self.store = StoreStandIn()
         self.config = config
         self.processes: list[asyncio.subprocess.Process] = []
+        self.gateways: dict[int, asyncio.subprocess.Process] = {}
         self.ports: list[list[int]] = []
 
     async def start_store(self) -> None:
@@ -212,15 +213,27 @@
     async def start_gateways(self) -> None:
         """Start the gateways and wait until all say that they are ready."""
         for number in range(GATEWAYS):
-            ports = lease_ports(4)
-            path = self.folder / f"gateway-{number}.ini"
-            path.write_text(
-                format_settings(f"gateway-{number}", tuple(ports), self.store.port, BOUNDS, MACHINE)
-            )
-            self.ports.append(ports)
-            await self.run("python3", "-m", "celeryrun", "gateway", str(path))
+            self.ports.append(lease_ports(4))
+            await self._start_gateway(number, "yes")
         await self.wait_until(self._are_ready, "the gateways are not ready")
 
+    async def _start_gateway(self, number: int, first_start: str) -> None:
+        name = f"gateway-{number}"
+        path = self.folder / f"{name}.ini"
+        ports = tuple(self.ports[number])
+        path.write_text(format_settings(name, ports, self.store.port, BOUNDS, MACHINE, first_start))
+        self.gateways[number] = await self.run("python3", "-m", "celeryrun", "gateway", str(path))
+
+    async def kill_all_gateways(self, restart_after: float) -> None:
+        """Kill all gateways at once, and start them again after some seconds."""
+        for process in self.gateways.values():
+            process.kill()
+        for process in self.gateways.values():
+            await process.wait()
+        await asyncio.sleep(restart_after)
+        for number in range(GATEWAYS):
+            await self._start_gateway(number, "no")
+
     async def run(self, *words: str) -> asyncio.subprocess.Process:
         """Start a process that is ended with the deployment."""
         log = self.folder / f"process-{len(self.processes)}.log"
