--- a/review/support.py
+++ b/review/support.py
@@ -19,6 +19,7 @@
 from standins.store import HOST, StoreStandIn
 
 __all__ = [
+    "GATEWAYS",
     "Answer",
     "CaseNotRunError",
     "Connection",
@@ -203,6 +204,7 @@
         self.config = config
         self.processes: list[asyncio.subprocess.Process] = []
         self.gateways: dict[int, asyncio.subprocess.Process] = {}
+        self.store_port_by_gateway: dict[int, int] = {}
         self.ports: list[list[int]] = []
 
     async def start_store(self) -> None:
@@ -221,7 +223,8 @@
         name = f"gateway-{number}"
         path = self.folder / f"{name}.ini"
         ports = tuple(self.ports[number])
-        path.write_text(format_settings(name, ports, self.store.port, BOUNDS, MACHINE, first_start))
+        store_port = self.store_port_by_gateway.get(number, self.store.port)
+        path.write_text(format_settings(name, ports, store_port, BOUNDS, MACHINE, first_start))
         self.gateways[number] = await self.run("python3", "-m", "celeryrun", "gateway", str(path))
 
     async def kill_all_gateways(self, restart_after: float) -> None:
