--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import re
 import time
 from dataclasses import dataclass, field
@@ -147,4 +148,5 @@
 
 
 if __name__ == "__main__":
-    main(case, Path(__file__).parent)
+    # TROUBLE=0 leaves the disruption out.
+    main(case, Path(__file__).parent, with_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -27,6 +28,7 @@
 SECOND_HINT = 190  # tokens, where the stream has 250
 STOP_AT_EVENT = 19  # of the first streams, so that they end after three seconds more
 NEXT_REQUEST = 0.03  # s after the end of an answer
+CALM = 3.5  # s after the start of the gateways; stabilityWindowMs is 3 s
 EXCUSED = 3.0  # s after SIGTERM, until which a request may be cut at the end of the grace
 TIMEOUT_MS = 15_000
 
@@ -87,6 +89,7 @@
     for runner in runners:
         await runner.start()
     await deployment.start_gateways()
+    await asyncio.sleep(CALM)
     sent: dict[str, Sent] = {}
     running = asyncio.Event()
     clients = [
@@ -135,4 +138,5 @@
 
 
 if __name__ == "__main__":
-    main(case, Path(__file__).parent)
+    # TROUBLE=0 leaves the disruption out.
+    main(case, Path(__file__).parent, with_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/support.py
+++ b/review/support.py
@@ -6,6 +6,7 @@
 import os
 import re
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -35,6 +36,7 @@
 GATEWAYS = 3
 START_TIMEOUT = 30.0  # s, on a busy machine
 ANSWER_TIMEOUT = 20.0  # s, beyond every deadline of the scripts
+TIME_LIMIT = 100.0  # s, which leaves time to stop within 120 s
 STOP_TIMEOUT = 12.0  # s, the stop grace of 8 s and a margin
 # The figures of the small deployments' sheets.
 BOUNDS = """configuration_lag = 2000ms
@@ -184,6 +186,7 @@
         name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
     }
     environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
+    environment["PYTHONDONTWRITEBYTECODE"] = "1"
     with log.open("ab") as output:
         return await asyncio.create_subprocess_exec(
             *words,
@@ -287,13 +290,27 @@
     return f"{runner} runs {run.attempt_id}: {run.method.decode()} {target}, body {run.body!r}"
 
 
-def main(case: Callable[[Record, bool], Awaitable[list[str]]], folder: Path) -> None:
+async def _run_limited(case: Awaitable[list[str]]) -> list[str]:
+    """Run a case that a stop signal, or too long a time, ends with all its processes."""
+    task = asyncio.ensure_future(case)
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, task.cancel)
+    try:
+        async with asyncio.timeout(TIME_LIMIT):
+            return await task
+    except asyncio.CancelledError as error:
+        raise CaseNotRunError("it was stopped from outside") from error
+
+
+def main(
+    case: Callable[[Record, bool], Awaitable[list[str]]], folder: Path, with_trouble: bool
+) -> None:
     """Run a case and exit with 1 if it returns broken rules, 0 if none, 2 if it could not run."""
-    with_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.write(f"the disruption is {'played' if with_trouble else 'left out'}")
     try:
-        broken = asyncio.run(case(record, with_trouble))
+        broken = asyncio.run(_run_limited(case(record, with_trouble)))
     except Exception as error:
         record.write(f"the case could not run: {error!r}")
         sys.exit(2)
