Versions that have left the list are recorded in the store

Cause: a gateway that starts infers the version of a stream from the list of targets, and took the age of the youngest listed target for the length of its own history. That says that no version has come, not that none has gone. Ruled out: wrong origins from peers (all are dead), a change of version within one response (the events come in two tries).

Change: one record a pool and version in the registry of nodes, written by the scheduler's node when the version is listed and deleted after a life of a stream and 15 s. The guess from the age of targets is gone; its test is replaced by three on the records and one that the age is no evidence. The random orders of continuity restart all nodes at any time now.

--- a/celeryrun/continuity/_resolution.py
+++ b/celeryrun/continuity/_resolution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from celeryrun.continuity._origins import CONTRADICTORY, StreamOrigin
@@ -41,7 +42,7 @@
     origin: StreamOrigin | None,
     history: VersionHistory,
     lifetime: float,
-    youngest_target: float,
+    recorded_versions: Collection[str],
     now: float,
     list_is_current: bool = True,
 ) -> Resolution:
@@ -51,9 +52,8 @@
     ----------
     lifetime : float
         Longest time in seconds for which a stream may last, over all tries of its caller.
-    youngest_target : float
-        Seconds since the start of the youngest listed target of the pool, 0 if not known. If
-        none was replaced within a lifetime, a history that is too short may be relied on.
+    recorded_versions : collection of str
+        All versions that may have begun streams before the history, empty if they are not known.
     list_is_current : bool, optional
         Whether the list of targets is known to be the newest; other versions may serve otherwise.
 
@@ -61,12 +61,12 @@
     --------
     >>> history = VersionHistory(observed_since=0.0)
     >>> history.add("1.4")
-    >>> resolve(None, history, 30.0, youngest_target=0.0, now=40.0)
+    >>> resolve(None, history, 30.0, recorded_versions=(), now=40.0)
     Bound(version='1.4', why='inferred', age=40.0)
     >>> history.add("1.5")
-    >>> resolve(None, history, 30.0, youngest_target=0.0, now=41.0)
+    >>> resolve(None, history, 30.0, recorded_versions=(), now=41.0)
     Unknown(why='2 versions were listed')
-    >>> resolve(StreamOrigin("1.4", 39.0, 70.0), history, 30.0, 0.0, now=41.0)
+    >>> resolve(StreamOrigin("1.4", 39.0, 70.0), history, 30.0, (), now=41.0)
     Bound(version='1.4', why='recorded', age=2.0)
     """
     if origin is not None:
@@ -76,9 +76,11 @@
     if not list_is_current:
         return Unknown("the list of targets is old")
     versions = history.versions_since(now - lifetime)
+    known_for = now - history.observed_since
+    if known_for < lifetime:
+        versions |= set(recorded_versions)
     if len(versions) != 1:
         return Unknown(f"{len(versions)} versions were listed")
-    known_for = max(now - history.observed_since, youngest_target)
-    if known_for < lifetime:
+    if known_for < lifetime and not recorded_versions:
         return Unknown("earlier versions are not known")
     return Bound(versions.pop(), "inferred", known_for)
--- a/celeryrun/continuity/tests/test_continuity.py
+++ b/celeryrun/continuity/tests/test_continuity.py
@@ -49,7 +49,7 @@
     assert not table.record(1, "v1", 30.0, 2.0)
     history = VersionHistory(observed_since=-LIFETIME)
     history.add("v1")
-    assert resolve(table.find(1, 3.0), history, LIFETIME, 0.0, 3.0) == Unknown(
+    assert resolve(table.find(1, 3.0), history, LIFETIME, (), 3.0) == Unknown(
         "contradictory reports"
     )
 
@@ -66,11 +66,21 @@
     assert len(table) == 1
 
 
-@pytest.mark.parametrize("observed_since, youngest, known", [(0, 0, True), (20, 0, False)])
-def test_single_version_is_inferred_after_a_whole_lifetime(observed_since, youngest, known):
+@pytest.mark.parametrize(
+    "observed_since, recorded, known",
+    [
+        (0, set(), True),
+        (20, set(), False),
+        (20, {"v1"}, True),
+        (20, {"v2"}, False),
+        (20, {"v1", "v2"}, False),
+        (0, {"v1", "v2"}, True),
+    ],
+)
+def test_single_version_is_inferred_from_a_whole_lifetime(observed_since, recorded, known):
     history = VersionHistory(observed_since)
     history.add("v1")
-    resolution = resolve(None, history, LIFETIME, youngest, 40.0)
+    resolution = resolve(None, history, LIFETIME, recorded, 40.0)
     assert isinstance(resolution, Bound) == known
 
 
@@ -79,18 +89,20 @@
     history.add("v1")
     history.add("v2")
     history.remove("v1", now=100.0)
-    assert isinstance(resolve(None, history, LIFETIME, 0.0, 129.0), Unknown)
-    assert resolve(None, history, LIFETIME, 0.0, 131.0).version == "v2"
+    assert isinstance(resolve(None, history, LIFETIME, (), 129.0), Unknown)
+    assert resolve(None, history, LIFETIME, (), 131.0).version == "v2"
     told = VersionHistory(observed_since=120.0)
     told.add("v2")
     told.merge(float("-inf"), history.ages(129.0), 129.0)
-    assert isinstance(resolve(None, told, LIFETIME, 0.0, 129.0), Unknown)
+    assert isinstance(resolve(None, told, LIFETIME, (), 129.0), Unknown)
 
 
 def test_old_list_allows_no_inference():
     history = VersionHistory(observed_since=float("-inf"))
     history.add("v1")
-    assert isinstance(resolve(None, history, LIFETIME, 0.0, 40.0, list_is_current=False), Unknown)
+    assert isinstance(
+        resolve(None, history, LIFETIME, ("v1",), 40.0, list_is_current=False), Unknown
+    )
 
 
 @dataclass
@@ -115,8 +127,7 @@
         super().__init__()
         self.now = 1000.0
         self.versions = ["v1"] * TARGETS
-        self.born = [0.0] * TARGETS
-        self.removed_at = 0.0
+        self.last_listed_by_version = {"v1": self.now}
         self.begun_at_by_key = {}
         self.version_by_key = {}
         self.reports = []
@@ -204,7 +215,6 @@
     def restart(self, number):
         self.nodes[number] = self.build_node(number, self.now)
 
-    @precondition(lambda self: self.now - self.removed_at >= LIFETIME)
     @rule()
     def restart_all(self):
         self.nodes = [self.build_node(number, self.now) for number in range(NODES)]
@@ -214,9 +224,7 @@
     @rule(index=TARGET, version=VERSIONS)
     def restart_target(self, index, version):
         former, self.versions[index] = self.versions[index], version
-        self.born[index] = self.now
-        if former != version and former not in self.versions:
-            self.removed_at = self.now
+        self.last_listed_by_version |= {former: self.now, version: self.now}
         for node in self.nodes:
             if node.reads_store:
                 self.read_list(node)
@@ -232,11 +240,14 @@
         key = data.draw(st.sampled_from(sorted(self.version_by_key)))
         node = self.nodes[number]
         scheduler = self.nodes[node.scheduler]
-        users = sum(other.scheduler == node.scheduler for other in self.nodes)
-        youngest = self.now - max(self.born) if users > NODES / 2 else 0.0
         origin = scheduler.table.find(key, self.now)
+        recorded = {
+            version
+            for version, last_listed in self.last_listed_by_version.items()
+            if version in self.versions or self.now - last_listed <= LIFETIME
+        }
         match resolve(
-            origin, scheduler.history, LIFETIME, youngest, self.now, scheduler.reads_store
+            origin, scheduler.history, LIFETIME, recorded, self.now, scheduler.reads_store
         ):
             case Bound(version):
                 assert version == self.version_by_key[key]
--- a/celeryrun/gateway/_crash_tracker.py
+++ b/celeryrun/gateway/_crash_tracker.py
@@ -14,7 +14,7 @@
 from celeryrun.gateway._members import Members
 from celeryrun.gateway._topic_follower import isolated
 from celeryrun.kernel import Kernel, now
-from celeryrun.platform import NODES_TOPIC, KeyedRecord, Store, StoreUnavailableError
+from celeryrun.platform import NODES_TOPIC, KeyedPage, KeyedRecord, Store, StoreUnavailableError
 from celeryrun.scheduling import (
     SHARED_CRASH_LIMIT,
     Crash,
@@ -85,7 +85,7 @@
 
     def __init__(self, kernel: Kernel) -> None:
         members: Members = kernel.find("members")
-        members.on_other_records = self._apply_records
+        members.page_watchers.append(self._apply_page)
         self._store: Store = kernel.find("store")
         self._stored_by_key: OrderedDict[str, int] = OrderedDict()
         self._unwritten_by_key: dict[str, int] = {}
@@ -229,16 +229,16 @@
                 del self._unwritten_by_key[key]
             await asyncio.sleep(STORE_INTERVAL)
 
-    def _apply_records(self, records: list[KeyedRecord], restored: bool) -> None:
-        if restored:
-            self._compare_with_copy(records)
+    def _apply_page(self, page: KeyedPage) -> None:
+        if page.restored:
+            self._compare_with_copy(page.records)
             return
-        for record in records:
+        for record in page.records:
             with isolated(self._events, NODES_TOPIC, record.key):
                 self._lost_by_key.pop(record.key, None)
                 self._apply_record(record)
 
-    def _compare_with_copy(self, records: list[KeyedRecord]) -> None:
+    def _compare_with_copy(self, records: Iterable[KeyedRecord]) -> None:
         """Note what a restored copy lacks, and what had been deleted; a scheduler writes both."""
         crashes_by_key = {
             record.key: record.value
--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -20,6 +20,7 @@
 from celeryrun.gateway._request_log import RequestLog
 from celeryrun.gateway._server import SchedulerServer
 from celeryrun.gateway._stream_origins import StreamOrigins
+from celeryrun.gateway._version_records import VersionRecords
 from celeryrun.kernel import Kernel, now
 from celeryrun.observe import LEVEL_BY_NAME
 from celeryrun.platform import Store
@@ -75,6 +76,7 @@
         kernel.register("discovery", Discovery(kernel, settings))
         kernel.register("members", Members(kernel, settings))
         kernel.register("crash-tracker", CrashTracker(kernel))
+        kernel.register("version-records", VersionRecords(kernel))
         kernel.register("stream-origins", StreamOrigins(kernel, settings))
         kernel.register("scheduler", SchedulerServer(kernel, settings))
         kernel.register("scheduler-client", SchedulerClient(kernel, settings))
--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -39,9 +39,8 @@
         Peer address of each node, including this one once it is registered.
     follower : TopicFollower
         Follower of the registry.
-    on_other_records : callable
-        Called with the records of a page that are no node's, and whether they are all there are in
-        a restored copy.
+    page_watchers : list of callable
+        Called with each page of the registry, which also holds records of other services.
     speed_by_node : dict
         Processor speed of each node, in cores.
     """
@@ -55,7 +54,7 @@
         "address_by_node",
         "follower",
         "on_change",
-        "on_other_records",
+        "page_watchers",
         "speed_by_node",
     )
 
@@ -71,9 +70,7 @@
         self.speed_by_node: dict[str, float] = {}
         self.on_change: Callable[[], None] = lambda: None
         self._registered_era: int | None = None
-        self.on_other_records: Callable[[list[KeyedRecord], bool], None] = (
-            lambda records, restored: None
-        )
+        self.page_watchers: list[Callable[[KeyedPage], None]] = []
 
     def start(self) -> None:
         """Start the follower and the registration."""
@@ -127,9 +124,8 @@
 
     def _apply_page(self, page: KeyedPage) -> None:
         self._register_again_if_lost(page)
-        others = [record for record in page.records if not record.key.startswith(KEY_PREFIX)]
-        if others or page.restored:
-            self.on_other_records(others, page.restored)
+        for watcher in self.page_watchers:
+            watcher(page)
         for record in page.records:
             if not record.key.startswith(KEY_PREFIX):
                 continue
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -129,7 +129,7 @@
         self._members: Members = kernel.find("members")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._origins: StreamOrigins = kernel.find("stream-origins")
-        self._origins.has_majority = self._has_majority
+        kernel.find("version-records").is_scheduler = self._has_majority
         self._origins.broken_at = self._broken_at
         self._origins.on_contradiction = self._apply_origins
         self._replicas: list[Link] = []
--- a/celeryrun/gateway/_stream_origins.py
+++ b/celeryrun/gateway/_stream_origins.py
@@ -22,6 +22,7 @@
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._links import OriginReport, VersionReport
 from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._version_records import PoolVersion, VersionRecords
 from celeryrun.kernel import Kernel, now
 from celeryrun.scheduling import SlotRequest
 from celeryrun.settings import GatewaySettings
@@ -36,6 +37,7 @@
 ENTRY_DELAY = 0.2  # s after its start within which a target writes its entry
 TOLD_EARLY = 2.0  # s before the first list of targets in which another node's history holds
 MAX_OBSERVED = 3600.0  # s; a longer history is told as this
+RECORD_MARGIN = 15.0  # s beyond the longest life of a stream for which its version is recorded
 REPORT_SIZE = 4096  # origins in one message
 
 
@@ -66,8 +68,6 @@
         Returns the time at which a target was last seen to end a connection early.
     on_contradiction : callable
         Called with a report of origins that this node's scheduler no longer relies on.
-    has_majority : callable
-        Returns whether most nodes use this node's scheduler.
     """
 
     __slots__ = (
@@ -81,10 +81,10 @@
         "_metrics",
         "_observed_since",
         "_recent_streams_by_target",
+        "_records",
         "_table",
         "_told",
         "broken_at",
-        "has_majority",
         "on_contradiction",
     )
 
@@ -103,7 +103,9 @@
         self._recent_streams_by_target: dict[str, deque[tuple[float, int]]] = {}
         self.broken_at: Callable[[str], float] = lambda target: float("-inf")
         self.on_contradiction: Callable[[OriginReport], None] = lambda report: None
-        self.has_majority: Callable[[], bool] = lambda: False
+        self._records: VersionRecords = kernel.find("version-records")
+        self._records.listed = self._listed_versions
+        self._records.may_have_streams = self._may_have_streams
         self._discovery.on_snapshot = self._on_snapshot
         self._discovery.on_target_change = self._on_target_change
 
@@ -203,7 +205,7 @@
             origin,
             self._history(pool),
             life,
-            self._youngest_target(pool) if self.has_majority() else 0.0,
+            self._records.versions_of(pool),
             time,
             self._list_is_current(),
         )
@@ -236,12 +238,22 @@
                     self._life_by_pool[split.pool] = max(known, life)
         return self._life_by_pool.get(pool)
 
-    def _youngest_target(self, pool: str) -> float:
-        """Return the seconds since the start of a pool's youngest target, by the time of day."""
-        born = [
-            target.born for target in self._discovery.targets_by_id.values() if target.pool == pool
-        ]
-        return time.time() - max(born) / 1000 if born and min(born) > 0 else 0.0
+    def _listed_versions(self) -> set[PoolVersion]:
+        """Return the versions of the listed targets of pools with resumable routes."""
+        return {
+            PoolVersion(target.pool, target.version)
+            for target in self._discovery.targets_by_id.values()
+            if self._longest_life(target.pool) is not None
+        }
+
+    def _may_have_streams(self, candidate: PoolVersion) -> bool:
+        """Return whether a stream that a version began may be in progress."""
+        life = self._longest_life(candidate.pool)
+        if self._observed_since is None or not self._list_is_current():
+            return True
+        since = now() - (MAX_OBSERVED if life is None else life + RECORD_MARGIN)
+        history = self._history(candidate.pool)
+        return history.observed_since > since or candidate.version in history.versions_since(since)
 
     def version_report(self) -> VersionReport | None:
         """Return the versions that this node has observed, None if its list may be old."""
@@ -289,6 +301,7 @@
                 self._add_observations(report, told_at)
 
     def _on_target_change(self, former: Target | None, current: Target | None) -> None:
+        self._records.note_change()
         if former is not None and current is not None:
             if (former.pool, former.version) == (current.pool, current.version):
                 return
--- a/celeryrun/gateway/tests/test_stream_origins.py
+++ b/celeryrun/gateway/tests/test_stream_origins.py
@@ -9,7 +9,8 @@
 from celeryrun.continuity import Bound, Unknown
 from celeryrun.gateway._links import OriginReport, VersionReport
 from celeryrun.gateway._metrics import GatewayMetrics
-from celeryrun.gateway._stream_origins import StreamOrigins, build_reports
+from celeryrun.gateway._stream_origins import RECORD_MARGIN, StreamOrigins, build_reports
+from celeryrun.gateway._version_records import PoolVersion
 from celeryrun.kernel import Kernel, now
 from celeryrun.scheduling.tests.builders import build_slot_request, build_target
 from celeryrun.settings import parse_gateway_settings
@@ -50,6 +51,20 @@
         self.targets_by_id[target.id] = target
 
 
+class RecordsStandIn:
+    """Records of versions in the store."""
+
+    def __init__(self):
+        self.recorded = set()
+        self.changes = 0
+
+    def note_change(self):
+        self.changes += 1
+
+    def versions_of(self, pool):
+        return self.recorded
+
+
 class Events:
     """Log that is not written."""
 
@@ -64,6 +79,7 @@
     kernel.register("discovery", discovery)
     kernel.register("events", Events())
     kernel.register("metrics", GatewayMetrics())
+    kernel.register("version-records", RecordsStandIn())
     settings = parse_gateway_settings(format_settings(first_start=first_start))
     origins = StreamOrigins(kernel, settings)
     discovery.on_snapshot()
@@ -104,14 +120,39 @@
     assert resolve(origins) == Unknown("2 versions were listed")
 
 
-@pytest.mark.parametrize("seconds, known", [(2 * TIMEOUT + 60, True), (5, False)])
-def test_age_of_all_targets_stands_for_a_history_where_most_nodes_agree(seconds, known):
+@pytest.mark.parametrize("recorded, known", [({"v1"}, True), (set(), False), ({"v1", "v2"}, False)])
+def test_recorded_versions_stand_for_a_history_that_is_too_short(recorded, known):
+    origins, _ = build_origins("v1")
+    assert isinstance(resolve(origins), Unknown)
+    origins._records.recorded = recorded
+    assert isinstance(resolve(origins), Bound) == known
+
+
+def test_age_of_all_targets_does_not_stand_for_a_history():
+    """A version that had just left the list was taken for one that had never been there."""
     origins, discovery = build_origins()
-    born = int((time.time() - seconds) * 1000)
+    born = int((time.time() - 100 * TIMEOUT) * 1000)
     discovery.list_target(replace(build_target(version="v1"), born=born))
     assert isinstance(resolve(origins), Unknown)
-    origins.has_majority = lambda: True
-    assert isinstance(resolve(origins), Bound) == known
+
+
+def test_version_is_recorded_until_no_stream_that_it_began_can_go_on(monkeypatch):
+    origins, discovery = build_origins("v1", "v2", first_start="yes")
+    gone = PoolVersion("model", "v2")
+    assert origins._records.listed() == {PoolVersion("model", "v1"), gone}
+    discovery.on_target_change(discovery.targets_by_id.pop("t1"), None)
+    assert origins._records.listed() == {PoolVersion("model", "v1")}
+    assert origins._records.may_have_streams(gone)
+    later = now() + 2 * TIMEOUT + RECORD_MARGIN + 1.0
+    monkeypatch.setattr("celeryrun.gateway._stream_origins.now", lambda: later)
+    discovery.targets.confirmed_at = now() + 1000.0
+    assert not origins._records.may_have_streams(gone)
+    assert origins._records.may_have_streams(PoolVersion("model", "v1"))
+
+
+def test_node_that_has_just_started_deletes_no_record():
+    origins, _ = build_origins("v1")
+    assert origins._records.may_have_streams(PoolVersion("model", "v2"))
 
 
 def test_old_list_allows_no_inference_and_is_not_told():
--- a/celeryrun/gateway/tests/test_stream_versions.py
+++ b/celeryrun/gateway/tests/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Streams that break or fall silent while targets of two versions serve in one pool."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -158,6 +159,46 @@
     run(scenario())
 
 
+def test_version_that_left_before_all_gateways_restarted_is_remembered():
+    """Streams of a version whose last target had just left the list went on at another one."""
+
+    async def scenario():
+        site = build_mixed_site(versions=("v1", "v1", "v2"))
+        for model in site.models:
+            model._born = int((time.time() - 100.0) * 1000)
+        async with site:
+            await join_gateways(site)
+            callers = await begin_streams(site, STREAMS)
+            assert {"v1", "v2"} == set.union(*(caller.versions for caller in callers))
+            site.models[-1].register(None)
+            await site.wait_until(lambda: len(site.events("target-gone")) == 3)
+            await restart_gateways(site)
+            await resume_streams(callers, gateway=2)
+            assert_one_version(callers)
+            assert_whole_or_refused(callers)
+
+    run(scenario())
+
+
+def test_version_that_is_recorded_in_time_outlives_all_gateways():
+    """Streams went on nowhere after a restart of all gateways, as a target was young."""
+
+    async def scenario():
+        site = build_mixed_site(versions=("v1", "v1"))
+        for model in site.models:
+            model._born = int(time.time() * 1000)
+        async with site:
+            await join_gateways(site)
+            callers = await begin_streams(site, STREAMS)
+            await site.wait_until(lambda: site.events("version-stored"))
+            await restart_gateways(site)
+            await resume_streams(callers, gateway=2)
+            assert_one_version(callers)
+            assert count_whole(callers) == STREAMS
+
+    run(scenario())
+
+
 def test_stream_without_the_name_of_its_first_attempt_does_not_go_on():
     async def scenario():
         async with build_mixed_site() as site:
