Late requests of a planned stop are sent only if their deadline precedes the exit

Cause: an estimate (hint times a quantile of the route, 0 without a history) decided at any time of the grace, and its error falls on the caller.

Change: what is read later than 2.5 s after the signal needs a deadline that ends before the last responses are due, and is refused as not run otherwise.

--- a/celeryrun/gateway/_planned_stop.py
+++ b/celeryrun/gateway/_planned_stop.py
@@ -15,6 +15,8 @@
 
 EXIT_MARGIN = 0.4  # s before the kill at which the process exits
 FLUSH_TIME = 0.25  # s before the exit in which the last responses are written
+ESTIMATE_TIME = 2.5  # s for which new connections come, whose callers have nowhere else to go yet
+MAX_ESTIMATE_FRACTION = 0.5  # of the time until the kill
 MAX_MARGIN_FRACTION = 0.1  # of the time until the kill, for each of these two
 DURATIONS_KEPT = 32  # latest durations of a route
 DURATION_QUANTILE = 0.9
@@ -33,10 +35,15 @@
         Time by which each request has its response, or its response has begun.
     exit_at : float
         Time at which the process exits.
+    estimate_until : float
+        Time until which an estimate decides whether a request that arrives can be answered. Later
+        only requests whose deadline ends before ``answer_by`` are sent to a target, since an
+        estimate that falls short would break their responses off.
     """
 
     answer_by: float
     exit_at: float
+    estimate_until: float = float("inf")
 
     @classmethod
     def from_config(cls, stop_grace: float, time: float) -> StopSchedule:
@@ -45,24 +52,39 @@
         Examples
         --------
         >>> StopSchedule.from_config(8.0, 100.0)
-        StopSchedule(answer_by=107.35, exit_at=107.6)
+        StopSchedule(answer_by=107.35, exit_at=107.6, estimate_until=102.5)
         """
         exit_at = time + stop_grace - min(EXIT_MARGIN, MAX_MARGIN_FRACTION * stop_grace)
-        return cls(exit_at - min(FLUSH_TIME, MAX_MARGIN_FRACTION * stop_grace), exit_at)
+        return cls(
+            exit_at - min(FLUSH_TIME, MAX_MARGIN_FRACTION * stop_grace),
+            exit_at,
+            time + min(ESTIMATE_TIME, MAX_ESTIMATE_FRACTION * stop_grace),
+        )
 
     def latest_start(self, expected_duration: float) -> float:
         """Return the time after which a request can't be expected to be answered."""
         return self.answer_by - expected_duration
 
-    def allows(self, time: float, expected_duration: float) -> bool:
+    def allows(
+        self, time: float, expected_duration: float, arrived_at: float, respond_by: float
+    ) -> bool:
         """Return whether a request may be sent to a target at a time.
 
+        Parameters
+        ----------
+        arrived_at, respond_by : float
+            Time at which the request was read, and by which its caller has a response or leaves.
+
         Examples
         --------
-        >>> schedule = StopSchedule(answer_by=10.0, exit_at=10.2)
-        >>> schedule.allows(8.0, 1.5), schedule.allows(9.0, 1.5), schedule.allows(10.0, 0.0)
-        (True, False, False)
+        >>> schedule = StopSchedule(answer_by=10.0, exit_at=10.2, estimate_until=6.0)
+        >>> schedule.allows(8.0, 1.5, 5.0, 20.0), schedule.allows(9.0, 1.5, 5.0, 20.0)
+        (True, False)
+        >>> schedule.allows(8.0, 1.5, 8.0, 20.0), schedule.allows(8.0, 1.5, 8.0, 9.9)
+        (False, True)
         """
+        if arrived_at > self.estimate_until and respond_by > self.answer_by:
+            return False
         return time < self.latest_start(expected_duration)
 
 
@@ -135,9 +157,11 @@
         """Return the time by which a request must have its response, given that of its caller."""
         return respond_by if self.schedule is None else min(respond_by, self.schedule.answer_by)
 
-    def allows(self, expected_duration: float) -> bool:
+    def allows(self, expected_duration: float, arrived_at: float, respond_by: float) -> bool:
         """Return whether a request may be sent to a target now."""
-        return self.schedule is None or self.schedule.allows(now(), expected_duration)
+        return self.schedule is None or self.schedule.allows(
+            now(), expected_duration, arrived_at, respond_by
+        )
 
     @contextmanager
     def track_request(
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -303,7 +303,7 @@
         respond_by = self._planned_stop.limit(state.respond_by)
         slot_request = build_slot_request(state, now(), respond_by, assessment.on_probation)
         expected_duration = self._expected_duration(state)
-        if not self._planned_stop.allows(expected_duration):
+        if not self._planned_stop.allows(expected_duration, state.arrived_at, state.respond_by):
             return STOPPING_DENIAL
         try:
             async with asyncio.timeout(None) as timeout:
@@ -349,7 +349,7 @@
     def _recheck(self, state: RequestState, grant: Grant) -> Refusal | None:
         """Check a request again that has waited; return None if it may still be sent."""
         expected_duration = max(self._expected_duration(state), grant.expected_first_byte)
-        if not self._planned_stop.allows(expected_duration):
+        if not self._planned_stop.allows(expected_duration, state.arrived_at, state.respond_by):
             return STOPPING
         if self._crash_tracker.assess(state.request.shared_prompt_parts).refused:
             return refusal_for_denial(Denial(0, "suspect", 0.0))
--- a/celeryrun/gateway/tests/test_planned_stop.py
+++ b/celeryrun/gateway/tests/test_planned_stop.py
@@ -5,6 +5,8 @@
 import signal
 import sys
 
+import pytest
+
 from celeryrun.gateway.tests.sites import run_each
 from celeryrun.kernel import now
 from standins.ports import lease_ports
@@ -154,6 +156,37 @@
     run_each(scenario, ["/chats/a", "/drafts/a"])
 
 
+@pytest.mark.parametrize(
+    "path, deadline, status",
+    [("/drafts/a", 8000, 503), ("/chats/a", 8000, 503), ("/calls/a", 900, 200)],
+)
+def test_late_request_on_a_kept_connection_is_refused_unless_it_ends_in_time(
+    path, deadline, status
+):
+    """A stream that lasted longer than its hint was cut at the exit."""
+
+    async def scenario():
+        async with build_site(apps=1, models=1) as site:
+            site.models[0].events, site.models[0].work = 25, 0.1
+            site.apps[0].work = 0.1
+            reader, writer = await site.connect()
+            hints = {"Celeryrun_Token_Usage": "100,125", "Celeryrun_Length_Hint": "125"}
+            writer.write(site.format_request("/drafts/a", deadline=8000, **hints))
+            await asyncio.sleep(0.3)
+            stop = asyncio.create_task(stop_gateway(site))
+            first = await read_response(reader)
+            assert first.complete and first.headers["connection"] == "keep-alive"
+            hints["Celeryrun_Length_Hint"] = "30"
+            writer.write(site.format_request(path, deadline=deadline, **hints))
+            response = await read_response(reader)
+            await stop
+            assert (response.status, response.complete) == (status, True)
+            executed = site.models[0].executed_requests + site.apps[0].executed_requests
+            assert len(executed) == (2 if status == 200 else 1)
+
+    run(scenario())
+
+
 def test_request_that_is_still_being_received_at_the_end_is_refused():
     async def scenario(part):
         async with build_site() as site:
--- a/celeryrun/gateway/tests/test_stop_schedule.py
+++ b/celeryrun/gateway/tests/test_stop_schedule.py
@@ -25,14 +25,22 @@
 @given(st.floats(0, 20), st.floats(0, 20))
 def test_request_is_sent_only_if_it_is_expected_to_end_in_time(time, duration):
     schedule = StopSchedule(answer_by=10.0, exit_at=10.2)
-    if schedule.allows(time, duration):
+    if schedule.allows(time, duration, arrived_at=0.0, respond_by=99.0):
         assert time + duration <= 10.0 + 1e-9
     else:
         assert time + duration >= 10.0 - 1e-9
 
 
+@given(st.floats(0.5, 600), st.floats(0, 1), st.floats(0, 30), st.floats(0, 600))
+def test_late_request_is_sent_only_if_it_ends_for_certain(grace, share, duration, patience):
+    schedule = StopSchedule.from_config(grace, 0.0)
+    arrived_at = schedule.estimate_until + 0.001 + share * grace
+    if schedule.allows(arrived_at, duration, arrived_at, arrived_at + patience):
+        assert arrived_at + patience <= schedule.answer_by
+
+
 def test_every_request_is_allowed_before_a_stop():
-    assert PlannedStop().allows(1e9)
+    assert PlannedStop().allows(1e9, arrived_at=0.0, respond_by=2e9)
     assert PlannedStop().limit(7.0) == 7.0
 
 
