--- a/celeryrun/gateway/tests/test_planned_stop.py
+++ b/celeryrun/gateway/tests/test_planned_stop.py
@@ -179,6 +179,7 @@
             hints["Celeryrun_Length_Hint"] = "30"
             writer.write(site.format_request(path, deadline=deadline, **hints))
             response = await read_response(reader)
+            writer.close()
             await stop
             assert (response.status, response.complete) == (status, True)
             executed = site.models[0].executed_requests + site.apps[0].executed_requests
