Responses in tiny pieces without end no longer hold the event loop

Cause: a turn of the event loop parsed up to 256 KiB a connection, one Python call for each chunk and line, and read a partial event again with each part. Ruled out: memory, which is bounded.

Change: reads of 16 KiB, a limit on the pieces a connection may bring per second by pausing its reads, and a splitter that reads each byte once.

--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -258,24 +258,27 @@
         self._splitter.restore_partial(b"")
         line_count = self._splitter.line_count
         received, attempt.received = attempt.received, b""
-        while chunk := received or await silence.wait(attempt.exchange.read_body):
-            received = b""
-            whole_events = self._splitter.feed(chunk)
+        try:
+            while chunk := received or await silence.wait(attempt.exchange.read_body):
+                received = b""
+                whole_events = self._splitter.feed(chunk)
+                if not whole_events:
+                    continue
+                attempt.exchange.count_pieces(whole_events.count(b"\n"))
+                on_accepted()
+                # Comments bring nothing that another version must not continue.
+                attempt.report_first_byte(on_event() if self._splitter.line_count else None)
+                self._record_first_byte()
+                if not self._connection.response_started:
+                    self._start_chunked_response(head)
+                self._connection.write(format_chunk(whole_events))
+                self._record_event()
+                await self._connection.drain()
+                if self._splitter.line_count > line_count:
+                    line_count = self._splitter.line_count
+                    silence.record_progress()
+        finally:
             attempt.received = self._splitter.partial
-            if not whole_events:
-                continue
-            on_accepted()
-            # Comments bring nothing that another version must not continue.
-            attempt.report_first_byte(on_event() if self._splitter.line_count else None)
-            self._record_first_byte()
-            if not self._connection.response_started:
-                self._start_chunked_response(head)
-            self._connection.write(format_chunk(whole_events))
-            self._record_event()
-            await self._connection.drain()
-            if self._splitter.line_count > line_count:
-                line_count = self._splitter.line_count
-                silence.record_progress()
         if self._splitter.has_partial():
             return Broken("cut")
         on_accepted()
--- a/celeryrun/gateway/_stream.py
+++ b/celeryrun/gateway/_stream.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import re
+
 __all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLargeError", "has_event"]
 
 MAX_EVENT_BYTES = 262_144  # of an event that is held back until it is whole
+ID_LINE = re.compile(rb"^id:([^\n]*)", re.MULTILINE)
+LINE = re.compile(rb"^(?![:\n]|\r+\n)[^\n]+", re.MULTILINE)  # of an event, but no comment
 
 
 class EventTooLargeError(Exception):
@@ -37,7 +41,7 @@
     __slots__ = ("_partial", "count", "last_id", "line_count")
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._partial = bytearray()
         self.last_id = b""
         self.count = 0
         self.line_count = 0
@@ -50,17 +54,18 @@
         EventTooLargeError
             If an event does not end within `MAX_EVENT_BYTES`.
         """
-        data = self._partial + data
-        end = max(_find_end(data, b"\n\n"), _find_end(data, b"\r\n\r\n"))
-        whole_events, self._partial = data[:end], data[end:]
+        searched = max(0, len(self._partial) - len(b"\r\n\r"))
+        self._partial += data
+        end = _find_end(self._partial, searched)
+        whole_events = bytes(self._partial[:end])
+        del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLargeError
-        for line in whole_events.split(b"\n"):
-            if line.startswith(b"id:"):
-                self.last_id = line[3:].strip()
-                self.count += 1
-            if line.rstrip(b"\r") and not line.startswith(b":"):
-                self.line_count += 1
+        ids = ID_LINE.findall(whole_events)
+        if ids:
+            self.last_id = ids[-1].strip()
+            self.count += len(ids)
+        self.line_count += len(LINE.findall(whole_events))
         return whole_events
 
     def has_partial(self) -> bool:
@@ -69,12 +74,12 @@
 
     @property
     def partial(self) -> bytes:
-        """Bytes of the incomplete event."""
-        return self._partial
+        """Copy of the bytes of the incomplete event."""
+        return bytes(self._partial)
 
     def restore_partial(self, partial: bytes) -> None:
         """Go on with the incomplete event of another response, or with none."""
-        self._partial = partial
+        self._partial = bytearray(partial)
 
 
 def has_event(data: bytes) -> bool:
@@ -85,11 +90,14 @@
     >>> has_event(b"data: a\\n\\n"), has_event(b": wait\\n\\n"), has_event(b"data: a")
     (True, False, False)
     """
-    end = max(_find_end(data, b"\n\n"), _find_end(data, b"\r\n\r\n"))
-    lines = data[:end].splitlines()
-    return any(line and not line.startswith(b":") for line in lines)
+    return LINE.search(data[: _find_end(data)]) is not None
 
 
-def _find_end(data: bytes, separator: bytes) -> int:
-    found = data.rfind(separator)
-    return 0 if found < 0 else found + len(separator)
+def _find_end(data: bytes | bytearray, start: int = 0) -> int:
+    """Return the end of the last event that ends behind a position, 0 if none does."""
+    ends = (
+        found + len(separator)
+        for separator in (b"\n\n", b"\r\n\r\n")
+        if (found := data.rfind(separator, start)) >= 0
+    )
+    return max(ends, default=0)
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import Any
 
+from celeryrun.kernel import now
 from celeryrun.transport._message import MalformedMessageError, ResponseHead, ResponseParser
 
 __all__ = ["Exchange", "TargetFailedError", "accepts_connections", "open_exchange"]
@@ -13,6 +14,11 @@
 MAX_BUFFERED_BYTES = 65_536  # of a response that a slow caller has not read; then reading pauses
 SETTLE_TIME = 0.03  # s, a round trip, that a new connection must last to count as accepted
 MAX_FRAMING_BYTES = 32_768  # received in a row without a byte of the body: head, trailers
+READ_BYTES = 16_384  # that one connection may bring in a turn of the event loop
+PIECE_RATE = 5000.0  # pieces of a response per second, which take a few milliseconds to parse
+MAX_PIECES = 10_000.0  # pieces that may come at once
+# Filled and parsed within one callback of the event loop, so all connections share it.
+_READ_BUFFER = bytearray(READ_BYTES)
 
 
 class TargetFailedError(Exception):
@@ -30,9 +36,12 @@
         super().__init__(f"exchange failed: {kind}")
 
 
-class Exchange(asyncio.Protocol):
+class Exchange(asyncio.BufferedProtocol):
     """Connection to a target for a single request and its response.
 
+    Reads are small, and pause while the response comes in more pieces than it may, so that a target
+    that sends tiny chunks or events without end does not delay the other connections.
+
     Attributes
     ----------
     head : ResponseHead or None
@@ -49,7 +58,11 @@
         "_chunks",
         "_failure",
         "_framing_bytes",
+        "_is_full",
         "_parser",
+        "_pieces",
+        "_pieces_at",
+        "_resume_handle",
         "_transport",
         "_writable",
         "complete",
@@ -65,6 +78,10 @@
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._framing_bytes = 0
+        self._is_full = False
+        self._pieces = 0.0
+        self._pieces_at = now()
+        self._resume_handle: asyncio.TimerHandle | None = None
         self._failure: TargetFailedError | None = None
         self._changed = asyncio.Event()
         self._writable = asyncio.Event()
@@ -78,12 +95,38 @@
         """Store the transport of the new connection."""
         self._transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; bytes after the end of the response are ignored."""
-        for start in range(0, len(data), MAX_FRAMING_BYTES):
-            if self.complete or self._failure is not None:
-                return
-            self._feed(data[start : start + MAX_FRAMING_BYTES])
+        if self.complete or self._failure is not None:
+            return
+        self._feed(bytes(memoryview(_READ_BUFFER)[:nbytes]))
+        self.count_pieces(1)
+
+    def count_pieces(self, count: int) -> None:
+        """Count parts of the response that take time of their own, such as chunks or lines.
+
+        Reading pauses while there are more of them than `PIECE_RATE` allows.
+        """
+        time = now()
+        self._pieces = max(0.0, self._pieces - PIECE_RATE * (time - self._pieces_at)) + count
+        self._pieces_at = time
+        excess = self._pieces - MAX_PIECES
+        if excess > 0 and self._resume_handle is None and not self._transport.is_closing():
+            self._transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            self._resume_handle = loop.call_later(excess / PIECE_RATE, self._resume_after_pieces)
+
+    def _resume_after_pieces(self) -> None:
+        self._resume_handle = None
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if not self._is_full and self._resume_handle is None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def _feed(self, data: bytes) -> None:
         self._framing_bytes += len(data)
@@ -110,6 +153,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the failure of an incomplete response and wake all waiting tasks."""
         self._writable.set()
+        if self._resume_handle is not None:
+            self._resume_handle.cancel()
         self._fail("reset" if exc else "closed")
 
     def pause_writing(self) -> None:
@@ -152,8 +197,8 @@
         data = b"".join(self._chunks)
         self._chunks.clear()
         self._buffered_bytes = 0
-        if not self._transport.is_closing():
-            self._transport.resume_reading()
+        self._is_full = False
+        self._resume_reading()
         return data
 
     def close(self) -> None:
@@ -178,7 +223,9 @@
         self._framing_bytes = 0
         self._chunks.append(data)
         self._buffered_bytes += len(data)
+        self.count_pieces(1)
         if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._transport.is_closing():
+            self._is_full = True
             self._transport.pause_reading()
         self._changed.set()
 
