Answers to HEAD end with their head

Cause: CallerConnection.refuse writes a body whatever the method. On related paths too: pages of the gateway, and a 200 to HEAD on a streaming route, which was relayed as a stream.

--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -18,7 +18,6 @@
     ByteBudget,
     CallerConnection,
     ReceivedRequest,
-    format_head,
     has_unaccepted,
     ignore_new_connections,
 )
@@ -195,10 +194,6 @@
 
 
 def _respond(connection: CallerConnection, status: int, body: bytes) -> None:
-    headers = [
-        (b"Content-Type", b"text/plain; version=0.0.4"),
-        (b"Content-Length", b"%d" % len(body)),
-        (b"Connection", connection.connection_header()),
-    ]
     reason = b"OK" if status == 200 else b"Service Unavailable"
-    connection.write(format_head(b"HTTP/1.1 %d %b" % (status, reason), headers) + body)
+    headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+    connection.respond(b"HTTP/1.1 %d %b" % (status, reason), headers, body)
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -183,7 +183,8 @@
                 return Broken("malformed")
             if head.status < MIN_FAILURE_STATUS and not response.sealed:
                 return Broken("unsealed")
-            if self._route.kind.stream and head.status == 200:
+            has_body = self._request.head.method != b"HEAD"
+            if self._route.kind.stream and head.status == 200 and has_body:
                 body = self._relay_stream(attempt, head, silence, on_accepted, on_event)
             elif self._connection.response_started:
                 # Only further events can follow those that the caller has.
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from celeryrun.platform import READY_PATH
 from standins.site import (
     Site,
     build_config,
@@ -366,6 +367,50 @@
     run(scenario())
 
 
+async def read_head(reader):
+    """Return the head of the next answer on a connection."""
+    return await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/calls/a", "key-no", b"401"),
+        ("/none/a", "key-cajas", b"404"),
+        ("/drafts/a", "key-cajas", b"200"),
+    ],
+)
+def test_answer_to_head_ends_with_its_head(path, key, status):
+    """The body of a refusal stood where the next answer of the connection was due."""
+
+    async def scenario():
+        async with Site(apps=1, models=1) as site:
+            reader, writer = await site.connect()
+            with contextlib.closing(writer):
+                writer.write(site.format_request(path, key, method="HEAD"))
+                assert (await read_head(reader)).startswith(b"HTTP/1.1 " + status)
+                writer.write(site.format_request("/bookings/a"))
+                assert (await read_head(reader)).startswith(b"HTTP/1.1 200")
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("page", "path"), [("readiness_address", READY_PATH), ("metrics_address", "/metrics")]
+)
+def test_answer_to_head_of_a_page_ends_with_its_head(page, path):
+    async def scenario():
+        async with Site(apps=1) as site:
+            address = getattr(site.gateways[0].settings.node, page)
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            with contextlib.closing(writer):
+                for _ in range(2):
+                    writer.write(f"HEAD {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+                    assert (await read_head(reader)).startswith(b"HTTP/1.1 200")
+
+    run(scenario())
+
+
 def test_held_failure_is_sent_when_next_target_hangs_until_deadline():
     async def scenario():
         async with Site(apps=2) as site:
--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -105,6 +105,7 @@
         "_in_head",
         "_is_draining",
         "_limits",
+        "_method",
         "_on_closed",
         "_on_read_refusal",
         "_parser",
@@ -142,6 +143,7 @@
         self._parser.body_callback = self._on_body
         self._parser.end_callback = self._on_end
         self._requests: deque[ReceivedRequest] = deque()
+        self._method = b""
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
@@ -225,18 +227,23 @@
         self._close_if_draining()
         return b"close" if self._closing else b"keep-alive"
 
-    def refuse(self, refusal: Refusal) -> None:
-        """Write a refusal as a plain-text response."""
-        body = f"{refusal.kind}: {refusal.remedy}\n".encode()
+    def respond(self, start: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """Write a whole response; that to a HEAD request ends with its head."""
         headers = [
-            (b"Content-Type", b"text/plain"),
+            *headers,
             (b"Content-Length", b"%d" % len(body)),
             (b"Connection", self.connection_header()),
         ]
+        self.write(format_head(start, headers) + (b"" if self._method == b"HEAD" else body))
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Write a refusal as a plain-text response."""
+        body = f"{refusal.kind}: {refusal.remedy}\n".encode()
+        headers = [(b"Content-Type", b"text/plain")]
         if refusal.retry_after is not None:
             headers.append((b"Retry-After", f"{refusal.retry_after:.3f}".encode()))
         reason = REASON_BY_STATUS.get(refusal.status, b"Refused")
-        self.write(format_head(b"HTTP/1.1 %d %b" % (refusal.status, reason), headers) + body)
+        self.respond(b"HTTP/1.1 %d %b" % (refusal.status, reason), headers, body)
 
     def abort(self) -> None:
         """Close at once without flushing, so that a partial response can't look complete."""
@@ -281,6 +288,7 @@
                 self._changed.clear()
                 await self._changed.wait()
             request = self._requests.popleft()
+            self._method = request.head.method
             self.is_serving, self.response_started = True, False
             self._clear_deadline()
             if not request.head.keep_alive:
@@ -317,6 +325,8 @@
         """
         self._closing = True
         self._on_read_refusal(refusal)
+        head = self._parser.head
+        self._method = head.method if head is not None else b""
         self.refuse(refusal)
         self.transport.write_eof()
         await asyncio.sleep(LINGER_DELAY)
