Requests that offer an upgrade are read with their body

Cause: httptools ends such a message at its head and leaves the rest; RequestParser passed the end on, and made the exception a refusal. Change: the head is parsed again without the offer.

Evidence: test_request_that_offers_an_upgrade_is_read_with_its_body failed before in all 27 cases, passes after.

--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -220,15 +220,40 @@
 
 
 class RequestParser(_Parser):
-    """Parser of the successive requests of one connection."""
+    """Parser of the successive requests of one connection.
 
-    __slots__ = ("_request_target", "head")
+    An offered upgrade to another protocol is ignored, as a server may.
+    """
+
+    __slots__ = ("_request_target", "_upgrade_offer", "head")
 
     def __init__(self) -> None:
         super().__init__(httptools.HttpRequestParser)
         self._request_target = b""
+        self._upgrade_offer: bytes | None = None
         self.head: RequestHead | None = None
 
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        Raises
+        ------
+        MalformedMessageError
+            If the bytes are not valid HTTP or ask for a tunnel.
+        """
+        rest: bytes | memoryview = data
+        try:
+            while True:
+                try:
+                    self._parser.feed_data(rest)
+                    return
+                except httptools.HttpParserUpgrade as error:
+                    # The parser takes the rest for another protocol.
+                    rest = memoryview(rest)[error.args[0] :]
+                    self._parse_without_offer()
+        except httptools.HttpParserError as error:
+            raise MalformedMessageError(str(error)) from error
+
     def on_message_begin(self) -> None:
         """Reset the state left by the previous request."""
         super().on_message_begin()
@@ -241,11 +266,38 @@
 
     def on_headers_complete(self) -> None:
         """Build the request head and report it."""
-        keep_alive = self._parser.should_keep_alive()
         method = self._parser.get_method()
+        if self._parser.should_upgrade():
+            self._upgrade_offer = self._format_without_upgrade(method)
+            return
+        keep_alive = self._parser.should_keep_alive()
         self.head = RequestHead(method, self._request_target, self._headers, keep_alive)
         self.head_callback()
 
+    def on_message_complete(self) -> None:
+        """Report the end of a request, unless its head is to be parsed again."""
+        if self._upgrade_offer is None:
+            super().on_message_complete()
+
+    def _parse_without_offer(self) -> None:
+        """Parse the head of a request that offers an upgrade again, as if it offered none."""
+        head, self._upgrade_offer = self._upgrade_offer, None
+        if head is None or head.startswith(b"CONNECT "):
+            raise MalformedMessageError("a tunnel is not supported")
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+
+    def _format_without_upgrade(self, method: bytes) -> bytes:
+        version = self._parser.get_http_version().encode()
+        headers = []
+        for name, value in self._headers:
+            if name == b"connection":
+                options = [option.strip() for option in value.split(b",")]
+                value = b", ".join(option for option in options if option.lower() != b"upgrade")
+            if name != b"upgrade":
+                headers.append((name, value))
+        return format_head(b"%b %b HTTP/%b" % (method, self._request_target, version), headers)
+
 
 class ResponseParser(_Parser):
     """Parser of a single response, after any interim (1xx) ones."""
--- a/celeryrun/transport/tests/test_caller.py
+++ b/celeryrun/transport/tests/test_caller.py
@@ -219,3 +219,51 @@
             await site.wait_until(lambda: not site.gateways[0].kernel.find("callers").connections)
 
     run(scenario())
+
+
+UPGRADES = [
+    b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n",
+    b"Connection: keep-alive, upgrade\r\nUpgrade: websocket\r\n",
+    b"Upgrade: h2c\r\nconnection: UPGRADE\r\n",
+]
+
+
+@pytest.mark.parametrize("step", [1, 7, 10_000])
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+@pytest.mark.parametrize("upgrade", UPGRADES)
+def test_request_that_offers_an_upgrade_is_read_with_its_body(upgrade, framing, step):
+    """Such a request ran without its body, and was answered a second time with 400."""
+    requests = []
+    parser = RequestParser()
+    body = []
+    parser.body_callback = body.append
+
+    def end():
+        requests.append((parser.head.method, parser.head.request_target, b"".join(body)))
+        body.clear()
+
+    parser.end_callback = end
+    fields, content = {
+        "length": (b"Content-Length: 5\r\n", b"first"),
+        "chunks": (b"Transfer-Encoding: chunked\r\n", b"3\r\nfir\r\n2\r\nst\r\n0\r\n\r\n"),
+        "none": (b"", b""),
+    }[framing]
+    data = b"POST /a?b=c HTTP/1.1\r\nHost: h\r\n" + fields + upgrade + b"\r\n" + content
+    data += b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+    for start in range(0, len(data), step):
+        parser.feed(data[start : start + step])
+    expected = b"" if framing == "none" else b"first"
+    assert requests == [(b"POST", b"/a?b=c", expected), (b"GET", b"/next", b"")]
+
+
+def test_tunnel_is_no_request():
+    with pytest.raises(MalformedMessageError):
+        RequestParser().feed(b"CONNECT host:1 HTTP/1.1\r\nHost: host\r\n\r\nbytes")
+
+
+def test_request_that_offers_an_upgrade_keeps_its_other_headers():
+    parser = RequestParser()
+    parser.feed(b"GET /a HTTP/1.0\r\nA: 1\r\nA: 2\r\n" + UPGRADES[1] + b"B:\r\n\r\n")
+    names = [name for name, _ in parser.head.headers]
+    assert names == [b"a", b"a", b"connection", b"b"]
+    assert parser.head.keep_alive
