Answers of two silent targets in one turn of the event loop are not both dropped

Cause: the relay accepts the current target's answer and closes the one in reserve, but the silence watch has seen that one go on in the same turn, and takes it for an alternative at the next read: both answers are lost. Change: accepting an answer ends the reserve in the watch, too.

Evidence: test_request_whose_silent_targets_answer_together_goes_to_no_third failed before (2 of 2 runs, 502 beside 200), passes after (3 of 3).

--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -171,6 +171,12 @@
             Called with a response to the request, for what its target says of itself.
         """
         exchange = attempt.exchange
+
+        def accept() -> None:
+            # The target in reserve may have gone on in the same turn of the event loop.
+            on_accepted()
+            silence.end_reserve()
+
         try:
             head = await silence.wait(exchange.read_head)
             response = read_response(head, self._request)
@@ -185,13 +191,13 @@
                 return Broken("unsealed")
             has_body = self._request.head.method != b"HEAD"
             if self._route.kind.stream and head.status == 200 and has_body:
-                body = self._relay_stream(attempt, head, silence, on_accepted, on_event)
+                body = self._relay_stream(attempt, head, silence, accept, on_event)
             elif self._connection.response_started:
                 # Only further events can follow those that the caller has.
                 return Broken("malformed")
             else:
                 if head.status < MIN_FAILURE_STATUS:
-                    on_accepted()
+                    accept()
                 body = self._relay_buffered(attempt, response, silence)
             result = await body
             if isinstance(result, Broken):
--- a/celeryrun/gateway/_silence.py
+++ b/celeryrun/gateway/_silence.py
@@ -62,12 +62,16 @@
         if reserve_goes_on is not None:
             self._reserve = _start(reserve_goes_on())
 
-    def record_progress(self) -> None:
-        """Note that the target goes on."""
-        self._progress_at = now()
+    def end_reserve(self) -> None:
+        """Note that the earlier target is no longer an alternative, even if it has gone on."""
         if self._reserve is not None:
             self._reserve.cancel()
             self._reserve = None
+
+    def record_progress(self) -> None:
+        """Note that the target goes on."""
+        self._progress_at = now()
+        self.end_reserve()
         if self._search is not None:
             self._search.cancel()
             self._search = None
--- a/celeryrun/gateway/tests/test_silent_targets.py
+++ b/celeryrun/gateway/tests/test_silent_targets.py
@@ -1,6 +1,7 @@
 """Targets that fall silent for a second or more and go on, with few others or none."""
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -124,3 +125,27 @@
             assert len(requests) == 2
 
     run(scenario())
+
+
+def test_request_whose_silent_targets_answer_together_goes_to_no_third():
+    """Two answers in one turn of the event loop were both dropped."""
+
+    async def scenario():
+        async with build_site(apps=4) as site:
+            for runner in site.apps:
+                runner.work, runner.slots = 0.03, 16
+            sends = [
+                asyncio.create_task(site.send_request("/calls/a", deadline=DEADLINE))
+                for _ in range(24)
+            ]
+            await asyncio.sleep(0.01)
+            for runner in site.apps:
+                runner.fall_silent(0.5)
+            responses = await asyncio.gather(*sends)
+            assert {response.status for response in responses} == {200}
+            runs = Counter(
+                request.attempt_id for runner in site.apps for request in runner.executed_requests
+            )
+            assert max(runs.values()) == 2
+
+    run(scenario())
