--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -524,14 +524,12 @@
         return FAILED
 
     async def _has_survived(self, target: Target) -> bool:
-        """Return whether a target still accepts connections, or was to leave anyway.
+        """Return whether a target still accepts connections.
 
-        One that has only stated that it leaves goes on serving, and may crash like any other.
+        One that leaves goes on serving. If it has ended, nothing tells a response that it completed
+        before from one that its end has cut.
         """
-        is_up_by_list = self._is_ready(target) or target.run in self._discovery.leaving
-        return not is_up_by_list or await accepts_connections(
-            target.host, target.port, PROBE_TIMEOUT
-        )
+        return await accepts_connections(target.host, target.port, PROBE_TIMEOUT)
 
     def _report_suspects(
         self, state: RequestState, target: Target, outcome: str, began: float
--- a/celeryrun/gateway/tests/test_path.py
+++ b/celeryrun/gateway/tests/test_path.py
@@ -284,6 +284,41 @@
     run(scenario())
 
 
+async def send_to_leaving_target(path, state, fault):
+    """Return the response of the only target, which has left the list of ready ones meanwhile."""
+    config = build_config()
+    for route in config["routes"]:
+        route["timeoutMs"] = 8000
+    async with Site(models=1, apps=1, config=config) as site:
+        (target,) = site.apps if path == "/bookings/a" else site.models
+        target.work = 0.8 if path == "/bookings/a" else 0.3
+        target.faults[fault] = 1
+        sent = asyncio.create_task(site.send_request(path, deadline=8000))
+        await site.wait_until(lambda: target.running)
+        target.register(state)
+        discovery = site.gateways[0].kernel.find("discovery")
+        await site.wait_until(lambda: not discovery.ready_targets(target.service))
+        assert target.running
+        return await sent
+
+
+@pytest.mark.parametrize("state", ["draining", None])
+@pytest.mark.parametrize("path", ["/bookings/a", "/drafts/a", "/chats/a"])
+def test_response_cut_by_the_end_of_a_leaving_target_does_not_look_complete(path, state):
+    """Parts of responses of draining targets were passed on as whole ones."""
+    response = asyncio.run(send_to_leaving_target(path, state, "dies-between"))
+    assert response.status in (0, 200, 502)
+    if response.status == 200 and response.complete:
+        # The target has started again and continued its stream.
+        assert path == "/chats/a" and response.event_ids == [1, 2, 3, 4, 5, 6]
+
+
+@pytest.mark.parametrize("state", ["draining", None])
+def test_response_of_a_leaving_target_that_goes_on_is_whole(state):
+    response = asyncio.run(send_to_leaving_target("/bookings/a", state, "unframed"))
+    assert response.status == 200 and response.complete
+
+
 def test_broken_stream_without_resumption_is_incomplete():
     async def scenario():
         async with Site() as site:
