Origins of streams are kept in the store while several versions may serve

Cause: origins were in the memory of the gateways alone.

Change: the scheduler's node writes the origins in batches, once a second and only while several versions are listed or recorded; a scheduler reads them for a stream of unknown origin.

--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from celeryrun.gateway._listeners import CallerListener, PageListener
 from celeryrun.gateway._members import Members
 from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._origin_records import OriginRecords
 from celeryrun.gateway._planned_stop import STOPPING, StopSchedule
 from celeryrun.gateway._relay import Relay
 from celeryrun.gateway._request_log import RequestLog
@@ -77,6 +78,7 @@
         kernel.register("members", Members(kernel, settings))
         kernel.register("crash-tracker", CrashTracker(kernel))
         kernel.register("version-records", VersionRecords(kernel))
+        kernel.register("origin-records", OriginRecords(kernel))
         kernel.register("stream-origins", StreamOrigins(kernel, settings))
         kernel.register("scheduler", SchedulerServer(kernel, settings))
         kernel.register("scheduler-client", SchedulerClient(kernel, settings))
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -33,8 +33,10 @@
 )
 from celeryrun.gateway._listen import listen
 from celeryrun.gateway._members import SCHEDULER_KEY, Members
+from celeryrun.gateway._origin_records import OriginRecords
 from celeryrun.gateway._stream_origins import StreamOrigins, merge_reports
 from celeryrun.gateway._topic_follower import MAX_REASON_CHARS, TopicFollower
+from celeryrun.gateway._version_records import VersionRecords
 from celeryrun.history import Position
 from celeryrun.kernel import Kernel, now
 from celeryrun.platform import KeyedPage
@@ -107,6 +109,7 @@
         "_crash_tracker",
         "_delayed_pools",
         "_members",
+        "_origin_records",
         "_origins",
         "_replicas",
         "_replicas_are_stale",
@@ -117,6 +120,7 @@
         "_tasks",
         "_unlisted_nodes",
         "_unreplicated",
+        "_version_records",
         "_work_available",
         "followers",
         "has_local_requests",
@@ -129,7 +133,10 @@
         self._members: Members = kernel.find("members")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._origins: StreamOrigins = kernel.find("stream-origins")
-        kernel.find("version-records").is_scheduler = self._has_majority
+        self._version_records: VersionRecords = kernel.find("version-records")
+        self._version_records.is_scheduler = self._has_majority
+        self._origin_records: OriginRecords = kernel.find("origin-records")
+        self._origin_records.is_needed = self._must_store_origins
         self._origins.broken_at = self._broken_at
         self._origins.on_contradiction = self._apply_origins
         self._replicas: list[Link] = []
@@ -261,6 +268,9 @@
     def _has_majority(self) -> bool:
         return self.fleet_share() > MAJORITY_SHARE
 
+    def _must_store_origins(self) -> bool:
+        return self._has_majority() and self._version_records.has_several()
+
     def _broken_at(self, target: str) -> float:
         load = self.scheduler.loads_by_target.get(target)
         return load.broken_at if load is not None else float("-inf")
@@ -268,6 +278,7 @@
     def _apply_origins(self, report: OriginReport) -> None:
         """Record origins and note them for the replicas."""
         self._origins.merge(report)
+        self._origin_records.add(report)
         if self._links_by_node:
             self._unreplicated.append(report)
 
--- a/celeryrun/gateway/_stream_origins.py
+++ b/celeryrun/gateway/_stream_origins.py
@@ -22,6 +22,7 @@
 from celeryrun.gateway._events import EventLog
 from celeryrun.gateway._links import OriginReport, VersionReport
 from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._origin_records import OriginRecords
 from celeryrun.gateway._version_records import PoolVersion, VersionRecords
 from celeryrun.kernel import Kernel, now
 from celeryrun.scheduling import SlotRequest
@@ -81,6 +82,7 @@
         "_metrics",
         "_observed_since",
         "_recent_streams_by_target",
+        "_origin_records",
         "_records",
         "_table",
         "_told",
@@ -104,6 +106,9 @@
         self.broken_at: Callable[[str], float] = lambda target: float("-inf")
         self.on_contradiction: Callable[[OriginReport], None] = lambda report: None
         self._records: VersionRecords = kernel.find("version-records")
+        self._origin_records: OriginRecords = kernel.find("origin-records")
+        self._origin_records.all_reports = self.reports
+        self._origin_records.on_report = self.merge
         self._records.listed = self._listed_versions
         self._records.may_have_streams = self._may_have_streams
         self._discovery.on_snapshot = self._on_snapshot
@@ -166,6 +171,8 @@
             Whether a stream of unknown origin is refused now.
         """
         resolution = self._resolve(slot_request, time)
+        if isinstance(resolution, Unknown) and self._table.find(slot_request.stream, time) is None:
+            self._origin_records.refresh()
         stream = f"{slot_request.stream:016x}"
         match resolution:
             case Bound(version, why, age) if slot_request.resumed:
--- a/celeryrun/gateway/_version_records.py
+++ b/celeryrun/gateway/_version_records.py
@@ -99,6 +99,11 @@
             return set()
         return {stored.version for stored in self._stored_by_key.values() if stored.pool == pool}
 
+    def has_several(self) -> bool:
+        """Return whether several versions of one pool may have begun streams in progress."""
+        known = self.listed() | set(self._stored_by_key.values())
+        return len({version.pool for version in known}) < len(known)
+
     async def _run(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
--- a/celeryrun/gateway/tests/test_stream_origins.py
+++ b/celeryrun/gateway/tests/test_stream_origins.py
@@ -65,6 +65,16 @@
         return self.recorded
 
 
+class OriginRecordsStandIn:
+    """Origins in the store."""
+
+    def __init__(self):
+        self.reads = 0
+
+    def refresh(self):
+        self.reads += 1
+
+
 class Events:
     """Log that is not written."""
 
@@ -80,6 +90,7 @@
     kernel.register("events", Events())
     kernel.register("metrics", GatewayMetrics())
     kernel.register("version-records", RecordsStandIn())
+    kernel.register("origin-records", OriginRecordsStandIn())
     settings = parse_gateway_settings(format_settings(first_start=first_start))
     origins = StreamOrigins(kernel, settings)
     discovery.on_snapshot()
@@ -150,6 +161,16 @@
     assert origins._records.may_have_streams(PoolVersion("model", "v1"))
 
 
+def test_stored_origins_are_read_for_a_stream_that_no_node_knows():
+    origins, _ = build_origins("v1", "v2")
+    assert isinstance(resolve(origins), Unknown)
+    assert origins._origin_records.reads == 1
+    origins._origin_records.on_report(OriginReport("v2", (9,), (20,)))
+    origins._table.find(9, now()).is_certain = True
+    assert resolve(origins).version == "v2"
+    assert origins._origin_records.reads == 1
+
+
 def test_node_that_has_just_started_deletes_no_record():
     origins, _ = build_origins("v1")
     assert origins._records.may_have_streams(PoolVersion("model", "v2"))
--- a/celeryrun/gateway/tests/test_stream_versions.py
+++ b/celeryrun/gateway/tests/test_stream_versions.py
@@ -128,7 +128,26 @@
     run(scenario())
 
 
-def test_nothing_goes_on_where_nobody_knows_while_two_versions_serve():
+def test_streams_whose_origins_are_stored_outlive_all_gateways():
+    """No stream went on after all gateways had been killed while two versions served."""
+
+    async def scenario():
+        async with build_mixed_site() as site:
+            await join_gateways(site)
+            callers = await begin_streams(site, STREAMS)
+            await asyncio.sleep(2.5)
+            await restart_gateways(site)
+            await resume_streams(callers, gateway=2)
+            assert_one_version(callers)
+            assert count_whole(callers) == STREAMS
+
+    run(scenario())
+
+
+def test_nothing_goes_on_where_nobody_knows_while_two_versions_serve(monkeypatch):
+    """Streams that no target and no record can tell the version of are refused as not run."""
+    monkeypatch.setattr("celeryrun.gateway._origin_records.WRITE_INTERVAL", 60.0)
+
     async def scenario():
         async with build_mixed_site() as site:
             await join_gateways(site)
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -22,6 +22,7 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
     "NODES_TOPIC",
+    "STREAMS_TOPIC",
     "TARGETS_TOPIC",
     "Store",
     "StoreUnavailableError",
@@ -31,6 +32,7 @@
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.status"
+STREAMS_TOPIC = "keyed.streams"  # the system's own, unlike those above
 
 CONNECT_TIMEOUT = 0.5  # s, enough for several round trips and one lost packet
 RESPONSE_TIMEOUT = 0.6  # s on top of the wait of a call; the store responds within milliseconds
