A scheduler that alone has lost the store trusts no list of its own

Cause: a list with one version counts as confirmed while the store is lost, which holds only if it is down for all. Change: it counts as down if all nodes that use this scheduler say in their heartbeats that they have lost it too.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -280,7 +280,8 @@
             await asyncio.sleep(self._heartbeat_interval())
 
     def _heartbeat(self) -> Heartbeat:
-        return Heartbeat(self._heartbeat_number, (), *self._discovery.version_in_force())
+        freshness = (self._discovery.targets.freshness(),)
+        return Heartbeat(self._heartbeat_number, freshness, *self._discovery.version_in_force())
 
     def _heartbeat_interval(self) -> float:
         return heartbeat_interval(len(self._members.address_by_node))
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -72,8 +72,8 @@
     number : int
         Sequence number, repeated in the reply.
     freshness : tuple of (float, int, int)
-        Of the scheduler's data, for each topic: the age in seconds, -1 if the scheduler's node
-        has lost the store, and the era and offset up to which it has read.
+        Of the sender's data, for each topic: the age in seconds, -1 if it has lost the store, and
+        the era and offset up to which it has read. A scheduler is sent that of the targets alone.
     version : int
         Of the configuration that the sender has in force, 0 without any.
     version_age : float
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -104,6 +104,7 @@
         "_links_by_node",
         "_local_reply_handler",
         "_name",
+        "_nodes_without_store",
         "_discovery",
         "_next_plan_at",
         "_crash_tracker",
@@ -138,6 +139,7 @@
         self._origin_records: OriginRecords = kernel.find("origin-records")
         self._origin_records.is_needed = self._must_store_origins
         self._origins.broken_at = self._broken_at
+        self._origins.is_store_down = self._is_store_down
         self._origins.on_contradiction = self._apply_origins
         self._replicas: list[Link] = []
         self._replicas_are_stale = False
@@ -155,6 +157,7 @@
         self._unlisted_nodes: list[UnlistedNode] = []
         self._work_available = asyncio.Event()
         self._started_at = now()
+        self._nodes_without_store: set[str] = set()
         self._local_reply_handler: Callable[[Reply], None] = lambda reply: None
         self.followers: tuple[TopicFollower, ...] = (
             self._discovery.configuration,
@@ -271,6 +274,19 @@
     def _must_store_origins(self) -> bool:
         return self._has_majority() and self._version_records.has_several()
 
+    def _note_store_of_node(self, node: str, heartbeat: Heartbeat) -> None:
+        self._nodes_without_store.discard(node)
+        if heartbeat.freshness and heartbeat.freshness[0][0] < 0:
+            self._nodes_without_store.add(node)
+
+    def _is_store_down(self) -> bool:
+        """Return whether neither this node nor any that uses this scheduler reaches the store."""
+        return (
+            self._discovery.targets.is_store_lost
+            and self._has_majority()
+            and self._links_by_node.keys() <= self._nodes_without_store
+        )
+
     def _broken_at(self, target: str) -> float:
         load = self.scheduler.loads_by_target.get(target)
         return load.broken_at if load is not None else float("-inf")
@@ -499,6 +515,7 @@
                 self._work_available.set()
             case Heartbeat() if link.node:
                 self._last_received_at_by_node[link.node] = link.last_received_at
+                self._note_store_of_node(link.node, message)
                 freshness = tuple(follower.freshness() for follower in self.followers)
                 link.send(Heartbeat(message.number, freshness, *self._discovery.version_in_force()))
                 self.compare_versions(link, message)
@@ -584,6 +601,7 @@
         if not link.node or self._links_by_node.get(link.node) is not link:
             return
         del self._links_by_node[link.node]
+        self._nodes_without_store.discard(link.node)
         self._replicas_are_stale = True
         pools = self.scheduler.drop_node(link.node, now())
         self._events.emit("node-left", peer=link.node)
--- a/celeryrun/gateway/_stream_origins.py
+++ b/celeryrun/gateway/_stream_origins.py
@@ -67,6 +67,8 @@
     ----------
     broken_at : callable
         Returns the time at which a target was last seen to end a connection early.
+    is_store_down : callable
+        Returns whether no node is known to reach the store.
     on_contradiction : callable
         Called with a report of origins that this node's scheduler no longer relies on.
     """
@@ -87,6 +89,7 @@
         "_table",
         "_told",
         "broken_at",
+        "is_store_down",
         "on_contradiction",
     )
 
@@ -104,6 +107,7 @@
         self._life_by_pool: dict[str, float] = {}
         self._recent_streams_by_target: dict[str, deque[tuple[float, int]]] = {}
         self.broken_at: Callable[[str], float] = lambda target: float("-inf")
+        self.is_store_down: Callable[[], bool] = lambda: False
         self.on_contradiction: Callable[[OriginReport], None] = lambda report: None
         self._records: VersionRecords = kernel.find("version-records")
         self._origin_records: OriginRecords = kernel.find("origin-records")
@@ -220,11 +224,11 @@
     def list_confirmed_at(self, pool: str) -> float:
         """Return the start of the last read that showed the list of targets to be the newest.
 
-        While the store is lost, a list with one version counts as the newest: no target that starts
-        then can say that it is of another.
+        While the store is down for all nodes, a list with one version counts as the newest: no
+        target that starts then can say that it is of another.
         """
         follower = self._discovery.targets
-        if follower.is_store_lost:
+        if self.is_store_down():
             life = self._longest_life(pool) or MAX_OBSERVED
             if len(self._history(pool).versions_since(now() - life)) == 1:
                 return float("inf")
--- a/celeryrun/gateway/tests/test_stream_origins.py
+++ b/celeryrun/gateway/tests/test_stream_origins.py
@@ -208,10 +208,18 @@
 def test_origins_are_relied_on_while_the_store_is_lost_if_one_version_serves(versions, known):
     origins, discovery = build_origins(*versions)
     discovery.targets.is_store_lost = True
+    origins.is_store_down = lambda: True
     origins.record_own(9, discovery.targets_by_id["t0"], deadline=10.0)
     assert isinstance(resolve(origins), Bound) == known
 
 
+def test_origins_are_not_relied_on_while_only_this_node_has_lost_the_store():
+    origins, discovery = build_origins("v1", "v1")
+    discovery.targets.is_store_lost = True
+    origins.record_own(9, discovery.targets_by_id["t0"], deadline=10.0)
+    assert isinstance(resolve(origins), Unknown)
+
+
 def test_origins_of_a_target_that_returned_at_another_version_are_given_up():
     origins, discovery = build_origins("v1", "v1")
     reports = []
--- a/celeryrun/gateway/tests/test_stream_versions.py
+++ b/celeryrun/gateway/tests/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -14,6 +15,8 @@
     resume_streams,
     stop_gateway,
 )
+from celeryrun.kernel import now
+from standins.ports import lease_ports
 from standins.site import run
 
 STREAMS = 12
@@ -330,6 +333,27 @@
     run(scenario())
 
 
+def test_scheduler_that_alone_has_lost_the_store_relies_on_no_old_list():
+    """Targets that had come back at another version, as other nodes could read, took streams."""
+
+    async def scenario():
+        async with build_mixed_site(versions=("v1", "v1")) as site:
+            scheduler = await join_gateways(site)
+            kernel = site.gateways[scheduler].kernel
+            store, follower = kernel.find("store"), kernel.find("discovery").targets
+            address = store.address
+            store.address = replace(address, port=lease_ports(1)[0])
+            await site.wait_until(lambda: follower.is_store_lost)
+            origins = kernel.find("stream-origins")
+            for _ in range(30):
+                assert origins.list_confirmed_at("model") < now() - 0.05
+                await asyncio.sleep(0.1)
+            site.store.faults.add("down")
+            await site.wait_until(lambda: origins.list_confirmed_at("model") == float("inf"))
+
+    run(scenario())
+
+
 def test_node_that_is_cut_off_takes_up_only_what_it_knows():
     async def scenario():
         async with build_mixed_site() as site:
