--- a/celeryrun/gateway/_origin_records.py
+++ b/celeryrun/gateway/_origin_records.py
@@ -41,7 +41,7 @@
 
     __slots__ = (
         "_events",
-        "_is_reading_from",
+        "_read_at",
         "_read_task",
         "_store",
         "_task",
@@ -59,7 +59,7 @@
         self._writes_news = False
         self._task: asyncio.Task[None] | None = None
         self._read_task: asyncio.Task[None] | None = None
-        self._is_reading_from = float("-inf")
+        self._read_at = float("-inf")
         self.is_needed: Callable[[], bool] = lambda: False
         self.all_reports: Callable[[], Iterable[OriginReport]] = tuple
         self.on_report: Callable[[OriginReport], object] = lambda report: None
@@ -82,9 +82,9 @@
 
     def refresh(self) -> None:
         """Read the records, unless that was done a moment ago."""
-        if now() - self._is_reading_from < READ_INTERVAL:
+        if now() - self._read_at < READ_INTERVAL:
             return
-        self._is_reading_from = now()
+        self._read_at = now()
         self._read_task = asyncio.get_running_loop().create_task(self._read())
 
     async def _run(self) -> None:
--- a/celeryrun/gateway/_stream_origins.py
+++ b/celeryrun/gateway/_stream_origins.py
@@ -85,9 +85,9 @@
         "_observed_since",
         "_recent_streams_by_target",
         "_origin_records",
-        "_records",
         "_table",
         "_told",
+        "_version_records",
         "broken_at",
         "is_store_down",
         "on_contradiction",
@@ -109,12 +109,12 @@
         self.broken_at: Callable[[str], float] = lambda target: float("-inf")
         self.is_store_down: Callable[[], bool] = lambda: False
         self.on_contradiction: Callable[[OriginReport], None] = lambda report: None
-        self._records: VersionRecords = kernel.find("version-records")
+        self._version_records: VersionRecords = kernel.find("version-records")
         self._origin_records: OriginRecords = kernel.find("origin-records")
         self._origin_records.all_reports = self.reports
         self._origin_records.on_report = self.merge
-        self._records.listed = self._listed_versions
-        self._records.may_have_streams = self._may_have_streams
+        self._version_records.listed = self._listed_versions
+        self._version_records.may_have_streams = self._may_have_streams
         self._discovery.on_snapshot = self._on_snapshot
         self._discovery.on_target_change = self._on_target_change
 
@@ -175,7 +175,8 @@
             Whether a stream of unknown origin is refused now.
         """
         resolution = self._resolve(slot_request, time)
-        if isinstance(resolution, Unknown) and self._table.find(slot_request.stream, time) is None:
+        is_unrecorded = self._table.find(slot_request.stream, time) is None
+        if isinstance(resolution, Unknown) and slot_request.stream and is_unrecorded:
             self._origin_records.refresh()
         stream = f"{slot_request.stream:016x}"
         match resolution:
@@ -216,7 +217,7 @@
             origin,
             self._history(pool),
             life,
-            self._records.versions_of(pool),
+            self._version_records.versions_of(pool),
             time,
             self._list_is_current(),
         )
@@ -312,7 +313,7 @@
                 self._add_observations(report, told_at)
 
     def _on_target_change(self, former: Target | None, current: Target | None) -> None:
-        self._records.note_change()
+        self._version_records.note_change()
         if former is not None and current is not None:
             if (former.pool, former.version) == (current.pool, current.version):
                 return
--- a/celeryrun/gateway/tests/test_origin_records.py
+++ b/celeryrun/gateway/tests/test_origin_records.py
@@ -118,7 +118,7 @@
         records.refresh()
         await asyncio.sleep(PAUSE)
         store.faults.add("down")
-        records._is_reading_from = float("-inf")
+        records._read_at = float("-inf")
         records.refresh()
         await asyncio.sleep(PAUSE)
         assert read == [] and events == ["origins-unreadable", "origins-not-read"]
--- a/celeryrun/gateway/tests/test_stream_origins.py
+++ b/celeryrun/gateway/tests/test_stream_origins.py
@@ -51,7 +51,7 @@
         self.targets_by_id[target.id] = target
 
 
-class RecordsStandIn:
+class VersionRecordsStandIn:
     """Records of versions in the store."""
 
     def __init__(self):
@@ -89,7 +89,7 @@
     kernel.register("discovery", discovery)
     kernel.register("events", Events())
     kernel.register("metrics", GatewayMetrics())
-    kernel.register("version-records", RecordsStandIn())
+    kernel.register("version-records", VersionRecordsStandIn())
     kernel.register("origin-records", OriginRecordsStandIn())
     settings = parse_gateway_settings(format_settings(first_start=first_start))
     origins = StreamOrigins(kernel, settings)
@@ -135,7 +135,7 @@
 def test_recorded_versions_stand_for_a_history_that_is_too_short(recorded, known):
     origins, _ = build_origins("v1")
     assert isinstance(resolve(origins), Unknown)
-    origins._records.recorded = recorded
+    origins._version_records.recorded = recorded
     assert isinstance(resolve(origins), Bound) == known
 
 
@@ -150,20 +150,21 @@
 def test_version_is_recorded_until_no_stream_that_it_began_can_go_on(monkeypatch):
     origins, discovery = build_origins("v1", "v2", first_start="yes")
     gone = PoolVersion("model", "v2")
-    assert origins._records.listed() == {PoolVersion("model", "v1"), gone}
+    assert origins._version_records.listed() == {PoolVersion("model", "v1"), gone}
     discovery.on_target_change(discovery.targets_by_id.pop("t1"), None)
-    assert origins._records.listed() == {PoolVersion("model", "v1")}
-    assert origins._records.may_have_streams(gone)
+    assert origins._version_records.listed() == {PoolVersion("model", "v1")}
+    assert origins._version_records.may_have_streams(gone)
     later = now() + 2 * TIMEOUT + RECORD_MARGIN + 1.0
     monkeypatch.setattr("celeryrun.gateway._stream_origins.now", lambda: later)
     discovery.targets.confirmed_at = now() + 1000.0
-    assert not origins._records.may_have_streams(gone)
-    assert origins._records.may_have_streams(PoolVersion("model", "v1"))
+    assert not origins._version_records.may_have_streams(gone)
+    assert origins._version_records.may_have_streams(PoolVersion("model", "v1"))
 
 
 def test_stored_origins_are_read_for_a_stream_that_no_node_knows():
     origins, _ = build_origins("v1", "v2")
     assert isinstance(resolve(origins), Unknown)
+    assert isinstance(resolve(origins, stream=0), Unknown)
     assert origins._origin_records.reads == 1
     origins._origin_records.on_report(OriginReport("v2", (9,), (20,)))
     origins._table.find(9, now()).is_certain = True
@@ -173,7 +174,7 @@
 
 def test_node_that_has_just_started_deletes_no_record():
     origins, _ = build_origins("v1")
-    assert origins._records.may_have_streams(PoolVersion("model", "v2"))
+    assert origins._version_records.may_have_streams(PoolVersion("model", "v2"))
 
 
 def test_old_list_allows_no_inference_and_is_not_told():
