celeryrun check: errors, entries without effect, contradictions and differences of a configuration

Cause: the operators wish to check a configuration before it is sent; check read settings and lists only. The draft keeps entries that the catalogue merges (repeated names and keys).

--- a/celeryrun/catalog/__init__.py
+++ b/celeryrun/catalog/__init__.py
@@ -1,5 +1,6 @@
 """Data classes of a deployment: routes, pools, workspaces and targets."""
 
+from celeryrun.catalog._draft import CatalogDraft, WorkspaceEntry
 from celeryrun.catalog._model import (
     CallerLimits,
     Catalog,
@@ -16,6 +17,7 @@
 __all__ = [
     "CallerLimits",
     "Catalog",
+    "CatalogDraft",
     "Credible",
     "Doubtful",
     "Outdated",
@@ -26,5 +28,6 @@
     "Target",
     "TargetRun",
     "Workspace",
+    "WorkspaceEntry",
     "judge_restored_entry",
 ]
--- a/celeryrun/cli/_commands.py
+++ b/celeryrun/cli/_commands.py
@@ -18,9 +18,9 @@
 from celeryrun.kernel import set_strict
 from celeryrun.node import Node
 from celeryrun.observe import json_handler, redirect_errors_to_log
-from celeryrun.settings import Address, load_gateway_settings, load_settings
+from celeryrun.settings import Address, load_settings
 
-__all__ = ["check", "completion", "drain", "keys", "node", "publish", "status"]
+__all__ = ["completion", "drain", "keys", "node", "publish", "status"]
 
 IN_FORCE_TIMEOUT = 30.0  # s
 KEY_BYTES = 32
@@ -43,32 +43,6 @@
         node_process.run()
 
 
-@click.command()
-@click.option("--settings", "settings_file", type=FILE_TYPE, help="Settings file of a node.")
-@click.option("--plans", type=FILE_TYPE, help="Plans file: plan, tier and key of each workspace.")
-@click.option("--uses", type=FILE_TYPE, help="Uses file: plans that may use each pool.")
-@click.option("--gateway", "gateway_file", type=FILE_TYPE, help="Settings file of a gateway.")
-def check(
-    settings_file: str | None, plans: str | None, uses: str | None, gateway_file: str | None
-) -> None:
-    """Validate settings, plans and uses files without publishing."""
-    if bool(plans) != bool(uses):
-        raise click.UsageError("--plans and --uses must be given together")
-    if not settings_file and not plans and not gateway_file:
-        raise click.UsageError("give --settings, --gateway, or --plans and --uses")
-    if gateway_file:
-        load_gateway_settings(gateway_file)
-        click.echo(f"{gateway_file}: good")
-    if settings_file:
-        load_settings(settings_file)
-        click.echo(f"{settings_file}: good")
-    if plans and uses:
-        configuration = read_lists(plans, uses)
-        click.echo(
-            f"{len(configuration.plans)} workspaces and {len(configuration.pools)} pools: good"
-        )
-
-
 @click.command()
 @click.argument("settings_file", type=FILE_TYPE)
 @click.option(
--- a/celeryrun/cli/_main.py
+++ b/celeryrun/cli/_main.py
@@ -12,7 +12,7 @@
 __all__ = ["main"]
 
 MODULE_BY_COMMAND = {
-    "check": "_commands",
+    "check": "_check",
     "completion": "_commands",
     "crashes": "_crashes",
     "drain": "_commands",
--- a/celeryrun/platform/__init__.py
+++ b/celeryrun/platform/__init__.py
@@ -1,7 +1,7 @@
 """Adapter to the users' platform: its protocol and metadata store, without scheduling logic."""
 
 from celeryrun.history import KeyedPage, KeyedRecord
-from celeryrun.platform._decode import decode_catalog, decode_target
+from celeryrun.platform._decode import decode_catalog, decode_draft, decode_target
 from celeryrun.platform._messages import (
     CallerRequest,
     TargetResponse,
@@ -37,6 +37,7 @@
     "TargetResponse",
     "UnreadableRecordError",
     "decode_catalog",
+    "decode_draft",
     "decode_target",
     "format_request",
     "read_request",
--- a/celeryrun/platform/_decode.py
+++ b/celeryrun/platform/_decode.py
@@ -9,12 +9,14 @@
 from celeryrun.catalog import (
     CallerLimits,
     Catalog,
+    CatalogDraft,
     Pool,
     RequestKind,
     Route,
     Split,
     Target,
     Workspace,
+    WorkspaceEntry,
 )
 from celeryrun.records import (
     HeaderText,
@@ -31,7 +33,7 @@
     parse_address,
 )
 
-__all__ = ["decode_catalog", "decode_target"]
+__all__ = ["decode_catalog", "decode_draft", "decode_target"]
 
 MS_PER_SECOND = 1000.0
 # Clients abandon a stream after the longest of these three times without an event.
@@ -112,25 +114,27 @@
 def decode_catalog(body: bytes) -> Catalog:
     """Decode one version of the operator's configuration.
 
+    Raises
+    ------
+    UnreadableRecordError
+        If the record does not match the published schema, or a number is out of range.
+    """
+    return decode_draft(body).catalog
+
+
+def decode_draft(body: bytes) -> CatalogDraft:
+    """Decode one version of the operator's configuration with all its entries.
+
     Raises
     ------
     UnreadableRecordError
         If the record does not match the published schema, or a number is out of range.
     """
     config = decode_json(body, _Config, "configuration")
-    workspaces_by_key = {}
-    for tenant in config.tenants or ():
-        workspace = Workspace(
-            tenant.name,
-            tenant.priority,
-            tenant.rate_per_s,
-            tenant.burst,
-            tenant.plain_tokens,
-            tenant.unit == TOKEN_UNIT,
-        )
-        workspaces_by_key.update(dict.fromkeys(tenant.api_keys, workspace))
-    pools = [_decode_pool(service) for service in config.services]
-    return Catalog(
+    entries = tuple(_decode_workspace(tenant) for tenant in config.tenants or ())
+    workspaces_by_key = {key: entry.workspace for entry in entries for key in entry.keys}
+    pools = tuple(_decode_pool(service) for service in config.services)
+    catalog = Catalog(
         config.version,
         tuple(_decode_route(route) for route in config.routes),
         {pool.name: pool for pool in pools},
@@ -143,6 +147,19 @@
         ),
         config.tenants is not None,
     )
+    return CatalogDraft(catalog, pools, entries)
+
+
+def _decode_workspace(tenant: _Tenant) -> WorkspaceEntry:
+    workspace = Workspace(
+        tenant.name,
+        tenant.priority,
+        tenant.rate_per_s,
+        tenant.burst,
+        tenant.plain_tokens,
+        tenant.unit == TOKEN_UNIT,
+    )
+    return WorkspaceEntry(workspace, tuple(tenant.api_keys))
 
 
 def _decode_pool(service: _Service) -> Pool:
