--- a/celeryrun/cli/_check.py
+++ b/celeryrun/cli/_check.py
@@ -19,7 +19,7 @@
 )
 from celeryrun.cli._exit import EXIT_FAILED
 from celeryrun.cli._publish import read_lists
-from celeryrun.exception import SettingsError
+from celeryrun.exception import CeleryrunError, SettingsError
 from celeryrun.platform import UnreadableRecordError, decode_draft
 from celeryrun.settings import load_gateway_settings, load_settings, read_text
 
@@ -60,7 +60,7 @@
     def to_json(self) -> str:
         """Return the report as a JSON object."""
         fields = {
-            "sound": not self.findings,
+            "sound": not self.has_errors,
             "findings": self.findings,
             "differences": self.differences,
         }
@@ -97,22 +97,27 @@
     Exits with 0 if they are sound, 1 if there are errors and 2 if a file can't be read.
     """
     if bool(plans) != bool(uses) or bool(against_plans) != bool(against_uses):
-        raise click.UsageError("plans and uses files must be given together")
+        raise click.UsageError("--plans and --uses must be given together, and those in force too")
     if (against and not new) or (against_plans and not plans):
         raise click.UsageError("a version in force needs a new one to compare with it")
     if not settings_file and not plans and not gateway_file and not new:
         raise click.UsageError("give NEW, --settings, --gateway, or --plans and --uses")
     report = Report()
-    if gateway_file:
-        load_gateway_settings(gateway_file)
-        report.sound.append(f"{gateway_file}: good")
-    if settings_file:
-        load_settings(settings_file)
-        report.sound.append(f"{settings_file}: good")
-    if plans and uses:
-        _check_lists(report, (plans, uses), (against_plans, against_uses))
-    if new:
-        _check_draft(report, new, against)
+    try:
+        if gateway_file:
+            load_gateway_settings(gateway_file)
+            report.sound.append(f"{gateway_file}: good")
+        if settings_file:
+            load_settings(settings_file)
+            report.sound.append(f"{settings_file}: good")
+        if plans and uses:
+            _check_lists(report, (plans, uses), (against_plans, against_uses))
+        if new:
+            _check_draft(report, new, against)
+    except CeleryrunError:
+        if output == "text" and (found := report.to_text()):
+            click.echo(found)
+        raise
     click.echo(report.to_text() if output == "text" else report.to_json())
     if report.has_errors or (strict and report.findings):
         sys.exit(EXIT_FAILED)
