--- a/celeryrun/scheduling/tests/simulation.py
+++ b/celeryrun/scheduling/tests/simulation.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from celeryrun.catalog import Pool
-from celeryrun.scheduling import COMPLETE, Scheduler, SlotReleased, SlotRequest
+from celeryrun.scheduling import CANCELLED, COMPLETE, Scheduler, SlotReleased, SlotRequest
 from celeryrun.scheduling.tests.builders import LIMITS, build_target
 
 FULL_SCAN_INTERVAL = 0.05  # s between two full scans of the queue, as in the gateway
@@ -25,6 +25,11 @@
         Arrivals per second outside the burst.
     burst_rate : float
         Arrivals per second within the burst; 0 for no burst.
+    length_spread, hint_spread : float
+        Standard deviations of the logarithms of the expected number of events, around ``events``,
+        and of the ratio of the true to the expected number.
+    deadline : float
+        Seconds until the response must have ended; 0 for five times the patience.
     """
 
     name: str
@@ -35,6 +40,9 @@
     patience: float
     rate: float
     burst_rate: float = 0.0
+    length_spread: float = 0.0
+    hint_spread: float = 0.0
+    deadline: float = 0.0
 
 
 @dataclass
@@ -44,7 +52,10 @@
     request_class: RequestClass
     workspace: str
     arrived: float
+    expected_events: float
+    true_events: int
     first_event: float | None = None
+    end: float | None = None
     denial_waits: list[float] = field(default_factory=list)
 
     @property
@@ -55,6 +66,11 @@
             and self.first_event - self.arrived <= self.request_class.objective
         )
 
+    @property
+    def is_good(self):
+        """Whether the first event arrived within the objective and the response was whole."""
+        return self.on_time and self.end is not None
+
 
 class Simulation:
     """Targets of different speeds, and callers that retry once after the delay in a denial.
@@ -116,10 +132,16 @@
         self._schedule(
             time + self._interarrival_time(request_class, time), self._arrive, request_class
         )
-        result = Result(request_class, self.random.choice(self.workspaces), time)
+        workspace = self.random.choice(self.workspaces)
+        expected = request_class.events * self._draw_factor(request_class.length_spread)
+        true_events = max(1, round(expected * self._draw_factor(request_class.hint_spread)))
+        result = Result(request_class, workspace, time, expected, true_events)
         self.results.append(result)
         self._submit(time, result, len(self.results))
 
+    def _draw_factor(self, spread):
+        return self.random.lognormvariate(0.0, spread) if spread else 1.0
+
     def _submit(self, time, result, fingerprint):
         request_class = result.request_class
         slot_request = SlotRequest(
@@ -129,10 +151,10 @@
             rank=request_class.rank,
             workspace=result.workspace,
             prompt_tokens=request_class.prompt_tokens,
-            expected_events=request_class.events,
+            expected_events=result.expected_events,
             objective=request_class.objective,
             patience=request_class.patience,
-            deadline=5 * request_class.patience,
+            deadline=_deadline(request_class),
             max_pause=0.0,
             fingerprint=fingerprint,
             configuration_version=1,
@@ -162,26 +184,37 @@
             self._schedule(time + delay, self._submit, result, fingerprint)
 
     def _run(self, time, grant):
-        result, _, _ = self.result_by_slot_request_id.pop(grant.slot_request_id)
+        result, submitted, _ = self.result_by_slot_request_id.pop(grant.slot_request_id)
         speed = self.speed_by_target[grant.target]
         start = max(time, self.prefill_end_by_target[grant.target])
         first_event = start + result.request_class.prompt_tokens * PREFILL_TIME / speed
         self.prefill_end_by_target[grant.target] = first_event
         self._schedule(first_event, self._report_first_event, result, grant, first_event - time)
-        end = first_event + result.request_class.events * EVENT_GAP / speed
-        self._schedule(end, self._release, result, grant, end - time)
+        end = first_event + result.true_events * EVENT_GAP / speed
+        # The caller's deadline counts from the slot request, which may have waited.
+        cut = submitted + _deadline(result.request_class)
+        events = result.true_events
+        if end > cut:
+            events = max(0, int((cut - first_event) * speed / EVENT_GAP))
+        else:
+            result.end = end
+        end = min(end, cut)
+        self._schedule(end, self._release, result, grant, end - time, events)
 
     def _report_first_event(self, time, result, grant, seconds):
         result.first_event = time
         self.scheduler.report_first_byte(grant.grant_id, seconds, time)
 
-    def _release(self, time, result, grant, seconds):
-        self.scheduler.release(
-            SlotReleased(grant.grant_id, COMPLETE, seconds, result.request_class.events), time
-        )
+    def _release(self, time, result, grant, seconds, events):
+        outcome = CANCELLED if result.end is None else COMPLETE
+        self.scheduler.release(SlotReleased(grant.grant_id, outcome, seconds, events), time)
         self._plan(time, False)
 
 
+def _deadline(request_class):
+    return request_class.deadline or 5 * request_class.patience
+
+
 def fraction(results, predicate):
     """Return the fraction of results that satisfy a predicate."""
     results = list(results)
