Placement: lateness and overruns as losses, with errors of lengths learned by kind

Cause: the cost of a placement was the time to its end; a stream that is just late counted as little as one on time, and the speed of a target was learned from whole responses only, so that targets whose streams were cut off at their deadline looked fast. Lengths were taken as exact. Change: a stream that would be late, or that probably overruns its deadline, costs a part of the time that it had left; the ratio of measured to expected events is learned by pool and rank, with streams that were cut off as lower bounds; these also tell the event gap. An attempt counts the events of its own target.

--- a/celeryrun/gateway/_attempt.py
+++ b/celeryrun/gateway/_attempt.py
@@ -28,6 +28,8 @@
         What a suspended attempt has received of an event or body that is not whole yet.
     was_sent : bool
         Whether the request was sent on the connection.
+    events : int
+        Number of events that its target has sent.
     """
 
     __slots__ = (
@@ -35,6 +37,7 @@
         "_has_first_byte",
         "_scheduler_client",
         "began",
+        "events",
         "exchange",
         "grant",
         "is_open",
@@ -62,6 +65,7 @@
         self.outcome: Outcome = CANCELLED
         self.received = b""
         self.was_sent = False
+        self.events = 0
         self.is_open = True
 
     def report_first_byte(self, origin: RecordedOrigin | None = None) -> None:
@@ -78,7 +82,7 @@
         elif origin is not None:
             self._scheduler_client.report_origin(origin)
 
-    def close(self, outcome: Outcome | None = None, events: int = 0) -> None:
+    def close(self, outcome: Outcome | None = None) -> None:
         """Abort the connection and release the slot, unless that was done.
 
         Parameters
@@ -92,7 +96,7 @@
         self.keep()
         self.exchange.close()
         self._scheduler_client.release(
-            self.grant, outcome or self.outcome, now() - self.began, events
+            self.grant, outcome or self.outcome, now() - self.began, self.events
         )
 
     async def goes_on(self, is_stream: bool) -> bool:
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -215,7 +215,7 @@
                 if outcome == COMPLETE:
                     route, size = state.admission.route.name, _expected_size(state)
                     self._durations.record(route, now() - attempt.began, size)
-                attempt.close(outcome, events)
+                attempt.close(outcome)
                 if self._finish_attempt(
                     connection, state, response_relay, result, attempt.target, attempts.has_reserve
                 ):
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -268,7 +268,9 @@
         try:
             while chunk := received or await silence.wait(attempt.exchange.read_body):
                 received = b""
+                earlier = self._splitter.count
                 whole_events = self._splitter.feed(chunk)
+                attempt.events += self._splitter.count - earlier
                 if not whole_events:
                     continue
                 attempt.exchange.count_pieces(whole_events.count(b"\n"))
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -5,6 +5,8 @@
 import math
 from dataclasses import dataclass, field
 
+from celeryrun.scheduling._lengths import MIN_CUT_EVENTS, LengthErrors
+
 __all__ = ["BREAK_REPORT_DELAY", "ActiveGrant", "TargetLoad"]
 
 INITIAL_PREFILL_TIME = 0.00002  # s per prompt token before any sample; a current accelerator's
@@ -39,6 +41,8 @@
         Latest time at which the request ends.
     retry_charged_at : float or None
         Time at which the request was charged to the retry budget, None if it was not.
+    lengths : LengthErrors or None
+        Errors of the expected lengths of its kind; None if its events don't show its length.
     """
 
     node: str
@@ -53,6 +57,7 @@
     fingerprint: int = 0
     deadline: float = math.inf
     retry_charged_at: float | None = None
+    lengths: LengthErrors | None = None
 
     def overdue_time(self) -> float:
         """Return when the first byte becomes overdue; infinity once it has arrived."""
@@ -232,8 +237,13 @@
         weight = SAMPLE_WEIGHT * prefill / active_grant.predicted_first_byte
         self.prefill_time *= 1 + (ratio - 1) * weight
 
+    def learn_cut(self, active_grant: ActiveGrant, seconds: float, events: int) -> None:
+        """Update the event gap from a stream that was cut off after enough events."""
+        if self.engine and events >= MIN_CUT_EVENTS:
+            self.learn_duration(active_grant, seconds, events)
+
     def learn_duration(self, active_grant: ActiveGrant, seconds: float, events: int) -> None:
-        """Update the call time or the event gap from a complete response."""
+        """Update the call time or the event gap from a response."""
         if not self.engine:
             self.call_time += (
                 min(seconds, MAX_SAMPLE_RATIO * self.call_time) - self.call_time
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -9,6 +9,7 @@
 
 from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
+from celeryrun.scheduling._lengths import LengthErrors
 from celeryrun.scheduling._load import TargetLoad
 from celeryrun.scheduling._messages import Denial, Grant, SlotRequest
 from celeryrun.scheduling._pauses import TargetPause
@@ -26,6 +27,8 @@
 MAX_BEST_PLACEMENTS = 48  # requests of a round placed by cost; later ones get the next free slot
 URGENT_FACTOR = 2.0  # a late request this many expected durations before its deadline is urgent
 FAILURE_COST = 2.0  # cost of a certain failure, in objectives
+LATE_WORTH = 0.2  # of a response whose first byte is late, against one on time
+LOSS_COST = 0.3  # cost of a stream that is late or has no end, in seconds that it had left
 PAUSE_COST = 1.0  # cost of each stream whose events are paused too long, in objectives
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler, others few slots
@@ -44,6 +47,8 @@
     objective_time, give_up_time, deadline_time : float
         Times at which the first byte becomes late, the caller gives up waiting for it, and the
         response must have ended.
+    lengths : LengthErrors
+        Errors of the expected lengths of its kind.
     is_scheduled : bool
         Whether an earlier planning round assigned a slot that was not free yet.
     """
@@ -54,6 +59,7 @@
     objective_time: float
     give_up_time: float
     deadline_time: float
+    lengths: LengthErrors
     is_scheduled: bool = False
 
     @property
@@ -245,7 +251,8 @@
     """Return the placement of least cost.
 
     The cost is the time until the end, plus the delay beyond the objective, the risk of a
-    failure, and the pauses caused in other streams on the target.
+    failure, and the pauses caused in other streams on the target. For a stream it is also the
+    risk that it is late, or that it does not end in time since it is longer than expected.
     """
     slot_request = queued.slot_request
     objective = max(MIN_OBJECTIVE, slot_request.objective)
@@ -261,6 +268,15 @@
         cost = start - planning_round.now + duration
         cost += max(0.0, start + first_byte - queued.objective_time)
         cost += load.failure_rate * FAILURE_COST * objective
+        if load.engine:
+            loss = queued.lengths.risk_of_overrun(
+                slot_request.expected_events,
+                load.event_gap,
+                queued.deadline_time - start - first_byte,
+            )
+            if start + first_byte > queued.objective_time:
+                loss = 1.0 + loss * LATE_WORTH
+            cost += loss * LOSS_COST * slot_request.deadline
         if (
             slot_request.max_pause > 0
             and load.event_gap_during_prefill(slot_request.prompt_tokens, planning_round.now)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -14,6 +14,7 @@
 from celeryrun.scheduling._crash_history import CrashHistory
 from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
+from celeryrun.scheduling._lengths import LengthErrors
 from celeryrun.scheduling._limits import FleetLimits, LimitEnforcer
 from celeryrun.scheduling._load import BREAK_REPORT_DELAY, ActiveGrant, TargetLoad
 from celeryrun.scheduling._messages import (
@@ -84,6 +85,7 @@
         "_fair_shares_by_pool",
         "_fleet_share",
         "_grant_ids",
+        "_lengths_by_kind",
         "_limits",
         "_list_confirmed_at",
         "_load_by_grant_id",
@@ -133,6 +135,9 @@
         self._load_by_grant_id: dict[int, TargetLoad] = {}
         self._demand_by_pool: defaultdict[str, PoolDemand] = defaultdict(PoolDemand)
         self._fair_shares_by_pool: defaultdict[str, FairShares] = defaultdict(FairShares)
+        self._lengths_by_kind: defaultdict[tuple[str, int], LengthErrors] = defaultdict(
+            LengthErrors
+        )
         self.loads_by_target: dict[str, TargetLoad] = {}
         self.queues_by_pool: dict[str, dict[tuple[str, int], QueuedRequest]] = {}
 
@@ -172,6 +177,7 @@
             now + slot_request.objective,
             now + slot_request.patience,
             now + slot_request.deadline,
+            self._lengths_by_kind[slot_request.pool, slot_request.rank],
         )
         self.queues_by_pool.setdefault(slot_request.pool, {})[node, slot_request.id] = queued
         if slot_request.resumed or slot_request.version:
@@ -368,6 +374,10 @@
             case messages.COMPLETE:
                 load.record_result(failed=False)
                 load.learn_duration(active_grant, released.seconds, released.events)
+                if active_grant.lengths is not None:
+                    active_grant.lengths.record(
+                        active_grant.expected_events, released.events, is_whole=True
+                    )
                 if active_grant.first_byte_seconds is None:
                     self.pauses.record_served(active_grant.target, active_grant.granted, load.slots)
                 load.record_completion(active_grant, released.seconds)
@@ -389,6 +399,12 @@
                 self.rate_limits.refund(active_grant.target, now)
             case messages.REJECTED:
                 load.excluded_until = max(load.excluded_until, now + load.call_time)
+            case messages.CANCELLED:
+                load.learn_cut(active_grant, released.seconds, released.events)
+                if active_grant.lengths is not None:
+                    active_grant.lengths.record(
+                        active_grant.expected_events, released.events, is_whole=False
+                    )
             case _:
                 pass
         return active_grant.pool
@@ -525,6 +541,7 @@
             fingerprint=slot_request.fingerprint,
             deadline=queued.deadline_time,
             retry_charged_at=queued.retry_charged_at,
+            lengths=None if slot_request.retry or slot_request.resumed else queued.lengths,
         )
         load.add_grant(grant_id, active_grant)
         self.rate_limits.consume(placement.target, now)
