Refusals for overload: name a time at which the caller still returns

Cause: a caller returns once, and only if Retry-After is within a third of the time it has left; the scheduler named later times, also by the random part of the delay, and lost it. Change: where room is expected not long after a caller's latest return, it is told to return just before that; the random part never goes past it. Without prospects it is told the truth.

--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -35,12 +35,12 @@
     sort_by_urgency,
 )
 from celeryrun.scheduling._rate_limits import TargetRateLimits
+from celeryrun.scheduling._returns import add_jitter, choose_return
 
 __all__ = ["Scheduler"]
 
 CRASH_RETENTION = 20.0  # s for which a crash counts; a caller retries within its deadline
 MIN_RETRY_AFTER = 0.05  # s, some round trips
-RETRY_JITTER = 0.5  # fraction of a retry delay that may be added at random
 HELD_SLOT_LIFETIME = 60.0  # s, the longest deadline; a held slot is reported without its own
 FULL_SCAN_LIMIT = 400  # targets times queued requests scanned on each event, about a millisecond
 MAX_ORIGIN_WAIT = 1.0  # s for which a stream's origin may still be on its way to a new scheduler
@@ -167,9 +167,9 @@
         wait = self._limits.charge_quota(slot_request, now)
         if wait > 0:
             self._refund_retry(slot_request.pool, now if slot_request.retry else None)
-            return Denial(
-                slot_request.id, "quota", self._add_jitter(min(wait, slot_request.deadline))
-            )
+            wait = min(wait, slot_request.deadline)
+            retry_after = add_jitter(wait, slot_request.deadline, self._random)
+            return Denial(slot_request.id, "quota", retry_after)
         queued = QueuedRequest(
             node,
             slot_request,
@@ -562,12 +562,14 @@
         self._limits.refund_quota(slot_request, now)
         self._refund_retry(slot_request.pool, queued.retry_charged_at)
         wait = max(MIN_RETRY_AFTER, retry_time - now)
-        return queued.node, Denial(slot_request.id, kind, self._add_jitter(wait))
+        time_left = queued.deadline_time - now
+        if kind == "overload":
+            retry_after = choose_return(wait, time_left, self._random)
+        else:
+            retry_after = add_jitter(wait, time_left, self._random)
+        return queued.node, Denial(slot_request.id, kind, max(MIN_RETRY_AFTER, retry_after))
 
     def _refund_retry(self, pool: str, charged_at: float | None) -> None:
         """Give back the charge of a retry that reached no target, if there was one."""
         if charged_at is not None:
             self._limits.refund_retry(pool, charged_at)
-
-    def _add_jitter(self, seconds: float) -> float:
-        return seconds * (1 + RETRY_JITTER * self._random.random())
--- a/celeryrun/scheduling/tests/simulation.py
+++ b/celeryrun/scheduling/tests/simulation.py
@@ -83,6 +83,9 @@
         Workspaces from which callers are drawn; repeated names send more requests.
     prefill_time : float
         Seconds per prompt token on a target of speed 1.
+    return_share : float
+        Fraction of the time that a caller has left within which it returns after a denial; it
+        does not if the denial names a later time.
     """
 
     def __init__(
@@ -94,8 +97,10 @@
         burst=(5.0, 10.0),
         workspaces=("w0", "w1", "w2", "w3", "w4"),
         prefill_time=PREFILL_TIME,
+        return_share=1 / 3,
     ):
         self.prefill_time = prefill_time
+        self.return_share = return_share
         self.request_classes = request_classes
         self.random = random.Random(seed)
         self.targets = [build_target(f"t{n}", slots=slots) for n in range(len(speeds))]
@@ -158,7 +163,7 @@
             expected_events=result.expected_events,
             objective=request_class.objective,
             patience=request_class.patience,
-            deadline=_deadline(request_class),
+            deadline=_deadline(request_class) - (time - result.arrived),
             max_pause=0.0,
             fingerprint=fingerprint,
             configuration_version=1,
@@ -183,20 +188,19 @@
     def _deny(self, time, denial):
         result, submitted, fingerprint = self.result_by_slot_request_id.pop(denial.slot_request_id)
         result.denial_waits.append(time - submitted)
-        if len(result.denial_waits) == 1:
-            delay = min(denial.retry_after, result.request_class.patience)
-            self._schedule(time + delay, self._submit, result, fingerprint)
+        left = _deadline(result.request_class) - (time - result.arrived)
+        if len(result.denial_waits) == 1 and denial.retry_after <= left * self.return_share:
+            self._schedule(time + denial.retry_after, self._submit, result, fingerprint)
 
     def _run(self, time, grant):
-        result, submitted, _ = self.result_by_slot_request_id.pop(grant.slot_request_id)
+        result, _, _ = self.result_by_slot_request_id.pop(grant.slot_request_id)
         speed = self.speed_by_target[grant.target]
         start = max(time, self.prefill_end_by_target[grant.target])
         first_event = start + result.request_class.prompt_tokens * self.prefill_time / speed
         self.prefill_end_by_target[grant.target] = first_event
         self._schedule(first_event, self._report_first_event, result, grant, first_event - time)
         end = first_event + result.true_events * EVENT_GAP / speed
-        # The caller's deadline counts from the slot request, which may have waited.
-        cut = submitted + _deadline(result.request_class)
+        cut = result.arrived + _deadline(result.request_class)
         events = result.true_events
         if end > cut:
             events = max(0, int((cut - first_event) * speed / EVENT_GAP))
--- a/celeryrun/scheduling/tests/test_uneven_targets.py
+++ b/celeryrun/scheduling/tests/test_uneven_targets.py
@@ -1,10 +1,14 @@
 """Simulated load on targets of unlike speed, with lengths that are known badly."""
 
+import dataclasses
 import itertools
+import random
 
 import pytest
 
+import celeryrun.scheduling._scheduler
 from celeryrun.scheduling import CANCELLED, COMPLETE, SlotReleased
+from celeryrun.scheduling._returns import add_jitter, choose_return
 from celeryrun.scheduling.tests.builders import (
     build_scheduler,
     build_slot_request,
@@ -19,6 +23,7 @@
     "digest", 1, 630, 18, 0.32, 2.0, rate=14.0, length_spread=0.7, hint_spread=0.8, deadline=10.6
 )
 LABEL = RequestClass("label", 2, 1800, 3, 0.42, 1.5, rate=28.0, deadline=2.6)
+BURST = (8.0, 10.5)
 CLASSES = (REVIEW, DIGEST, LABEL)
 SPEEDS = (0.155, 0.645, 0.645) * 4  # 0.129 s and 0.031 s between two events
 SEEDS = (1, 2, 3)
@@ -88,3 +93,34 @@
     gap = scheduler.loads_by_target["t0"].event_gap
     scheduler.release(SlotReleased(grant.grant_id, CANCELLED, 10.0, 80), 10.0)
     assert scheduler.loads_by_target["t0"].event_gap > 1.2 * gap
+
+
+def served_in_burst(seed):
+    """Return the fraction of streams that are served of those that arrive in a burst."""
+    classes = [
+        dataclasses.replace(one, rate=0.7 * one.rate, burst_rate=5.0 * one.rate) for one in CLASSES
+    ]
+    results = Simulation(classes, SPEEDS, 6, seed, BURST, prefill_time=1e-5).run(26.0)
+    return fraction(
+        (result for result in results if BURST[0] <= result.arrived < BURST[1]),
+        lambda result: result.end is not None,
+    )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_more_callers_are_served_if_they_return_before_it_is_too_late(seed, monkeypatch):
+    served = served_in_burst(seed)
+    monkeypatch.setattr(celeryrun.scheduling._scheduler, "choose_return", add_jitter)
+    assert served > served_in_burst(seed) + 0.02
+
+
+@pytest.mark.parametrize("wait", [0.1, 2.9, 3.1, 11.0])
+def test_caller_is_told_a_time_at_which_it_still_returns(wait):
+    source = random.Random(1)
+    times = [choose_return(wait, 10.0, source) for _ in range(100)]
+    assert max(times) <= 10.0 / 3
+    assert min(times) >= min(wait, 2.0)
+
+
+def test_caller_without_prospects_is_told_the_truth():
+    assert choose_return(15.0, 10.0, random.Random(1)) >= 15.0
