Placement: findings of the review of uneven targets

Cause, each from reading: weights of lengths not seen for long became subnormal, and 1/w infinite, after which no placement had a cost; a cut stream's time ran to the cut, so callers that did not read made targets look slow; a fast target that is free only after the caller has left was chosen before a free one, and the request denied; the simulation's new way of returning eased a test of refusals; a length 1 % above the hint counted as 40 %. Change: a floor for the weight; the time up to the last event, without stalls; a placement that is too late loses to any other; returns in old tests as before; risks fall between the bounds of a bin; an unknown zone costs nothing.

--- a/celeryrun/gateway/_attempt.py
+++ b/celeryrun/gateway/_attempt.py
@@ -30,6 +30,12 @@
         Whether the request was sent on the connection.
     events : int
         Number of events that its target has sent.
+    last_event_at : float
+        Time at which the last of them was read, in seconds; that of the grant before the first.
+    stall : float
+        Seconds since then for which the caller did not read, and so the target was not read.
+    stalled : float
+        The same, in seconds until then.
     """
 
     __slots__ = (
@@ -41,8 +47,11 @@
         "exchange",
         "grant",
         "is_open",
+        "last_event_at",
         "outcome",
         "received",
+        "stall",
+        "stalled",
         "target",
         "was_sent",
     )
@@ -66,6 +75,9 @@
         self.received = b""
         self.was_sent = False
         self.events = 0
+        self.last_event_at = began
+        self.stall = 0.0
+        self.stalled = 0.0
         self.is_open = True
 
     def report_first_byte(self, origin: RecordedOrigin | None = None) -> None:
@@ -82,6 +94,14 @@
         elif origin is not None:
             self._scheduler_client.report_origin(origin)
 
+    def count_events(self, count: int) -> None:
+        """Count events that were read, with the time of the last of them."""
+        if count:
+            self.events += count
+            self.last_event_at = now()
+            self.stalled += self.stall
+            self.stall = 0.0
+
     def close(self, outcome: Outcome | None = None) -> None:
         """Abort the connection and release the slot, unless that was done.
 
@@ -95,9 +115,10 @@
         self.is_open = False
         self.keep()
         self.exchange.close()
-        self._scheduler_client.release(
-            self.grant, outcome or self.outcome, now() - self.began, self.events
-        )
+        outcome = outcome or self.outcome
+        # A response that was cut off tells the target's speed up to its last event.
+        end = self.last_event_at - self.stalled if outcome == CANCELLED else now()
+        self._scheduler_client.release(self.grant, outcome, end - self.began, self.events)
 
     async def goes_on(self, is_stream: bool) -> bool:
         """Return whether a silent target sends a whole event, a part of a body, or the end.
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -270,7 +270,7 @@
                 received = b""
                 earlier = self._splitter.count
                 whole_events = self._splitter.feed(chunk)
-                attempt.events += self._splitter.count - earlier
+                attempt.count_events(self._splitter.count - earlier)
                 if not whole_events:
                     continue
                 attempt.exchange.count_pieces(whole_events.count(b"\n"))
@@ -282,7 +282,9 @@
                     self._start_chunked_response(head)
                 self._connection.write(format_chunk(whole_events))
                 self._record_event()
+                began = now()
                 await self._connection.drain()
+                attempt.stall = now() - began
                 if self._splitter.line_count > line_count:
                     line_count = self._splitter.line_count
                     silence.record_progress()
--- a/celeryrun/scheduling/_lengths.py
+++ b/celeryrun/scheduling/_lengths.py
@@ -16,6 +16,7 @@
 ]
 PRIOR_WEIGHT = 4.0  # samples that count as exact before any is measured
 MAX_WEIGHT = 1000.0  # samples after which older ones lose weight
+MIN_LONGER = 1e-6  # weight of longer streams below which none counts as seen
 MIN_CUT_EVENTS = 3  # events of a stream that was cut off before they tell its speed
 
 
@@ -63,7 +64,7 @@
             self._weights[index] += 1.0
         else:
             longer = sum(self._weights[index:])
-            if longer > 0:
+            if longer > MIN_LONGER:
                 for position in range(index, len(self._weights)):
                     self._weights[position] *= 1 + 1 / longer
             else:
@@ -76,14 +77,18 @@
     def risk_above(self, ratio: float) -> float:
         """Return the probability that a stream has more events than a multiple of those expected.
 
-        Between two bounds it is that of the lower bound, as those in a bin may all be longer.
+        Between two bounds it falls linearly with the logarithm of the ratio.
         """
         if ratio <= BOUNDS[0]:
             return 1.0
         if self._risks is None:
             above = list(accumulate(reversed(self._weights)))[::-1]
             self._risks = [risk / above[0] for risk in above]
-        return self._risks[min(bisect_right(BOUNDS, ratio), len(self._risks) - 1)]
+        index = bisect_right(BOUNDS, ratio)
+        if index == len(BOUNDS):
+            return self._risks[index]
+        part = RATIO_STEPS * math.log2(ratio / BOUNDS[index - 1])
+        return self._risks[index] * (1 - part) + self._risks[index + 1] * part
 
     def risk_of_overrun(self, expected_events: float, event_gap: float, seconds: float) -> float:
         """Return the probability that a stream's events take longer than some seconds."""
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -30,6 +30,7 @@
 LATE_WORTH = 0.2  # of a response whose first byte is late, against one on time
 LOSS_COST = 0.3  # cost of a stream that is late or has no end, in seconds that it had left
 PAUSE_COST = 1.0  # cost of each stream whose events are paused too long, in objectives
+HOPELESS_COST = 1e9  # cost of a first byte after the caller has left, above all others
 ZONE_COST = 0.05  # cost of another availability zone than the node's, in durations
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler, others few slots
@@ -257,10 +258,12 @@
     The cost is the time until the end, plus the delay beyond the objective, the risk of a
     failure, and the pauses caused in other streams on the target. For a stream it is also the
     risk that it is late, or that it does not end in time since it is longer than expected. Of
-    nearly equal targets, one in the availability zone of the node is preferred.
+    nearly equal targets, one in the availability zone of the node is preferred. A placement that is
+    too late for the caller is chosen only if all are.
     """
     slot_request = queued.slot_request
     objective = max(MIN_OBJECTIVE, slot_request.objective)
+    latest = _latest_first_byte(queued)
     best: Placement | None = None
     min_cost = math.inf
     for name, load in planning_round.candidates(queued).items():
@@ -288,8 +291,10 @@
             > slot_request.max_pause
         ):
             cost += PAUSE_COST * len(load.active_grants_by_id) * objective
-        if queued.zone and load.zone != queued.zone:
+        if queued.zone and load.zone and load.zone != queued.zone:
             cost += ZONE_COST * duration
+        if start + first_byte > latest:
+            cost += HOPELESS_COST
         placement = Placement(name, start, first_byte, duration)
         if (
             name in planning_round.limits_to_check
@@ -331,7 +336,12 @@
     A request in its first planning round must meet only a fraction of its patience, since more
     urgent slot requests may still arrive.
     """
+    return placement.start + placement.first_byte > _latest_first_byte(queued)
+
+
+def _latest_first_byte(queued: QueuedRequest) -> float:
+    """Return the time after which a first byte is too late for a request to be kept."""
     limit = queued.give_up_time
     if not queued.is_scheduled:
         limit = queued.arrived + NEW_PATIENCE * (limit - queued.arrived)
-    return placement.start + placement.first_byte > min(limit, queued.deadline_time)
+    return min(limit, queued.deadline_time)
--- a/celeryrun/scheduling/_returns.py
+++ b/celeryrun/scheduling/_returns.py
@@ -16,8 +16,9 @@
     """Return the seconds after which a refused caller returns.
 
     A caller that is told a later time than its latest return is lost. Since the end of an overload
-    is unknown, one whose room is expected not long after that is told to return just before it.
-    One without prospects is told the truth, as it would return in vain.
+    is unknown, one whose room is expected about then or not long after is told to return just
+    before it, spread over some time. One without prospects is told the truth, as it would return
+    in vain.
 
     Parameters
     ----------
@@ -27,13 +28,15 @@
         Seconds until its response must have ended.
     """
     latest = time_left * RETURN_SHARE
-    if latest < wait <= latest * MAX_BEYOND:
+    if latest * (1 - LATEST_SPREAD) < wait <= latest * MAX_BEYOND:
         return latest * (1 - LATEST_SPREAD * source.random())
     return add_jitter(wait, time_left, source)
 
 
 def add_jitter(wait: float, time_left: float, source: random.Random) -> float:
-    """Return a time at random after a wait, but no later than a caller's latest return.
+    """Return a time at random after a wait.
+
+    It is no later than the caller's latest return, unless the wait itself is.
 
     Parameters
     ----------
--- a/celeryrun/scheduling/tests/simulation.py
+++ b/celeryrun/scheduling/tests/simulation.py
@@ -83,9 +83,9 @@
         Workspaces from which callers are drawn; repeated names send more requests.
     prefill_time : float
         Seconds per prompt token on a target of speed 1.
-    return_share : float
+    return_share : float or None
         Fraction of the time that a caller has left within which it returns after a denial; it
-        does not if the denial names a later time.
+        does not if the denial names a later time. None: all return, within their patience.
     """
 
     def __init__(
@@ -97,7 +97,7 @@
         burst=(5.0, 10.0),
         workspaces=("w0", "w1", "w2", "w3", "w4"),
         prefill_time=PREFILL_TIME,
-        return_share=1 / 3,
+        return_share=None,
     ):
         self.prefill_time = prefill_time
         self.return_share = return_share
@@ -188,9 +188,15 @@
     def _deny(self, time, denial):
         result, submitted, fingerprint = self.result_by_slot_request_id.pop(denial.slot_request_id)
         result.denial_waits.append(time - submitted)
-        left = _deadline(result.request_class) - (time - result.arrived)
-        if len(result.denial_waits) == 1 and denial.retry_after <= left * self.return_share:
-            self._schedule(time + denial.retry_after, self._submit, result, fingerprint)
+        if len(result.denial_waits) > 1:
+            return
+        delay = min(denial.retry_after, result.request_class.patience)
+        if self.return_share is not None:
+            delay = denial.retry_after
+            left = _deadline(result.request_class) - (time - result.arrived)
+            if delay > left * self.return_share:
+                return
+        self._schedule(time + delay, self._submit, result, fingerprint)
 
     def _run(self, time, grant):
         result, _, _ = self.result_by_slot_request_id.pop(grant.slot_request_id)
--- a/celeryrun/scheduling/tests/test_uneven_targets.py
+++ b/celeryrun/scheduling/tests/test_uneven_targets.py
@@ -8,6 +8,7 @@
 
 import celeryrun.scheduling._scheduler
 from celeryrun.scheduling import CANCELLED, COMPLETE, UNUSED, SlotReleased
+from celeryrun.scheduling._lengths import LengthErrors
 from celeryrun.scheduling._returns import add_jitter, choose_return
 from celeryrun.scheduling.tests.builders import (
     build_scheduler,
@@ -30,7 +31,9 @@
 
 
 def simulate(seed, seconds=40.0):
-    simulation = Simulation(CLASSES, SPEEDS, 6, seed, burst=(0.0, 0.0), prefill_time=1e-5)
+    simulation = Simulation(
+        CLASSES, SPEEDS, 6, seed, burst=(0.0, 0.0), prefill_time=1e-5, return_share=1 / 3
+    )
     # The streams that begin near the end may not end.
     return [result for result in simulation.run(seconds) if 5.0 < result.arrived < seconds - 13.0]
 
@@ -100,7 +103,9 @@
     classes = [
         dataclasses.replace(one, rate=0.7 * one.rate, burst_rate=5.0 * one.rate) for one in CLASSES
     ]
-    results = Simulation(classes, SPEEDS, 6, seed, BURST, prefill_time=1e-5).run(26.0)
+    results = Simulation(
+        classes, SPEEDS, 6, seed, BURST, prefill_time=1e-5, return_share=1 / 3
+    ).run(26.0)
     return fraction(
         (result for result in results if BURST[0] <= result.arrived < BURST[1]),
         lambda result: result.end is not None,
@@ -143,3 +148,49 @@
 def test_target_in_the_zone_of_the_node_is_preferred_unless_it_is_slower():
     assert place_beside_other_zone(0.0204) == "near"
     assert place_beside_other_zone(0.03) == "far"
+
+
+def test_request_gets_a_late_slot_rather_than_none():
+    """A fast target that is free only after the caller has left was chosen before a free one."""
+    scheduler = build_scheduler(build_target("fast", slots=1), build_target("slow", slots=1))
+    for name, gap in (("fast", 0.01), ("slow", 1.0)):
+        scheduler._load(name, "model").event_gap = gap
+    scheduler._load("slow", "model").prefill_time = 0.0008
+    first = build_slot_request(1, expected_events=1000.0, deadline=20.0, excluded_targets=("slow",))
+    scheduler.submit("n", first, 0.0)
+    assert [grant.target for _, grant in scheduler.plan("model", 0.0)[0]] == ["fast"]
+    late = build_slot_request(2, expected_events=40.0, objective=0.5, patience=2.0, deadline=12.0)
+    scheduler.submit("n", late, 0.1)
+    grants, denials = scheduler.plan("model", 0.1)
+    assert [grant.target for _, grant in grants] == ["slow"]
+    assert not denials
+
+
+def test_lengths_that_were_not_seen_for_long_leave_finite_risks():
+    errors = LengthErrors()
+    errors.record(10.0, 100, is_whole=True)
+    errors._weights = [
+        weight * 1e-320 if n > 12 else weight for n, weight in enumerate(errors._weights)
+    ]
+    errors.record(10.0, 90, is_whole=False)
+    assert 0.0 <= errors.risk_above(1.2) <= 1.0
+
+
+def test_risk_falls_between_two_lengths():
+    errors = LengthErrors()
+    for _ in range(100):
+        errors.record(100.0, 101, is_whole=True)
+    assert errors.risk_above(1.01) > 0.9
+    assert errors.risk_above(1.3) < 0.3
+
+
+@pytest.mark.parametrize(("zone", "target"), [("a", "near"), ("b", "far"), ("", "far")])
+def test_of_equal_targets_one_in_the_zone_of_the_node_is_chosen(zone, target):
+    targets = [
+        dataclasses.replace(build_target("far"), zone="b"),
+        dataclasses.replace(build_target("near"), zone="a"),
+    ]
+    scheduler = build_scheduler(*targets, zone_of=lambda node: zone)
+    scheduler.submit("n", build_slot_request(1), 0.0)
+    ((_, grant),), _ = scheduler.plan("model", 0.0)
+    assert grant.target == target
