--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -14,6 +14,7 @@
 from celeryrun.scheduling._crash_history import CrashHistory
 from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
+from celeryrun.scheduling._lengths import LengthErrors
 from celeryrun.scheduling._limits import FleetLimits, LimitEnforcer
 from celeryrun.scheduling._load import BREAK_REPORT_DELAY, ActiveGrant, TargetLoad
 from celeryrun.scheduling._messages import (
@@ -34,12 +35,12 @@
     sort_by_urgency,
 )
 from celeryrun.scheduling._rate_limits import TargetRateLimits
+from celeryrun.scheduling._returns import add_jitter, choose_return
 
 __all__ = ["Scheduler"]
 
 CRASH_RETENTION = 20.0  # s for which a crash counts; a caller retries within its deadline
 MIN_RETRY_AFTER = 0.05  # s, some round trips
-RETRY_JITTER = 0.5  # fraction of a retry delay that may be added at random
 HELD_SLOT_LIFETIME = 60.0  # s, the longest deadline; a held slot is reported without its own
 FULL_SCAN_LIMIT = 400  # targets times queued requests scanned on each event, about a millisecond
 MAX_ORIGIN_WAIT = 1.0  # s for which a stream's origin may still be on its way to a new scheduler
@@ -75,6 +76,8 @@
         Returns the start of the last read that showed the targets of a pool to be the newest list.
     confirm_list : callable, optional
         Called when the list must be read again before a resumed stream can be placed.
+    zone_of : callable, optional
+        Returns the availability zone of a node, empty if it is unknown.
     """
 
     __slots__ = (
@@ -84,6 +87,7 @@
         "_fair_shares_by_pool",
         "_fleet_share",
         "_grant_ids",
+        "_lengths_by_kind",
         "_limits",
         "_list_confirmed_at",
         "_load_by_grant_id",
@@ -93,6 +97,7 @@
         "_resolve_origin",
         "_resolve_by_key_by_pool",
         "_targets",
+        "_zone_of",
         "loads_by_target",
         "pauses",
         "queues_by_pool",
@@ -113,6 +118,7 @@
         ),
         list_confirmed_at: Callable[[str], float] = lambda pool: math.inf,
         confirm_list: Callable[[], None] = lambda: None,
+        zone_of: Callable[[str], str] = lambda node: "",
     ) -> None:
         self._limits = LimitEnforcer(limits, fleet_share, no_prior_usage)
         self._targets = targets
@@ -128,11 +134,15 @@
         self._resolve_by_key_by_pool: dict[str, dict[tuple[str, int], float]] = {}
         self._list_confirmed_at = list_confirmed_at
         self._confirm_list = confirm_list
+        self._zone_of = zone_of
         self.rate_limits = TargetRateLimits(fleet_share)
         self.pauses = TargetPauses()
         self._load_by_grant_id: dict[int, TargetLoad] = {}
         self._demand_by_pool: defaultdict[str, PoolDemand] = defaultdict(PoolDemand)
         self._fair_shares_by_pool: defaultdict[str, FairShares] = defaultdict(FairShares)
+        self._lengths_by_kind: defaultdict[tuple[str, int], LengthErrors] = defaultdict(
+            LengthErrors
+        )
         self.loads_by_target: dict[str, TargetLoad] = {}
         self.queues_by_pool: dict[str, dict[tuple[str, int], QueuedRequest]] = {}
 
@@ -162,9 +172,9 @@
         wait = self._limits.charge_quota(slot_request, now)
         if wait > 0:
             self._refund_retry(slot_request.pool, now if slot_request.retry else None)
-            return Denial(
-                slot_request.id, "quota", self._add_jitter(min(wait, slot_request.deadline))
-            )
+            wait = min(wait, slot_request.deadline)
+            retry_after = add_jitter(wait, slot_request.deadline, self._random)
+            return Denial(slot_request.id, "quota", retry_after)
         queued = QueuedRequest(
             node,
             slot_request,
@@ -172,6 +182,8 @@
             now + slot_request.objective,
             now + slot_request.patience,
             now + slot_request.deadline,
+            self._lengths_by_kind[slot_request.pool, slot_request.rank],
+            self._zone_of(node),
         )
         self.queues_by_pool.setdefault(slot_request.pool, {})[node, slot_request.id] = queued
         if slot_request.resumed or slot_request.version:
@@ -368,6 +380,10 @@
             case messages.COMPLETE:
                 load.record_result(failed=False)
                 load.learn_duration(active_grant, released.seconds, released.events)
+                if active_grant.lengths is not None:
+                    active_grant.lengths.record(
+                        active_grant.expected_events, released.events, is_whole=True
+                    )
                 if active_grant.first_byte_seconds is None:
                     self.pauses.record_served(active_grant.target, active_grant.granted, load.slots)
                 load.record_completion(active_grant, released.seconds)
@@ -389,6 +405,12 @@
                 self.rate_limits.refund(active_grant.target, now)
             case messages.REJECTED:
                 load.excluded_until = max(load.excluded_until, now + load.call_time)
+            case messages.CANCELLED:
+                load.learn_cut(active_grant, released.seconds, released.events)
+                if active_grant.lengths is not None:
+                    active_grant.lengths.record(
+                        active_grant.expected_events, released.events, is_whole=False
+                    )
             case _:
                 pass
         return active_grant.pool
@@ -496,7 +518,7 @@
         loads = {}
         for target in self._targets(pool):
             load = self._load(target.id, pool, target.slots)
-            load.slots = target.slots
+            load.slots, load.zone = target.slots, target.zone
             if now >= load.excluded_until and not load.is_unresponsive(now):
                 loads[target.id] = load
         return loads
@@ -525,6 +547,7 @@
             fingerprint=slot_request.fingerprint,
             deadline=queued.deadline_time,
             retry_charged_at=queued.retry_charged_at,
+            lengths=None if slot_request.retry or slot_request.resumed else queued.lengths,
         )
         load.add_grant(grant_id, active_grant)
         self.rate_limits.consume(placement.target, now)
@@ -545,12 +568,14 @@
         self._limits.refund_quota(slot_request, now)
         self._refund_retry(slot_request.pool, queued.retry_charged_at)
         wait = max(MIN_RETRY_AFTER, retry_time - now)
-        return queued.node, Denial(slot_request.id, kind, self._add_jitter(wait))
+        time_left = queued.deadline_time - now
+        if kind == "overload":
+            retry_after = choose_return(wait, time_left, self._random)
+        else:
+            retry_after = add_jitter(wait, time_left, self._random)
+        return queued.node, Denial(slot_request.id, kind, max(MIN_RETRY_AFTER, retry_after))
 
     def _refund_retry(self, pool: str, charged_at: float | None) -> None:
         """Give back the charge of a retry that reached no target, if there was one."""
         if charged_at is not None:
             self._limits.refund_retry(pool, charged_at)
-
-    def _add_jitter(self, seconds: float) -> float:
-        return seconds * (1 + RETRY_JITTER * self._random.random())
