--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -30,6 +30,7 @@
 LATE_WORTH = 0.2  # of a response whose first byte is late, against one on time
 LOSS_COST = 0.3  # cost of a stream that is late or has no end, in seconds that it had left
 PAUSE_COST = 1.0  # cost of each stream whose events are paused too long, in objectives
+UNEVEN_RATIO = 2.0  # of event gaps, above which targets are of unlike speed
 ZONE_COST = 0.05  # cost of another availability zone than the node's, in durations
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler, others few slots
@@ -109,6 +110,8 @@
         Pauses of targets that want no requests, or get them back one after the other.
     placed : int
         Number of queued requests for which a placement was searched.
+    is_uneven : bool
+        Whether streams last several times longer on some targets than on others.
     loads_of_version : callable
         Returns those of the targets that are certainly of the version that a request needs.
     """
@@ -123,6 +126,7 @@
     idle_targets: int = 0
     limits_to_check: set[str] = field(default_factory=set)
     placed: int = 0
+    is_uneven: bool = False
     loads_of_version: Callable[[QueuedRequest], dict[str, TargetLoad]] = lambda queued: {}
     _next_send_by_target: dict[str, float] = field(default_factory=dict)
     _returns_by_target: dict[str, int] = field(default_factory=dict)
@@ -143,6 +147,9 @@
         """Start a planning round over a pool's targets."""
         planning_round = cls(targets, fleet_share, now, demand, rate_limits, pauses_by_target)
         min_end = now + OVERRUN_DELAY
+        event_gaps = [load.event_gap for load in targets.values() if load.engine]
+        if event_gaps:
+            planning_round.is_uneven = max(event_gaps) > UNEVEN_RATIO * min(event_gaps)
         for name, load in targets.items():
             occupying = load.occupying_grants(now)
             excess = len(occupying) - planning_round._slot_count(load)
@@ -255,7 +262,7 @@
     """Return the placement of least cost.
 
     The cost is the time until the end, plus the delay beyond the objective, the risk of a
-    failure, and the pauses caused in other streams on the target. For a stream it is also the
+    failure, and the pauses caused in other streams on the target. Of unlike targets it is also the
     risk that it is late, or that it does not end in time since it is longer than expected. Of
     nearly equal targets, one in the availability zone of the node is preferred.
     """
@@ -273,7 +280,7 @@
         cost = start - planning_round.now + duration
         cost += max(0.0, start + first_byte - queued.objective_time)
         cost += load.failure_rate * FAILURE_COST * objective
-        if load.engine:
+        if planning_round.is_uneven:
             loss = queued.lengths.risk_of_overrun(
                 slot_request.expected_events,
                 load.event_gap,
