--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -30,10 +30,8 @@
 LATE_WORTH = 0.2  # of a response whose first byte is late, against one on time
 LOSS_COST = 0.3  # cost of a stream that is late or has no end, in seconds that it had left
 PAUSE_COST = 1.0  # cost of each stream whose events are paused too long, in objectives
-    failure, and the pauses caused in other streams on the target. Of unlike targets it is also the
-    risk that it is late, or that it does not end in time since it is longer than expected. Of
-    nearly equal targets, one in the availability zone of the node is preferred. A placement that is
-    too late for the caller is chosen only if all are.
+HOPELESS_COST = 1e9  # cost of a first byte after the caller has left, above all others
+UNEVEN_RATIO = 2.0  # of event gaps, above which targets are of unlike speed
 ZONE_COST = 0.05  # cost of another availability zone than the node's, in durations
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler, others few slots
