Callers: all that they make a process keep is counted against one budget

Cause: the budget counted payload bytes of bodies only. A list of pieces, header objects, trailers (which were appended to the head, and reached targets as headers), pipelined requests and unread responses were kept without a count.

Now a connection reads 16 KiB at a time and reserves, at their cost as Python objects, heads while and after they are parsed, bodies (twice once they are whole: one copy is sent), queued requests until they are served, and responses until they are read; the next pipelined request waits until the response before is nearly read. Trailers are dropped, and limited with chunk lines by maxHeaderBytes (431). Requests to targets are written in pieces. Readiness and metrics have 32 connections, 1 MiB and 1 KiB of body each; the 51st connection beyond the callers' limit is closed.

--- a/celeryrun/gateway/_listen.py
+++ b/celeryrun/gateway/_listen.py
@@ -14,7 +14,10 @@
 
 
 async def listen(
-    address: Address, key: str, connect: Callable[[], asyncio.Protocol]
+    address: Address,
+    key: str,
+    connect: Callable[[], asyncio.BaseProtocol],
+    backlog: int = LISTEN_BACKLOG,
 ) -> asyncio.Server:
     """Listen on an address.
 
@@ -24,6 +27,8 @@
         Key of the address in the section ``[node]`` of the settings.
     connect : callable
         Returns the protocol of a new connection.
+    backlog : int
+        Connections waiting to be accepted, which may all be accepted at once.
 
     Raises
     ------
@@ -32,6 +37,6 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        return await loop.create_server(connect, address.host, address.port, backlog=LISTEN_BACKLOG)
+        return await loop.create_server(connect, address.host, address.port, backlog=backlog)
     except OSError as error:
         raise ListenError(str(address), key, str(error)) from error
--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -6,6 +6,7 @@
 
 from celeryrun.catalog import CallerLimits
 from celeryrun.exception import Refusal
+from celeryrun.gateway._caller_memory import open_budget
 from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._listen import listen
 from celeryrun.gateway._metrics import GatewayMetrics
@@ -18,6 +19,7 @@
     ByteBudget,
     CallerConnection,
     ReceivedRequest,
+    RequestHandler,
     has_unaccepted,
     ignore_new_connections,
 )
@@ -25,12 +27,16 @@
 __all__ = ["CallerListener", "PageListener"]
 
 READY_AGE_FRACTION = 0.8  # of revocation_lag; with an older configuration all keys are soon refused
-BODY_MEMORY_FRACTION = 0.2  # of memory; a body is held as chunks, joined, and once more while sent
 MAX_ACCEPT_DELAY = 0.5  # s for which a closing listener still accepts connections
 MIN_IDLE_TIME = 0.2  # s; a caller that has just connected is about to send its request
 ACCEPT_POLL_INTERVAL = 0.002  # s
 RESERVED_DESCRIPTORS = 200  # for files, and for connections to the store and between nodes
 DESCRIPTORS_PER_CALLER = 2  # a caller's connection and the one to its target
+MAX_REFUSED_CONNECTIONS = 50  # kept beyond the limit until each is told that the node is full
+PAGE_LIMITS = CallerLimits(body_bytes=1024)
+PAGE_MEMORY = 1 << 20  # bytes that the connections to one page may keep
+MAX_PAGE_CONNECTIONS = 32  # to one page
+PAGE_BACKLOG = 32
 NODE_FULL = Refusal(503, "node-full", "send it again; this node has too many connections", 0.5)
 NOT_FOUND = Refusal(404, "no-page", "ask for a page that is served here")
 
@@ -62,7 +68,7 @@
         self._request_log: RequestLog = kernel.find("request-log")
         self._settings = settings
         node = settings.node
-        self._budget = ByteBudget(BODY_MEMORY_FRACTION * node.memory)
+        self._budget = open_budget(node.memory)
         self._max_connections = max(
             1, (node.descriptors - RESERVED_DESCRIPTORS) // DESCRIPTORS_PER_CALLER
         )
@@ -122,7 +128,11 @@
             self.connections.discard,
             self._log_unreadable,
             self._budget,
+            self._request_log.log_dropped,
         )
+        if len(self.connections) >= self._max_connections + MAX_REFUSED_CONNECTIONS:
+            connection.drop()
+            return connection
         self.connections.add(connection)
         return connection
 
@@ -142,6 +152,33 @@
         return catalog.limits if catalog is not None else CallerLimits()
 
 
+class PageConnections:
+    """Connections to one page; a new one takes the place of the oldest when there are too many."""
+
+    __slots__ = ("_budget", "_connections", "_handler")
+
+    def __init__(self, handler: RequestHandler) -> None:
+        self._handler = handler
+        self._budget = ByteBudget(PAGE_MEMORY)
+        self._connections: dict[CallerConnection, None] = {}
+
+    def connect(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        if len(self._connections) >= MAX_PAGE_CONNECTIONS:
+            oldest = next(iter(self._connections))
+            del self._connections[oldest]
+            oldest.drop()
+        connection = CallerConnection(
+            self._handler,
+            lambda: PAGE_LIMITS,
+            lambda: False,
+            lambda closed: self._connections.pop(closed, None),
+            budget=self._budget,
+        )
+        self._connections[connection] = None
+        return connection
+
+
 class PageListener:
     """Service that serves readiness and metrics, each on its own address."""
 
@@ -161,7 +198,8 @@
         """Start listening on both addresses."""
         node = self._settings.node
         for key in ("readiness_address", "metrics_address"):
-            self._servers.append(await listen(getattr(node, key), key, self._connect))
+            connect = PageConnections(self._serve).connect
+            self._servers.append(await listen(getattr(node, key), key, connect, PAGE_BACKLOG))
 
     def stop(self) -> None:
         """Stop listening."""
@@ -178,9 +216,6 @@
         is_current = self._discovery.is_loaded() and self._discovery.configuration_age() < limit
         return is_current and not self._callers.draining
 
-    def _connect(self) -> CallerConnection:
-        return CallerConnection(self._serve, CallerLimits, lambda: False, lambda _: None)
-
     async def _serve(self, connection: CallerConnection, request: ReceivedRequest) -> None:
         path = request.head.request_target.decode("latin-1").partition("?")[0]
         match path:
--- a/celeryrun/gateway/_request_log.py
+++ b/celeryrun/gateway/_request_log.py
@@ -78,3 +78,8 @@
         why = refusal.remedy
         self._events.emit("refused", status=refusal.status, kind=refusal.kind, by=by, why=why)
         self._metrics.refusals.labels(refusal.kind).inc()
+
+    def log_dropped(self) -> None:
+        """Log and count a connection that was closed to make room for others."""
+        self._events.emit("dropped", by="connection", why="its caller held room and did not go on")
+        self._metrics.aborts.labels("dropped").inc()
--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -13,7 +13,7 @@
 from celeryrun.catalog import CallerLimits
 from celeryrun.exception import Refusal
 from celeryrun.kernel import now
-from celeryrun.transport._budget import ByteBudget
+from celeryrun.transport._budget import ByteAccount, ByteBudget
 from celeryrun.transport._message import (
     MalformedMessageError,
     RequestHead,
@@ -25,6 +25,10 @@
 
 MAX_PIPELINED = 4  # requests queued behind the one being served; then reading pauses
 LINGER_DELAY = 0.5  # s, several round trips, that a caller has to read a refusal before the close
+READ_BYTES = 16_384  # that one connection may bring in a turn of the event loop
+REQUEST_BYTES = 8192  # objects and tasks of a request besides its headers and body
+QUEUED_FRACTION = 0.125  # of the budget, for the pipelined requests of one connection
+STALL_TIME = 1.0  # s that bytes are held before a connection is closed to make room
 HEADER_OVERHEAD = 4  # bytes per header for ": " and CRLF
 HEADER_TOO_LARGE = Refusal(431, "header-too-large", "send fewer or shorter headers")
 BODY_TOO_LARGE = Refusal(413, "body-too-large", "send a smaller body")
@@ -45,6 +49,8 @@
     504: b"Gateway Timeout",
 }
 
+# Filled and parsed within one callback of the event loop, so all connections share it.
+_READ_BUFFER = bytearray(READ_BYTES)
 
 log = logbook.Logger("callers")
 
@@ -57,19 +63,25 @@
     ----------
     arrived_at : float
         Time of the last byte on the clock of ``now``, in seconds.
+    kept_bytes : int
+        Bytes reserved for the request until it is served.
     """
 
     head: RequestHead
     body: bytes
     arrived_at: float
+    kept_bytes: int
 
 
 RequestHandler = Callable[["CallerConnection", ReceivedRequest], Awaitable[None]]
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """Server side of a caller's connection; each request is passed to a handler.
 
+    All that the caller makes the process keep is reserved from a budget: heads, bodies, pipelined
+    requests until they are served, and responses until they are read.
+
     Parameters
     ----------
     handler : callable
@@ -83,7 +95,9 @@
     on_read_refusal : callable, optional
         Called with the refusal of a request that could not be read completely.
     budget : ByteBudget, optional
-        Limit on body bytes, shared by several connections; unlimited by default.
+        Limit on kept bytes, shared by several connections; unlimited by default.
+    on_dropped : callable, optional
+        Called when the connection is closed to make room, as its caller reads no response.
 
     Attributes
     ----------
@@ -94,12 +108,13 @@
     """
 
     __slots__ = (
+        "_account",
         "_body",
-        "_body_bytes",
         "_budget",
         "_changed",
         "_closing",
         "_deadline_handle",
+        "_framing_bytes",
         "_handler",
         "_head_bytes",
         "_in_head",
@@ -107,13 +122,18 @@
         "_limits",
         "_method",
         "_on_closed",
+        "_on_dropped",
         "_on_read_refusal",
         "_parser",
+        "_queued_bytes",
+        "_read_bytes",
         "_read_refusal",
         "_reading_since",
+        "_refused_method",
         "_requests",
-        "_reserved_bytes",
         "_task",
+        "_unread_bytes",
+        "_unread_since",
         "_writable",
         "closed",
         "idle_since",
@@ -130,6 +150,7 @@
         on_closed: Callable[[CallerConnection], None],
         on_read_refusal: Callable[[Refusal], None] = lambda refusal: None,
         budget: ByteBudget | None = None,
+        on_dropped: Callable[[], None] = lambda: None,
     ) -> None:
         self._handler = handler
         self._limits = limits
@@ -137,19 +158,26 @@
         self._on_closed = on_closed
         self._on_read_refusal = on_read_refusal
         self._budget = budget or ByteBudget()
-        self._reserved_bytes = 0
+        self._account: ByteAccount = self._budget.open_account(self)
+        self._on_dropped = on_dropped
+        self._read_bytes = 0
+        self._queued_bytes = 0
+        self._unread_bytes = 0
+        self._unread_since = 0.0
         self._parser = RequestParser()
+        self._parser.begin_callback = self._on_begin
         self._parser.head_callback = self._on_head
         self._parser.body_callback = self._on_body
         self._parser.end_callback = self._on_end
         self._requests: deque[ReceivedRequest] = deque()
         self._method = b""
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._in_head = True
         self._reading_since: float | None = None
         self._read_refusal: Refusal | None = None
+        self._refused_method = b""
         self._changed = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -173,10 +201,17 @@
         self._task = loop.create_task(self._serve())
         self._set_deadline(self._limits().idle_timeout)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes, unless a request was already refused while being read."""
-        if self._read_refusal is not None:
-            return
+        if self._read_refusal is None:
+            self._feed(bytes(memoryview(_READ_BUFFER)[:nbytes]))
+
+    def _feed(self, data: bytes) -> None:
+        self._framing_bytes += len(data)
         if self._in_head:
             self._head_bytes += len(data)
             if self._reading_since is None:
@@ -187,8 +222,33 @@
             self._parser.feed(data)
         except MalformedMessageError as error:
             self._set_read_refusal(Refusal(400, "malformed", f"send valid HTTP/1.1 ({error})"))
-        if self._in_head and self._head_bytes > self._limits().header_bytes:
+        if self._read_refusal is None:
+            self._check_head()
+        if self._read_refusal is not None:
+            # The parser keeps what it has of a request, and passed on what followed in this read.
+            self._parser.drop()
+
+    def _check_head(self) -> None:
+        """Limit a head that is not complete, and the chunk lines and trailers of a body."""
+        limit = self._limits().header_bytes
+        if self._in_head and self._head_bytes > limit:
+            self._set_read_refusal(HEADER_TOO_LARGE)
+        elif not self._in_head and max(self._framing_bytes, self._parser.trailer_bytes) > limit:
             self._set_read_refusal(HEADER_TOO_LARGE)
+        elif self._reading_since is not None:
+            self._reserve(self._head_cost() + len(self._body) - self._read_bytes)
+
+    def _head_cost(self) -> int:
+        return REQUEST_BYTES + self._head_bytes + self._parser.kept_bytes
+
+    def _reserve(self, size: int) -> None:
+        """Reserve bytes for the request being read, which is refused without them."""
+        if size <= 0:
+            return
+        if self._account.reserve(size):
+            self._read_bytes += size
+        elif self._read_refusal is None:
+            self._set_read_refusal(MEMORY_FULL)
 
     def eof_received(self) -> bool:
         """Close the connection; a caller that ends its side counts as disconnected."""
@@ -202,7 +262,7 @@
             self._deadline_handle.cancel()
         if self._task is not None:
             self._task.cancel()
-        self._release_bytes(self._reserved_bytes)
+        self._account.close()
         self._on_closed(self)
 
     def pause_writing(self) -> None:
@@ -212,11 +272,62 @@
     def resume_writing(self) -> None:
         """Resume ``drain``."""
         self._writable.set()
+        self._count_read()
 
     def write(self, data: bytes) -> None:
         """Write bytes of a response."""
         self.response_started = True
+        self._write(data)
+
+    def _write(self, data: bytes) -> None:
         self.transport.write(data)
+        size = self.transport.get_write_buffer_size()
+        if size > self._unread_bytes:
+            if not self._unread_bytes:
+                self._unread_since = now()
+            grown, self._unread_bytes = size - self._unread_bytes, size
+            self._account.charge(grown)
+
+    def _count_read(self) -> None:
+        """Release what the caller has read of the responses since the last count."""
+        size = self.transport.get_write_buffer_size()
+        if size < self._unread_bytes:
+            self._account.release(self._unread_bytes - size)
+            self._unread_bytes, self._unread_since = size, now()
+
+    def weigh(self, time: float) -> float:
+        """Return the kept bytes times the seconds of a request or response without an end.
+
+        It is 0 while nothing was kept for long, and while a request waits or is served.
+        """
+        if self.transport is None:
+            return 0.0
+        self._count_read()
+        if self._unread_bytes:
+            age = time - self._unread_since
+        elif self._is_reading_only():
+            assert self._reading_since is not None
+            age = time - self._reading_since
+        else:
+            return 0.0
+        return self._account.held * age if age >= STALL_TIME else 0.0
+
+    def give_up(self) -> None:
+        """Refuse the request being read, or close the connection whose caller reads nothing."""
+        if self._unread_bytes:
+            self.drop()
+        else:
+            self._refuse_reading(MEMORY_FULL)
+
+    def drop(self) -> None:
+        """Close at once and release all bytes."""
+        self._on_dropped()
+        self.abort()
+        self._account.close()
+
+    def _is_reading_only(self) -> bool:
+        is_busy = self.is_serving or self._requests or self._read_refusal is not None
+        return self._reading_since is not None and not is_busy
 
     async def drain(self) -> None:
         """Wait until the write buffer accepts more."""
@@ -270,9 +381,8 @@
 
     def refuse_unread(self, refusal: Refusal) -> None:
         """Refuse the request that is being received, if any, unless an earlier one is served."""
-        is_busy = self.is_serving or self._requests or self._read_refusal is not None
-        if self._reading_since is not None and not is_busy:
-            self._set_read_refusal(refusal)
+        if self._is_reading_only():
+            self._refuse_reading(refusal)
 
     def _close_if_draining(self) -> None:
         """Close after the current response if the node is draining, but not before queued ones."""
@@ -287,7 +397,10 @@
                     return
                 self._changed.clear()
                 await self._changed.wait()
+            # What the caller has not read of earlier responses must not pile up.
+            await self._writable.wait()
             request = self._requests.popleft()
+            self._queued_bytes -= request.kept_bytes
             self._method = request.head.method
             self.is_serving, self.response_started = True, False
             self._clear_deadline()
@@ -295,7 +408,8 @@
                 self._closing = True
             self._close_if_draining()
             await self._handle(request)
-            self._release_bytes(len(request.body))
+            self._account.release(request.kept_bytes)
+            del request  # or it is kept until the next one comes
             self.is_serving = False
             if self._closing:
                 self.transport.close()
@@ -325,61 +439,76 @@
         """
         self._closing = True
         self._on_read_refusal(refusal)
-        head = self._parser.head
-        self._method = head.method if head is not None else b""
+        self._method = self._refused_method
         self.refuse(refusal)
         self.transport.write_eof()
         await asyncio.sleep(LINGER_DELAY)
         self.transport.close()
 
+    def _refuse_reading(self, refusal: Refusal) -> None:
+        """Refuse the request being read, between two reads."""
+        self._set_read_refusal(refusal)
+        self._parser.drop()
+
     def _set_read_refusal(self, refusal: Refusal) -> None:
         self._read_refusal = refusal
-        self._release_bytes(self._body_bytes)
-        self._body, self._body_bytes = [], 0
+        self._account.release(self._read_bytes)
+        self._read_bytes = 0
+        self._body = bytearray()
         self._changed.set()
 
-    def _release_bytes(self, size: int) -> None:
-        size = min(size, self._reserved_bytes)
-        self._reserved_bytes -= size
-        self._budget.release(size)
+    def _on_begin(self) -> None:
+        self._refused_method = b""
+        if self._reading_since is None:
+            # It begins in the read that ended the request before.
+            self._reading_since = now()
 
     def _on_head(self) -> None:
         head = self._parser.head
         assert head is not None
         limits = self._limits()
         self._in_head = False
-        self._body, self._body_bytes = [], 0
+        self._framing_bytes = 0
+        self._refused_method = head.method
         if not self.is_serving:
             self._set_deadline(limits.idle_timeout)
         lengths = head.values(b"content-length")
         size = sum(len(name) + len(value) + HEADER_OVERHEAD for name, value in head.headers)
-        if size + len(head.request_target) > limits.header_bytes:
+        # What was received with the head is part of the body.
+        self._head_bytes = size + len(head.request_target)
+        if self._head_bytes > limits.header_bytes:
             self._set_read_refusal(HEADER_TOO_LARGE)
         elif lengths and int(lengths[0]) > limits.body_bytes:
             self._set_read_refusal(BODY_TOO_LARGE)
         elif any(value.lower() == b"100-continue" for value in head.values(b"expect")):
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _on_body(self, data: bytes) -> None:
         if self._read_refusal is not None:
             return
-        if self._body_bytes + len(data) > self._limits().body_bytes:
+        self._framing_bytes = 0
+        if len(self._body) + len(data) > self._limits().body_bytes:
             self._set_read_refusal(BODY_TOO_LARGE)
             return
-        if not self._budget.reserve(len(data)):
-            self._set_read_refusal(MEMORY_FULL)
-            return
-        self._body_bytes += len(data)
-        self._reserved_bytes += len(data)
-        self._body.append(data)
+        self._body += data
 
     def _on_end(self) -> None:
         if self._read_refusal is not None:
             return
         head = self._parser.head
         assert head is not None
-        self._requests.append(ReceivedRequest(head, b"".join(self._body), now()))
-        self._body, self._body_bytes, self._head_bytes = [], 0, 0
+        if self._queued_bytes > QUEUED_FRACTION * self._budget.limit:
+            self._set_read_refusal(MEMORY_FULL)
+            return
+        # The body is kept twice: while it is made one, and while it is sent.
+        self._reserve(self._head_cost() + 2 * len(self._body) - self._read_bytes)
+        if self._read_refusal is not None:
+            return
+        request = ReceivedRequest(head, bytes(self._body), now(), self._read_bytes)
+        self._requests.append(request)
+        self._queued_bytes += request.kept_bytes
+        self._body, self._head_bytes, self._framing_bytes = bytearray(), 0, 0
+        self._read_bytes = 0
         self._in_head, self._reading_since = True, None
         if len(self._requests) >= MAX_PIPELINED:
             self.transport.pause_reading()
@@ -401,4 +530,4 @@
         if self._reading_since is None:
             self.transport.close()
         else:
-            self._set_read_refusal(SLOW_REQUEST)
+            self._refuse_reading(SLOW_REQUEST)
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -14,6 +14,7 @@
 MAX_BUFFERED_BYTES = 65_536  # of a response that a slow caller has not read; then reading pauses
 SETTLE_TIME = 0.03  # s, a round trip, that a new connection must last to count as accepted
 MAX_FRAMING_BYTES = 32_768  # received in a row without a byte of the body: head, trailers
+SENT_BYTES = 65_536  # of a request written at once, as the transport copies what it can't send
 READ_BYTES = 16_384  # that one connection may bring in a turn of the event loop
 PIECE_RATE = 5000.0  # pieces of a response per second, which take a few milliseconds to parse
 MAX_PIECES = 10_000.0  # pieces that may come at once
@@ -167,8 +168,12 @@
 
     async def send(self, data: bytes) -> None:
         """Write a request and wait until the write buffer accepts more."""
-        self._transport.write(data)
-        await self._writable.wait()
+        view = memoryview(data)
+        for start in range(0, len(data), SENT_BYTES):
+            if self._transport.is_closing():
+                return
+            self._transport.write(view[start : start + SENT_BYTES])
+            await self._writable.wait()
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the response once it is received.
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -25,6 +25,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+HEADER_OBJECT_BYTES = 200  # that Python keeps for a header besides its name and value
+TRAILER_OVERHEAD = 4  # bytes per trailer for ": " and CRLF
 DELAY = re.compile(rb"[0-9]+(\.[0-9]+)?")  # Retry-After in seconds, with fractions
 LAST_CHUNK = b"0\r\n\r\n"
 MIN_INTERIM_STATUS = 100
@@ -222,16 +224,37 @@
 class RequestParser(_Parser):
     """Parser of the successive requests of one connection.
 
-    An offered upgrade to another protocol is ignored, as a server may.
+    An offered upgrade to another protocol is ignored, as a server may, and so are trailers.
+
+    Attributes
+    ----------
+    begin_callback : callable
+        Called at the beginning of a request.
+    head : RequestHead or None
+        Head of the current request, None until it is received.
+    kept_bytes : int
+        Bytes that the whole lines of the current head take, objects included.
+    trailer_bytes : int
+        Bytes of the current request's trailers, which are not kept.
     """
 
-    __slots__ = ("_request_target", "_upgrade_offer", "head")
+    __slots__ = (
+        "_request_target",
+        "_upgrade_offer",
+        "begin_callback",
+        "head",
+        "kept_bytes",
+        "trailer_bytes",
+    )
 
     def __init__(self) -> None:
         super().__init__(httptools.HttpRequestParser)
         self._request_target = b""
         self._upgrade_offer: bytes | None = None
+        self.begin_callback: Callable[[], None] = lambda: None
         self.head: RequestHead | None = None
+        self.kept_bytes = 0
+        self.trailer_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -259,6 +282,23 @@
         super().on_message_begin()
         self._request_target = b""
         self.head = None
+        self.kept_bytes = self.trailer_bytes = 0
+        self.begin_callback()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header of the head, and count a trailer."""
+        size = len(name) + len(value)
+        if self.head is None:
+            self._headers.append((name.lower(), value))
+            self.kept_bytes += size + HEADER_OBJECT_BYTES
+        else:
+            self.trailer_bytes += size + TRAILER_OVERHEAD
+
+    def drop(self) -> None:
+        """Forget the current request; nothing may be fed any more."""
+        self._headers, self._request_target, self._upgrade_offer = [], b"", None
+        self.head = None
+        self._parser = None
 
     def on_url(self, url: bytes) -> None:
         """Append a fragment of the request target."""
