Gateway: freed blocks of bodies return to the system at once

Cause: the C library raises the size from which blocks are mapped by themselves to that of the largest one freed, so that bodies came from the heap, and what they left behind stood beside what was held: 67 to 69 MiB of 64 with crowds of large bodies, of which at most 18 MiB were reserved.

--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from celeryrun.exception import SettingsError
+from celeryrun.gateway._allocator import return_freed_blocks
 from celeryrun.gateway._client import SchedulerClient
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._discovery import Discovery
@@ -185,6 +186,7 @@
         Settings file.
     """
     settings = load_gateway_settings(path)
+    return_freed_blocks()
 
     async def run() -> None:
         await Gateway.from_config(settings, path).run()
