Callers: lists in headers, finished heads and unread callers count; few connections are accepted at once

The fuzz found that a parser kept the last head after its request was served.

Items of a list in a header count 100 bytes each. A node accepts 16 connections in a turn (512 wait in the kernel), tells those beyond its limit that it is full as long as descriptors last, and closes the others; a caller that reads no response for the idle timeout gives up its place when there is none. A page closes an idle connection before the oldest.

--- a/celeryrun/gateway/_listen.py
+++ b/celeryrun/gateway/_listen.py
@@ -11,13 +11,13 @@
 __all__ = ["listen"]
 
 LISTEN_BACKLOG = 512  # connections waiting to be accepted; clients connect in bursts
+ACCEPTED_AT_ONCE = 16  # in a turn of the event loop, before any of them can be closed
 
 
 async def listen(
     address: Address,
     key: str,
     connect: Callable[[], asyncio.BaseProtocol],
-    backlog: int = LISTEN_BACKLOG,
 ) -> asyncio.Server:
     """Listen on an address.
 
@@ -27,8 +27,6 @@
         Key of the address in the section ``[node]`` of the settings.
     connect : callable
         Returns the protocol of a new connection.
-    backlog : int
-        Connections waiting to be accepted, which may all be accepted at once.
 
     Raises
     ------
@@ -37,6 +35,12 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        return await loop.create_server(connect, address.host, address.port, backlog=backlog)
+        server = await loop.create_server(
+            connect, address.host, address.port, backlog=ACCEPTED_AT_ONCE
+        )
+        for listener in server.sockets:
+            with listener.dup() as same:
+                same.listen(LISTEN_BACKLOG)
+        return server
     except OSError as error:
         raise ListenError(str(address), key, str(error)) from error
--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -32,11 +32,10 @@
 ACCEPT_POLL_INTERVAL = 0.002  # s
 RESERVED_DESCRIPTORS = 200  # for files, and for connections to the store and between nodes
 DESCRIPTORS_PER_CALLER = 2  # a caller's connection and the one to its target
-MAX_REFUSED_CONNECTIONS = 50  # kept beyond the limit until each is told that the node is full
+MIN_REFUSED_CONNECTIONS = 32  # kept beyond the limit until each is told that the node is full
 PAGE_LIMITS = CallerLimits(body_bytes=1024)
 PAGE_MEMORY = 1 << 20  # bytes that the connections to one page may keep
 MAX_PAGE_CONNECTIONS = 32  # to one page
-PAGE_BACKLOG = 32
 NODE_FULL = Refusal(503, "node-full", "send it again; this node has too many connections", 0.5)
 NOT_FOUND = Refusal(404, "no-page", "ask for a page that is served here")
 
@@ -120,7 +119,7 @@
         return sum(1 for connection in self.connections if connection.is_serving)
 
     def _connect(self) -> CallerConnection:
-        is_full = len(self.connections) >= self._max_connections and not self._close_one_idle()
+        is_full = len(self.connections) >= self._max_connections and not self._close_one()
         connection = CallerConnection(
             self._refuse_full if is_full else self._relay.serve,
             self._limits,
@@ -130,15 +129,25 @@
             self._budget,
             self._request_log.log_dropped,
         )
-        if len(self.connections) >= self._max_connections + MAX_REFUSED_CONNECTIONS:
+        if not self._has_descriptors():
             connection.drop()
             return connection
         self.connections.add(connection)
         return connection
 
-    def _close_one_idle(self) -> bool:
+    def _has_descriptors(self) -> bool:
+        """Return whether one more connection fits, if only to be told that the node is full."""
+        kept = len(self.connections)
+        if kept < self._max_connections + MIN_REFUSED_CONNECTIONS:
+            return True
+        return kept + self.active < self._settings.node.descriptors - RESERVED_DESCRIPTORS
+
+    def _close_one(self) -> bool:
+        """Close a connection that is idle, or else whose caller has long read no response."""
         longest_first = sorted(self.connections, key=lambda connection: connection.idle_since)
-        return any(connection.close_if_idle() for connection in longest_first)
+        if any(connection.close_if_idle() for connection in longest_first):
+            return True
+        return any(connection.drop_if_unread() for connection in longest_first)
 
     async def _refuse_full(self, connection: CallerConnection, _: ReceivedRequest) -> None:
         self._log_unreadable(NODE_FULL)
@@ -153,7 +162,7 @@
 
 
 class PageConnections:
-    """Connections to one page; a new one takes the place of the oldest when there are too many."""
+    """Connections to one page; a new one takes the place of an idle one, or else of the oldest."""
 
     __slots__ = ("_budget", "_connections", "_handler")
 
@@ -164,7 +173,8 @@
 
     def connect(self) -> CallerConnection:
         """Return the protocol of a new connection."""
-        if len(self._connections) >= MAX_PAGE_CONNECTIONS:
+        is_full = len(self._connections) >= MAX_PAGE_CONNECTIONS
+        if is_full and not any(other.close_if_idle() for other in self._connections):
             oldest = next(iter(self._connections))
             del self._connections[oldest]
             oldest.drop()
@@ -199,7 +209,7 @@
         node = self._settings.node
         for key in ("readiness_address", "metrics_address"):
             connect = PageConnections(self._serve).connect
-            self._servers.append(await listen(getattr(node, key), key, connect, PAGE_BACKLOG))
+            self._servers.append(await listen(getattr(node, key), key, connect))
 
     def stop(self) -> None:
         """Stop listening."""
--- a/celeryrun/gateway/_request_log.py
+++ b/celeryrun/gateway/_request_log.py
@@ -81,5 +81,5 @@
 
     def log_dropped(self) -> None:
         """Log and count a connection that was closed to make room for others."""
-        self._events.emit("dropped", by="connection", why="its caller held room and did not go on")
+        self._events.emit("dropped", by="connection", why="room for other callers")
         self._metrics.aborts.labels("dropped").inc()
--- a/celeryrun/gateway/tests/test_hostile_callers.py
+++ b/celeryrun/gateway/tests/test_hostile_callers.py
@@ -33,6 +33,8 @@
 LARGE_CHUNKS = BODY_BYTES // 65_536 - 1
 SMALL_REQUEST = b"GET /calls/a HTTP/1.1\r\nHost: site.example\r\n\r\n"
 
+PROMPT_PARTS = "".join(f"{number:x}," for number in range(3500))
+
 FORMS = {
     "short-lines-open": Form(head(), ((LINE * LINES, 1),), callers=2 * CROWD),
     "short-lines-ended": Form(head(), ((LINE * LINES + NO_BODY, 1),), callers=2 * CROWD),
@@ -76,6 +78,17 @@
         callers=20,
     ),
     "metrics-connections": Form(b"GET /metrics HTTP/1.1\r\n", listener="metrics", callers=900),
+    "caller-connections": Form(b"GET ", callers=900),
+    "trailer-line-open": Form(head(CHUNKED) + b"0\r\nt:", ((b"a" * 65_536, 40),), callers=20),
+    "prompt-parts": Form(
+        head(f"celeryrun-prompt-prefix: {PROMPT_PARTS}\r\nContent-Length: 0\r\n\r\n"),
+        callers=2 * CROWD,
+    ),
+    "continue-unread": Form(
+        b"",
+        ((head("Expect: 100-continue\r\nContent-Length: 0\r\n\r\n", "/none") * 40, 20),),
+        reads=False,
+    ),
 }
 UNREAD = Form(
     b"",
--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -325,6 +325,22 @@
         self.abort()
         self._account.close()
 
+    def drop_if_unread(self) -> bool:
+        """Close the connection if its caller read no response for the idle timeout.
+
+        Returns
+        -------
+        bool
+            Whether this call closed the connection.
+        """
+        if self.transport is None or self.closed:
+            return False
+        self._count_read()
+        if not self._unread_bytes or now() - self._unread_since < self._limits().idle_timeout:
+            return False
+        self.drop()
+        return True
+
     def _is_reading_only(self) -> bool:
         is_busy = self.is_serving or self._requests or self._read_refusal is not None
         return self._reading_since is not None and not is_busy
@@ -510,6 +526,7 @@
         self._body, self._head_bytes, self._framing_bytes = bytearray(), 0, 0
         self._read_bytes = 0
         self._in_head, self._reading_since = True, None
+        self._parser.release_head()
         if len(self._requests) >= MAX_PIPELINED:
             self.transport.pause_reading()
         self._changed.set()
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -26,6 +26,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 HEADER_OBJECT_BYTES = 200  # that Python keeps for a header besides its name and value
+LIST_ITEM_BYTES = 100  # that Python keeps for an item of a header whose value is read as a list
 TRAILER_OVERHEAD = 4  # bytes per trailer for ": " and CRLF
 DELAY = re.compile(rb"[0-9]+(\.[0-9]+)?")  # Retry-After in seconds, with fractions
 LAST_CHUNK = b"0\r\n\r\n"
@@ -290,14 +291,20 @@
         size = len(name) + len(value)
         if self.head is None:
             self._headers.append((name.lower(), value))
-            self.kept_bytes += size + HEADER_OBJECT_BYTES
+            items = value.count(b",")
+            self.kept_bytes += size + HEADER_OBJECT_BYTES + LIST_ITEM_BYTES * items
         else:
             self.trailer_bytes += size + TRAILER_OVERHEAD
 
+    def release_head(self) -> None:
+        """Forget the head of a request that has ended."""
+        self._headers, self._request_target = [], b""
+        self.head = None
+
     def drop(self) -> None:
         """Forget the current request; nothing may be fed any more."""
-        self._headers, self._request_target, self._upgrade_offer = [], b"", None
-        self.head = None
+        self.release_head()
+        self._upgrade_offer = None
         self._parser = None
 
     def on_url(self, url: bytes) -> None:
