Event log: buffered lines are bounded in bytes too

Cause: lines hold ids as long as a head may be; behind an output that nobody reads, 2,000 of them are 32 MB.

--- a/celeryrun/gateway/_events.py
+++ b/celeryrun/gateway/_events.py
@@ -16,6 +16,7 @@
 
 FLUSH_INTERVAL = 0.1  # s; one write carries many lines
 MAX_BUFFERED_LINES = 2000  # lines, about half a megabyte, while the output is blocked
+MAX_BUFFERED_BYTES = 1 << 20  # of lines, which hold what callers send
 MAX_CHARS = 500  # of a value that had to be escaped
 MAX_LINES_PER_KIND = 60  # lines of one event kind between flushes; the rest is only counted
 
@@ -32,6 +33,7 @@
     """
 
     __slots__ = (
+        "_buffered_bytes",
         "_counts_by_event",
         "_descriptor",
         "_flush_handle",
@@ -46,6 +48,7 @@
         self._node = node
         self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
         self._lines: deque[bytes] = deque()
+        self._buffered_bytes = 0
         self._partial = b""
         self._counts_by_event: Counter[str] = Counter()
         self._omitted_by_event: Counter[str] = Counter()
@@ -77,25 +80,30 @@
         """
         self._schedule_flush()
         self._counts_by_event[event] += 1
-        if (
-            self._counts_by_event[event] > MAX_LINES_PER_KIND
-            or len(self._lines) >= MAX_BUFFERED_LINES
-        ):
+        if self._counts_by_event[event] > MAX_LINES_PER_KIND or self._is_full():
             self._omitted_by_event[event] += 1
             return
         time = datetime.now(UTC).isoformat(timespec="milliseconds")
         line = {"time": time, "node": self._node, "event": event, **fields}
-        self._lines.append(_encode(line) + b"\n")
+        self._append(_encode(line) + b"\n")
+
+    def _append(self, line: bytes) -> None:
+        self._lines.append(line)
+        self._buffered_bytes += len(line)
+
+    def _is_full(self) -> bool:
+        return len(self._lines) >= MAX_BUFFERED_LINES or self._buffered_bytes >= MAX_BUFFERED_BYTES
 
     def flush(self) -> None:
         """Write the buffered lines until a write would block."""
-        if self._omitted_by_event and len(self._lines) < MAX_BUFFERED_LINES:
+        if self._omitted_by_event and not self._is_full():
             omitted_by_event, self._omitted_by_event = self._omitted_by_event, Counter()
             self._counts_by_event.clear()
             self.emit("events-left-out", **omitted_by_event)
         self._counts_by_event.clear()
         data = self._partial + b"".join(self._lines)
         self._lines.clear()
+        self._buffered_bytes = 0
         if not data:
             return
         try:
@@ -111,7 +119,9 @@
         """Buffer unwritten data again; its first line may be partly written."""
         first, newline, others = unwritten.partition(b"\n")
         self._partial = first + newline
-        self._lines.extend(line + b"\n" for line in others.split(b"\n") if line)
+        for line in others.split(b"\n"):
+            if line:
+                self._append(line + b"\n")
 
     def _schedule_flush(self) -> None:
         """Schedule a flush unless one is due; without lines no timer wakes the process."""
--- a/celeryrun/gateway/tests/test_events.py
+++ b/celeryrun/gateway/tests/test_events.py
@@ -46,6 +46,18 @@
     assert b"events-left-out" in data
 
 
+def test_long_lines_behind_an_idle_reader_are_bounded_in_bytes():
+    """Two thousand lines with ids as long as heads may be took 32 MB."""
+    _, write_end = os.pipe()
+    events = EventLog("n", write_end)
+    os.set_blocking(write_end, False)
+    for number in range(4000):
+        events.emit(f"kind-{number % 400}", request="a" * 16_000)
+        if number % 100 == 0:
+            events.flush()
+    assert sum(map(len, events._lines)) <= 2 << 20
+
+
 def test_frequent_event_does_not_displace_others():
     read_end, write_end = os.pipe()
     events = EventLog("n", write_end)
