--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -280,6 +280,8 @@
         self._write(data)
 
     def _write(self, data: bytes) -> None:
+        if self._unread_bytes:
+            self._count_read()
         self.transport.write(data)
         size = self.transport.get_write_buffer_size()
         if size > self._unread_bytes:
--- a/celeryrun/transport/tests/test_caller_memory.py
+++ b/celeryrun/transport/tests/test_caller_memory.py
@@ -183,11 +183,11 @@
         clock = 100.0
         monkeypatch.setattr("celeryrun.transport._caller.now", lambda: clock)
         deaf = Caller(reads=False)
-        deaf.connection.write(b"a")
+        deaf.connection.write(b"aa")
         clock += LIMITS.idle_timeout + 1.0
-        deaf.transport.unread -= 1
-        assert not deaf.connection.drop_if_unread()
+        deaf.transport.unread = 0
         deaf.connection.write(b"a")
+        assert deaf.held == 1 and not deaf.connection.drop_if_unread()
         clock += LIMITS.idle_timeout + 1.0
         assert deaf.connection.drop_if_unread() and deaf.dropped
         deaf.close()
