--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -26,6 +26,7 @@
 MAX_PIPELINED = 4  # requests queued behind the one being served; then reading pauses
 LINGER_DELAY = 0.5  # s, several round trips, that a caller has to read a refusal before the close
 READ_BYTES = 16_384  # that one connection may bring in a turn of the event loop
+BODY_READ_BYTES = 262_144  # the same, of the rest of a body of known length
 REQUEST_BYTES = 8192  # objects and tasks of a request besides its headers and body
 QUEUED_FRACTION = 0.125  # of the budget, for the pipelined requests of one connection
 STALL_TIME = 1.0  # s that bytes are held before a connection is closed to make room
@@ -50,7 +51,7 @@
 }
 
 # Filled and parsed within one callback of the event loop, so all connections share it.
-_READ_BUFFER = bytearray(READ_BYTES)
+_READ_BUFFER = memoryview(bytearray(BODY_READ_BYTES))
 
 log = logbook.Logger("callers")
 
@@ -110,6 +111,7 @@
     __slots__ = (
         "_account",
         "_body",
+        "_body_length",
         "_budget",
         "_changed",
         "_closing",
@@ -172,6 +174,7 @@
         self._requests: deque[ReceivedRequest] = deque()
         self._method = b""
         self._body = bytearray()
+        self._body_length = 0
         self._head_bytes = 0
         self._framing_bytes = 0
         self._in_head = True
@@ -201,16 +204,16 @@
         self._task = loop.create_task(self._serve())
         self._set_deadline(self._limits().idle_timeout)
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return the buffer for the next read."""
-        return _READ_BUFFER
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read; a large one takes only what is left of a body."""
+        return _READ_BUFFER[: max(READ_BYTES, self._body_length - len(self._body))]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes, unless a request was already refused while being read."""
         if self._read_refusal is None:
-            self._feed(bytes(memoryview(_READ_BUFFER)[:nbytes]))
+            self._feed(_READ_BUFFER[:nbytes])
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: memoryview) -> None:
         self._framing_bytes += len(data)
         if self._in_head:
             self._head_bytes += len(data)
@@ -471,7 +474,7 @@
     def _set_read_refusal(self, refusal: Refusal) -> None:
         self._read_refusal = refusal
         self._account.release(self._read_bytes)
-        self._read_bytes = 0
+        self._read_bytes = self._body_length = 0
         self._body = bytearray()
         self._changed.set()
 
@@ -488,6 +491,7 @@
         self._in_head = False
         self._framing_bytes = 0
         self._refused_method = head.method
+        self._body_length = 0
         if not self.is_serving:
             self._set_deadline(limits.idle_timeout)
         lengths = head.values(b"content-length")
@@ -498,7 +502,11 @@
             self._set_read_refusal(HEADER_TOO_LARGE)
         elif lengths and int(lengths[0]) > limits.body_bytes:
             self._set_read_refusal(BODY_TOO_LARGE)
-        elif any(value.lower() == b"100-continue" for value in head.values(b"expect")):
+        elif lengths:
+            self._body_length = int(lengths[0])
+        if self._read_refusal is None and any(
+            value.lower() == b"100-continue" for value in head.values(b"expect")
+        ):
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _on_body(self, data: bytes) -> None:
@@ -526,7 +534,7 @@
         self._requests.append(request)
         self._queued_bytes += request.kept_bytes
         self._body, self._head_bytes, self._framing_bytes = bytearray(), 0, 0
-        self._read_bytes = 0
+        self._read_bytes = self._body_length = 0
         self._in_head, self._reading_since = True, None
         self._parser.release_head()
         if len(self._requests) >= MAX_PIPELINED:
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -194,7 +194,7 @@
         self.end_callback: Callable[[], None] = lambda: None
         self._parser = parser(self)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
 
         Raises
@@ -257,7 +257,7 @@
         self.kept_bytes = 0
         self.trailer_bytes = 0
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
 
         Raises
@@ -265,7 +265,7 @@
         MalformedMessageError
             If the bytes are not valid HTTP or ask for a tunnel.
         """
-        rest: bytes | memoryview = data
+        rest = data
         try:
             while True:
                 try:
