--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -13,6 +13,7 @@
 from celeryrun.catalog import CallerLimits
 from celeryrun.exception import Refusal
 from celeryrun.kernel import now
+from celeryrun.transport._body import BodyBuffer
 from celeryrun.transport._budget import ByteAccount, ByteBudget
 from celeryrun.transport._message import (
     MalformedMessageError,
@@ -26,7 +27,7 @@
 MAX_PIPELINED = 4  # requests queued behind the one being served; then reading pauses
 LINGER_DELAY = 0.5  # s, several round trips, that a caller has to read a refusal before the close
 READ_BYTES = 16_384  # that one connection may bring in a turn of the event loop
-BODY_READ_BYTES = 262_144  # the same, of the rest of a body of known length
+BODY_READ_BYTES = 65_536  # the same, of the rest of a body of known length
 REQUEST_BYTES = 8192  # objects and tasks of a request besides its headers and body
 QUEUED_FRACTION = 0.125  # of the budget, for the pipelined requests of one connection
 STALL_TIME = 1.0  # s that bytes are held before a connection is closed to make room
@@ -173,7 +174,7 @@
         self._parser.end_callback = self._on_end
         self._requests: deque[ReceivedRequest] = deque()
         self._method = b""
-        self._body = bytearray()
+        self._body = BodyBuffer()
         self._body_length = 0
         self._head_bytes = 0
         self._framing_bytes = 0
@@ -475,7 +476,7 @@
         self._read_refusal = refusal
         self._account.release(self._read_bytes)
         self._read_bytes = self._body_length = 0
-        self._body = bytearray()
+        self._body.clear()
         self._changed.set()
 
     def _on_begin(self) -> None:
@@ -516,7 +517,7 @@
         if len(self._body) + len(data) > self._limits().body_bytes:
             self._set_read_refusal(BODY_TOO_LARGE)
             return
-        self._body += data
+        self._body.append(data)
 
     def _on_end(self) -> None:
         if self._read_refusal is not None:
@@ -530,10 +531,11 @@
         self._reserve(self._head_cost() + 2 * len(self._body) - self._read_bytes)
         if self._read_refusal is not None:
             return
-        request = ReceivedRequest(head, bytes(self._body), now(), self._read_bytes)
+        request = ReceivedRequest(head, self._body.join(), now(), self._read_bytes)
         self._requests.append(request)
         self._queued_bytes += request.kept_bytes
-        self._body, self._head_bytes, self._framing_bytes = bytearray(), 0, 0
+        self._body.clear()
+        self._head_bytes = self._framing_bytes = 0
         self._read_bytes = self._body_length = 0
         self._in_head, self._reading_since = True, None
         self._parser.release_head()
--- a/celeryrun/transport/tests/connections.py
+++ b/celeryrun/transport/tests/connections.py
@@ -95,7 +95,11 @@
         """Return the bytes of the objects that the connection keeps of requests."""
         connection = self.connection
         parser = connection._parser
-        objects = [connection._body, parser._request_target, *header_objects(parser._headers)]
+        objects = [
+            *connection._body.pieces,
+            parser._request_target,
+            *header_objects(parser._headers),
+        ]
         if parser.head is not None:
             objects += header_objects(parser.head.headers)
         for request in connection._requests:
