--- a/celeryrun/gateway/_listen.py
+++ b/celeryrun/gateway/_listen.py
@@ -11,10 +11,13 @@
 __all__ = ["listen"]
 
 LISTEN_BACKLOG = 512  # connections waiting to be accepted; clients connect in bursts
+ACCEPTED_AT_ONCE = 16  # in a turn of the event loop, before any of them can be closed
 
 
 async def listen(
-    address: Address, key: str, connect: Callable[[], asyncio.Protocol]
+    address: Address,
+    key: str,
+    connect: Callable[[], asyncio.BaseProtocol],
 ) -> asyncio.Server:
     """Listen on an address.
 
@@ -32,6 +35,12 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        return await loop.create_server(connect, address.host, address.port, backlog=LISTEN_BACKLOG)
+        server = await loop.create_server(
+            connect, address.host, address.port, backlog=ACCEPTED_AT_ONCE
+        )
+        for listener in server.sockets:
+            with listener.dup() as same:
+                same.listen(LISTEN_BACKLOG)
+        return server
     except OSError as error:
         raise ListenError(str(address), key, str(error)) from error
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -25,6 +25,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+HEADER_OBJECT_BYTES = 200  # that Python keeps for a header besides its name and value
+LIST_ITEM_BYTES = 100  # that Python keeps for an item of a header whose value is read as a list
+TRAILER_OVERHEAD = 4  # bytes per trailer for ": " and CRLF
 DELAY = re.compile(rb"[0-9]+(\.[0-9]+)?")  # Retry-After in seconds, with fractions
 LAST_CHUNK = b"0\r\n\r\n"
 MIN_INTERIM_STATUS = 100
@@ -191,7 +194,7 @@
         self.end_callback: Callable[[], None] = lambda: None
         self._parser = parser(self)
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
 
         Raises
@@ -222,18 +225,39 @@
 class RequestParser(_Parser):
     """Parser of the successive requests of one connection.
 
-    An offered upgrade to another protocol is ignored, as a server may.
+    An offered upgrade to another protocol is ignored, as a server may, and so are trailers.
+
+    Attributes
+    ----------
+    begin_callback : callable
+        Called at the beginning of a request.
+    head : RequestHead or None
+        Head of the current request, None until it is received.
+    kept_bytes : int
+        Bytes that the whole lines of the current head take, objects included.
+    trailer_bytes : int
+        Bytes of the current request's trailers, which are not kept.
     """
 
-    __slots__ = ("_request_target", "_upgrade_offer", "head")
+    __slots__ = (
+        "_request_target",
+        "_upgrade_offer",
+        "begin_callback",
+        "head",
+        "kept_bytes",
+        "trailer_bytes",
+    )
 
     def __init__(self) -> None:
         super().__init__(httptools.HttpRequestParser)
         self._request_target = b""
         self._upgrade_offer: bytes | None = None
+        self.begin_callback: Callable[[], None] = lambda: None
         self.head: RequestHead | None = None
+        self.kept_bytes = 0
+        self.trailer_bytes = 0
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
 
         Raises
@@ -241,7 +265,7 @@
         MalformedMessageError
             If the bytes are not valid HTTP or ask for a tunnel.
         """
-        rest: bytes | memoryview = data
+        rest = data
         try:
             while True:
                 try:
@@ -259,6 +283,29 @@
         super().on_message_begin()
         self._request_target = b""
         self.head = None
+        self.kept_bytes = self.trailer_bytes = 0
+        self.begin_callback()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header of the head, and count a trailer."""
+        size = len(name) + len(value)
+        if self.head is None:
+            self._headers.append((name.lower(), value))
+            items = value.count(b",")
+            self.kept_bytes += size + HEADER_OBJECT_BYTES + LIST_ITEM_BYTES * items
+        else:
+            self.trailer_bytes += size + TRAILER_OVERHEAD
+
+    def release_head(self) -> None:
+        """Forget the head of a request that has ended."""
+        self._headers, self._request_target = [], b""
+        self.head = None
+
+    def drop(self) -> None:
+        """Forget the current request; nothing may be fed any more."""
+        self.release_head()
+        self._upgrade_offer = None
+        self._parser = None
 
     def on_url(self, url: bytes) -> None:
         """Append a fragment of the request target."""
