--- /dev/null
+++ b/celeryrun/rollouts/_gate.py
@@ -0,0 +1,198 @@
+"""Gate between the scheduler and the roll-outs of all pools."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from celeryrun.catalog import Target
+from celeryrun.rollouts._evidence import Observation
+from celeryrun.rollouts._rollout import COMPLETED, ROLLED_BACK, RUNNING, Rollout, Stage, group_of
+
+__all__ = ["Allowance", "RolloutGate"]
+
+FORGET_DELAY = 2.0  # s after its deadline until a request without an end is forgotten
+
+
+@dataclass(slots=True)
+class Allowance:
+    """Targets that the requests of one planning round may use.
+
+    Parameters
+    ----------
+    general : set of str
+        Targets for any request.
+    canaries : set of str
+        Targets for first tries of new requests while their slots are free.
+    open_slots : int
+        Number of requests for the canaries.
+    banned : set of str
+        Targets for no request, not even one that is bound to their version.
+    """
+
+    general: set[str]
+    canaries: set[str] = field(default_factory=set)
+    open_slots: int = 0
+    banned: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class RolloutGate:
+    """Roll-outs of all pools, as the scheduler uses them.
+
+    Parameters
+    ----------
+    rollout_by_pool : dict
+        Newest order of each pool.
+    rejected_by_pool : dict
+        Versions that were rolled back, by pool.
+    completed_by_pool : dict
+        Version whose completion is written, by pool.
+    """
+
+    rollout_by_pool: dict[str, Rollout] = field(default_factory=dict)
+    rejected_by_pool: dict[str, set[str]] = field(default_factory=dict)
+    completed_by_pool: dict[str, str] = field(default_factory=dict)
+    _pool_by_grant: dict[int, str] = field(default_factory=dict)
+
+    def allow(
+        self, pool: str, targets: Iterable[Target], is_decider: bool, now: float
+    ) -> Allowance | None:
+        """Return the targets that requests of a pool may use, None for no restriction.
+
+        Parameters
+        ----------
+        is_decider : bool
+            Whether most nodes use this scheduler; if not, the version that is not proved gets
+            nothing.
+        """
+        rollout = self.rollout_by_pool.get(pool)
+        rejected = self.rejected_by_pool.get(pool, set())
+        completed = self.completed_by_pool.get(pool)
+        if rollout is None and not rejected and completed is None:
+            return None
+        listed = [target for target in targets if target.version not in rejected]
+        banned = {target.id for target in targets if target.version in rejected}
+        if rollout is None or rollout.state == ROLLED_BACK:
+            preferred = {target.id for target in listed if target.version == completed}
+            return Allowance(preferred or {target.id for target in listed}, banned=banned)
+        version = rollout.order.version
+        new = {target.id: target for target in listed if target.version == version}
+        old = {target.id for target in listed if target.version != version}
+        if completed == version:
+            return Allowance(new.keys() | set() or old, banned=banned)
+        canaries = set(rollout.canaries(new, len(old)))
+        if not old:
+            return Allowance(canaries or set(new), banned=banned)
+        if not is_decider:
+            return Allowance(old, banned=banned)
+        if rollout.stage is Stage.FULL:
+            return Allowance(canaries or old, banned=banned)
+        slots = sum(new[id].slots for id in canaries)
+        return Allowance(old, canaries, rollout.open_slots(slots) if canaries else 0, banned)
+
+    def record_grant(
+        self,
+        grant_id: int,
+        target: Target,
+        rank: int,
+        prompt_tokens: int,
+        events: float,
+        occupancy: float,
+        deadline: float,
+        now: float,
+    ) -> None:
+        """Count a granted request.
+
+        Parameters
+        ----------
+        occupancy : float
+            Fraction of the target's slots in use, with this one.
+        deadline : float
+            Time by which the request ends.
+        """
+        rollout = self.rollout_by_pool.get(target.pool)
+        if rollout is None or rollout.state != RUNNING:
+            return
+        group = group_of(rank, prompt_tokens, events)
+        self._pool_by_grant[grant_id] = target.pool
+        rollout.record_grant(
+            grant_id,
+            Observation(target.id, group, occupancy, False, 0.0),
+            target.version == rollout.order.version,
+            events,
+            deadline + FORGET_DELAY,
+            now,
+        )
+
+    def record_end(self, grant_id: int, failed: bool | None, seconds: float, events: int) -> None:
+        """Learn from the end of a request; ``failed`` is None if it tells nothing."""
+        rollout = self.rollout_by_pool.get(self._pool_by_grant.pop(grant_id, ""))
+        if rollout is not None:
+            rollout.record_end(grant_id, failed, seconds, events)
+            if rollout.state == ROLLED_BACK:
+                self._reject(rollout)
+
+    def advance(self, pool: str, targets: Iterable[Target], now: float) -> None:
+        """Go on with a pool's roll-out if it is time; only for the scheduler of most nodes."""
+        rollout = self.rollout_by_pool.get(pool)
+        if rollout is None:
+            return
+        rejected = self.rejected_by_pool.get(pool, set())
+        new = [target for target in targets if target.version == rollout.order.version]
+        old = [
+            target for target in targets if target.version not in {rollout.order.version, *rejected}
+        ]
+        usable = [target for target in new if target.id not in rollout.evidence.sick_targets]
+        rollout.advance(sum(target.slots for target in usable), len(old), len(new), now)
+        if rollout.state == ROLLED_BACK:
+            self._reject(rollout)
+
+    def begin(self, rollout: Rollout) -> Rollout | None:
+        """Begin an order; return the one of the pool that it replaces, if it was running."""
+        order = rollout.order
+        former = self.rollout_by_pool.get(order.pool)
+        if former is not None and former.state == RUNNING:
+            former.withdraw()
+            self._reject(former)
+        else:
+            former = None
+        self.rejected_by_pool.get(order.pool, set()).discard(order.version)
+        if self.completed_by_pool.get(order.pool) == order.version:
+            del self.completed_by_pool[order.pool]
+        self.rollout_by_pool[order.pool] = rollout
+        return former
+
+    def withdraw(self, pool: str) -> None:
+        """End the order of a pool: what is not proved gets no more requests."""
+        rollout = self.rollout_by_pool.get(pool)
+        if rollout is not None and rollout.state == RUNNING:
+            rollout.withdraw()
+            self._reject(rollout)
+        self.completed_by_pool.pop(pool, None)
+
+    def decide(self, pool: str, version: str, state: str) -> None:
+        """Apply a written verdict of this or another scheduler."""
+        rollout = self.rollout_by_pool.get(pool)
+        is_current = rollout is not None and rollout.order.version == version
+        match state:
+            case "rolled_back":
+                self.rejected_by_pool.setdefault(pool, set()).add(version)
+                if self.completed_by_pool.get(pool) == version:
+                    del self.completed_by_pool[pool]
+            case "completed":
+                self.rejected_by_pool.get(pool, set()).discard(version)
+                self.completed_by_pool[pool] = version
+        if is_current and rollout is not None and state in (COMPLETED, ROLLED_BACK):
+            rollout.state = state
+            self._forget_grants(pool)
+
+    def _reject(self, rollout: Rollout) -> None:
+        order = rollout.order
+        self.rejected_by_pool.setdefault(order.pool, set()).add(order.version)
+        self._forget_grants(order.pool)
+
+    def _forget_grants(self, pool: str) -> None:
+        self._pool_by_grant = {
+            grant_id: other for grant_id, other in self._pool_by_grant.items() if other != pool
+        }
--- /dev/null
+++ b/celeryrun/rollouts/_rollout.py
@@ -0,0 +1,271 @@
+"""One roll-out: exposure of the new version by stages, and its verdict."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from celeryrun.rollouts._evidence import (
+    Evidence,
+    Group,
+    Observation,
+    SickTarget,
+    VersionIsBad,
+)
+
+__all__ = [
+    "COMPLETED",
+    "ROLLED_BACK",
+    "RUNNING",
+    "ExposureLimits",
+    "Rollout",
+    "RolloutOrder",
+    "Stage",
+]
+
+RUNNING, COMPLETED, ROLLED_BACK = "running", "completed", "rolled_back"
+
+CANARY_SHARE = 0.5  # of the allowed exposure that the canary stage may use
+SLACK_SHARE = 0.4  # of the exposure allowed beyond the share that it may use
+STEP_SHARE = 0.2  # of the requests for the new version once it looks good
+MIN_CANARY_TARGETS = 2  # so that a sick target can be told from a bad version
+MIN_RESULTS = 30  # of the new version before it looks good
+SPARSE_RESULT_SHARE = 0.02  # of the requests that suffice where there are few
+MAX_SUSPICION = 0.4  # above which the new version gets no larger share
+# Parts of the order's duration:
+STEP_AT = 0.55  # more requests for the new version
+FULL_AT = 0.65  # all new requests for the new version
+SPARSE_AT = 0.7  # larger shares also with few results
+COMPLETE_AT = 0.8  # completion if the old targets are idle
+LAST_COMPLETE_AT = 0.92  # completion in any case
+CAPACITY_MARGIN = 1.1  # free capacity of the new version, in slots in use
+
+
+class Stage(enum.IntEnum):
+    """Portion of new requests for the new version; never falls."""
+
+    CANARY = 0
+    STEP = 1
+    FULL = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ExposureLimits:
+    """What a version that is not proved may get.
+
+    Parameters
+    ----------
+    share : float
+        Fraction of the pool's requests between the order and its deadline.
+    slack : float
+        Number of requests beyond that fraction.
+    """
+
+    share: float = 0.1
+    slack: float = 50.0
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """Order to move a pool's requests to a version.
+
+    Parameters
+    ----------
+    duration : float
+        Seconds within which a good version is to serve alone.
+    """
+
+    pool: str
+    version: str
+    duration: float
+
+
+@dataclass(slots=True)
+class _Pending:
+    observation: Observation
+    is_new: bool
+    granted: float
+    events: float
+    forget_at: float
+    is_counted: bool = False
+
+
+@dataclass(slots=True)
+class Rollout:
+    """Progress of one order, as counted by the scheduler.
+
+    Parameters
+    ----------
+    began : float
+        Time of the order, in seconds.
+    exposed : float
+        Requests granted to the new version before it looked good.
+    state : str
+        State as decided; ``completed`` is used only once it is written.
+    verdict : VersionIsBad or str
+        Why the state is final.
+    """
+
+    order: RolloutOrder
+    limits: ExposureLimits
+    began: float
+    requests: int = 0
+    exposed: float = 0.0
+    state: str = RUNNING
+    stage: Stage = Stage.CANARY
+    verdict: VersionIsBad | str = ""
+    evidence: Evidence = field(default_factory=Evidence)
+    found_sick: list[SickTarget] = field(default_factory=list)
+    _tokens: float = 0.0
+    _is_pulse: bool = False
+    _max_in_use: int = 0
+    _pending_by_grant: dict[int, _Pending] = field(default_factory=dict)
+
+    @classmethod
+    def from_order(cls, order: RolloutOrder, limits: ExposureLimits, now: float) -> Rollout:
+        """Begin an order."""
+        return cls(order, limits, now, _tokens=SLACK_SHARE * limits.slack)
+
+    @classmethod
+    def taken_over(
+        cls, order: RolloutOrder, limits: ExposureLimits, age: float, now: float
+    ) -> Rollout:
+        """Go on with an order that another scheduler has begun and used some exposure of."""
+        began = now - min(max(0.0, age), order.duration)
+        return cls(order, limits, began, exposed=SLACK_SHARE * limits.slack)
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests in progress on old targets."""
+        return sum(1 for pending in self._pending_by_grant.values() if not pending.is_new)
+
+    def canaries(self, targets: Collection[str], old_count: int) -> list[str]:
+        """Return the targets of the new version that get requests in this stage."""
+        usable = sorted(set(targets) - self.evidence.sick_targets)
+        if self.stage is Stage.FULL:
+            return usable
+        count = max(MIN_CANARY_TARGETS, math.ceil(self._share() * old_count))
+        return usable[:count]
+
+    def open_slots(self, slots: int) -> int:
+        """Return how many requests the new version may get now.
+
+        They come in pulses that fill the canaries' slots, since a fault that shows only under load
+        does not show on targets that are idle.
+        """
+        if self.stage is Stage.CANARY:
+            allowed = CANARY_SHARE * self.limits.share * self.requests
+            allowed += SLACK_SHARE * self.limits.slack
+            self._tokens = min(self._tokens, allowed - self.exposed)
+        if self._tokens >= slots:
+            self._is_pulse = True
+        elif self._tokens < 1:
+            self._is_pulse = False
+        return max(0, int(self._tokens)) if self._is_pulse else 0
+
+    def record_grant(
+        self,
+        grant_id: int,
+        observation: Observation,
+        is_new: bool,
+        events: float,
+        forget_at: float,
+        now: float,
+    ) -> None:
+        """Count a granted request; its duration and outcome follow."""
+        self.requests += 1
+        if self.stage is not Stage.FULL:
+            self._tokens += self._share()
+        if is_new:
+            self.exposed += 1
+            self._tokens -= 1
+        self._pending_by_grant[grant_id] = _Pending(observation, is_new, now, events, forget_at)
+        self._max_in_use = max(self._max_in_use, len(self._pending_by_grant))
+
+    def record_end(self, grant_id: int, failed: bool | None, seconds: float, events: int) -> None:
+        """Learn from the end of a request; ``failed`` is None if it tells nothing."""
+        pending = self._pending_by_grant.pop(grant_id, None)
+        if pending is None or failed is None or pending.is_counted:
+            return
+        begun = pending.observation
+        self._learn(
+            Observation(
+                begun.target, begun.group, begun.occupancy, failed, seconds / max(1, events)
+            ),
+            pending.is_new,
+        )
+
+    def advance(self, new_slots: int, old_targets: int, new_targets: int, now: float) -> None:
+        """Go on to the next stage or to the verdict if it is time.
+
+        Parameters
+        ----------
+        new_slots : int
+            Slots of the usable targets of the new version.
+        old_targets, new_targets : int
+            Numbers of ready targets.
+        """
+        if self.state != RUNNING:
+            return
+        self._expire(now)
+        passed = (now - self.began) / self.order.duration
+        if not new_targets:
+            if passed >= 1:
+                self._roll_back("no targets")
+            return
+        has_capacity = new_slots >= CAPACITY_MARGIN * len(self._pending_by_grant)
+        looks_good = self.evidence.suspicion <= MAX_SUSPICION
+        if self.evidence.results < MIN_RESULTS:
+            is_tried = self.evidence.results >= SPARSE_RESULT_SHARE * self.requests
+            looks_good = looks_good and is_tried and passed >= SPARSE_AT
+        if self.stage is Stage.CANARY and passed >= STEP_AT and looks_good:
+            self.stage = Stage.STEP
+        elif self.stage is Stage.STEP and passed >= FULL_AT and looks_good and has_capacity:
+            self.stage = Stage.FULL
+        elif self.stage is Stage.FULL and has_capacity and looks_good:
+            is_old_idle = not self.in_progress or not old_targets
+            if passed >= LAST_COMPLETE_AT or (passed >= COMPLETE_AT and is_old_idle):
+                self.state = COMPLETED
+                self.verdict = "no worse than the old versions"
+
+    def withdraw(self) -> None:
+        """End an order that its operator has withdrawn or replaced."""
+        self._roll_back("withdrawn")
+
+    def _share(self) -> float:
+        return CANARY_SHARE * self.limits.share if self.stage is Stage.CANARY else STEP_SHARE
+
+    def _roll_back(self, verdict: VersionIsBad | str) -> None:
+        if self.state == RUNNING:
+            self.state = ROLLED_BACK
+            self.verdict = verdict
+
+    def _learn(self, observation: Observation, is_new: bool) -> None:
+        if not is_new:
+            self.evidence.add_old(observation)
+            return
+        match self.evidence.add_new(observation):
+            case VersionIsBad() as verdict:
+                self._roll_back(verdict)
+            case SickTarget() as sick:
+                self.found_sick.append(sick)
+
+    def _expire(self, now: float) -> None:
+        """Count responses that are late already, and forget requests whose end got lost."""
+        for grant_id, pending in list(self._pending_by_grant.items()):
+            begun, seconds = pending.observation, (now - pending.granted) / max(1, pending.events)
+            if now > pending.forget_at:
+                del self._pending_by_grant[grant_id]
+            elif not pending.is_counted and self.evidence.is_overdue(
+                begun.group, begun.is_full, seconds
+            ):
+                pending.is_counted = True
+                late = Observation(begun.target, begun.group, begun.occupancy, False, seconds)
+                self._learn(late, pending.is_new)
+
+
+def group_of(rank: int, prompt_tokens: int, events: float) -> Group:
+    """Return the group of a request."""
+    return rank, max(0, prompt_tokens).bit_length(), int(events).bit_length()
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from celeryrun.rollouts import Allowance
 from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
 from celeryrun.scheduling._load import TargetLoad
@@ -101,6 +102,8 @@
         Number of queued requests for which a placement was searched.
     loads_of_version : callable
         Returns those of the targets that are certainly of the version that a request needs.
+    allowance : Allowance or None
+        Targets that requests may use during or after a roll-out, None for all.
     """
 
     targets: dict[str, TargetLoad]
@@ -114,6 +117,7 @@
     limits_to_check: set[str] = field(default_factory=set)
     placed: int = 0
     loads_of_version: Callable[[QueuedRequest], dict[str, TargetLoad]] = lambda queued: {}
+    allowance: Allowance | None = None
     _next_send_by_target: dict[str, float] = field(default_factory=dict)
     _returns_by_target: dict[str, int] = field(default_factory=dict)
     _free_times_by_target: dict[str, list[float]] = field(default_factory=dict)
@@ -156,7 +160,19 @@
 
     def candidates(self, queued: QueuedRequest) -> dict[str, TargetLoad]:
         """Return the targets on which a request may run, apart from those that it excludes."""
-        return self.loads_of_version(queued) if queued.slot_request.version else self.targets
+        if queued.slot_request.version:
+            return self.loads_of_version(queued)
+        if self.allowance is None:
+            return self.targets
+        if self.allowance.open_slots > 0 and not queued.slot_request.retry:
+            free = {
+                name: self.targets[name]
+                for name in self.allowance.canaries
+                if name in self.targets and self.next_free_by_target[name] <= self.now
+            }
+            if free.keys() - set(queued.slot_request.excluded_targets):
+                return free
+        return {name: load for name, load in self.targets.items() if name in self.allowance.general}
 
     def occupy(self, target: str, end: float) -> None:
         """Occupy a target's next free slot until a time."""
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -10,6 +10,7 @@
 
 from celeryrun.catalog import Pool, Target
 from celeryrun.continuity import Bound, Resolution, Unknown
+from celeryrun.rollouts import RolloutGate
 from celeryrun.scheduling import _messages as messages
 from celeryrun.scheduling._crash_history import CrashHistory
 from celeryrun.scheduling._demand import PoolDemand
@@ -45,6 +46,15 @@
 MAX_ORIGIN_WAIT = 1.0  # s for which a stream's origin may still be on its way to a new scheduler
 ENTRY_DELAY = 0.2  # s after its start within which a target writes its entry
 MIN_RUN_AGE = 0.5  # s since a grant after which its connection is made
+MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler
+# Outcomes that tell something of a version; the others are the caller's or the target's wish.
+FAILED_BY_OUTCOME = {
+    messages.COMPLETE: False,
+    messages.FAILED: True,
+    messages.BROKEN: True,
+    messages.CRASHED: True,
+    messages.UNREACHABLE: True,
+}
 GRANT_EXPIRY_DELAY = 1.0  # s past its deadline after which an unreleased grant expires
 
 
@@ -75,6 +85,8 @@
         Returns the start of the last read that showed the targets of a pool to be the newest list.
     confirm_list : callable, optional
         Called when the list must be read again before a resumed stream can be placed.
+    gate : RolloutGate, optional
+        Restricts the targets of pools that move to another version; by default, none do.
     """
 
     __slots__ = (
@@ -83,6 +95,7 @@
         "_demand_by_pool",
         "_fair_shares_by_pool",
         "_fleet_share",
+        "_gate",
         "_grant_ids",
         "_limits",
         "_list_confirmed_at",
@@ -113,6 +126,7 @@
         ),
         list_confirmed_at: Callable[[str], float] = lambda pool: math.inf,
         confirm_list: Callable[[], None] = lambda: None,
+        gate: RolloutGate | None = None,
     ) -> None:
         self._limits = LimitEnforcer(limits, fleet_share, no_prior_usage)
         self._targets = targets
@@ -128,6 +142,7 @@
         self._resolve_by_key_by_pool: dict[str, dict[tuple[str, int], float]] = {}
         self._list_confirmed_at = list_confirmed_at
         self._confirm_list = confirm_list
+        self._gate = RolloutGate() if gate is None else gate
         self.rate_limits = TargetRateLimits(fleet_share)
         self.pauses = TargetPauses()
         self._load_by_grant_id: dict[int, TargetLoad] = {}
@@ -210,6 +225,10 @@
         if unresolved:
             queue = {key: queued for key, queued in queue.items() if key not in unresolved}
         targets = self._usable_loads(pool, now)
+        is_decider = self._fleet_share() > MAJORITY_SHARE
+        allowance = self._gate.allow(pool, self._targets(pool), is_decider, now)
+        if allowance is not None and allowance.banned:
+            targets = {name: targets[name] for name in targets.keys() - allowance.banned}
         planning_round = PlanningRound.from_loads(
             targets,
             self._fleet_share(),
@@ -219,6 +238,7 @@
             self._find_pauses(pool, now),
         )
         planning_round.denials += denials
+        planning_round.allowance = allowance
         planning_round.loads_of_version = lambda queued: self._loads_of_version(
             queued, targets, now
         )
@@ -319,6 +339,9 @@
             return True
         queued.is_scheduled = True
         planning_round.occupy(placement.target, placement.start + placement.duration)
+        allowance = planning_round.allowance
+        if allowance is not None and placement.target in allowance.canaries:
+            allowance.open_slots -= 1
         if placement.start <= now:
             planning_round.grants.append((queued.node, self._grant(queued, placement, now)))
         return True
@@ -359,6 +382,12 @@
         load = self._load_by_grant_id.pop(released.grant_id, None)
         if load is None:
             return None
+        self._gate.record_end(
+            released.grant_id,
+            FAILED_BY_OUTCOME.get(released.outcome),
+            released.seconds,
+            released.events,
+        )
         active_grant = load.remove_grant(released.grant_id, now)
         if active_grant is None:
             return None
@@ -529,6 +558,8 @@
         load.add_grant(grant_id, active_grant)
         self.rate_limits.consume(placement.target, now)
         self._load_by_grant_id[grant_id] = load
+        if self._gate.rollout_by_pool:
+            self._record_in_gate(grant_id, queued, placement.target, now)
         return Grant(
             slot_request.id,
             grant_id,
@@ -537,6 +568,23 @@
             slot_request.version,
         )
 
+    def _record_in_gate(
+        self, grant_id: int, queued: QueuedRequest, target_id: str, now: float
+    ) -> None:
+        slot_request, load = queued.slot_request, self.loads_by_target[target_id]
+        for target in self._targets(slot_request.pool):
+            if target.id == target_id:
+                self._gate.record_grant(
+                    grant_id,
+                    target,
+                    slot_request.rank,
+                    slot_request.prompt_tokens,
+                    slot_request.expected_events,
+                    len(load.active_grants_by_id) / max(1, load.slots),
+                    queued.deadline_time,
+                    now,
+                )
+
     def _deny(
         self, queued: QueuedRequest, kind: str, retry_time: float, now: float
     ) -> tuple[str, Denial]:
