--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -56,6 +56,8 @@
         Newest configuration seen; its version never decreases.
     leaving : LeavingTargets
         Runs of targets that have stated that they leave.
+    operator_watchers : list of callable
+        Called with each page of the operators' records, which holds the configuration and others.
     targets_by_id : dict
         Listed targets, including draining ones.
     on_snapshot : callable
@@ -81,6 +83,7 @@
         "leaving",
         "on_snapshot",
         "on_target_change",
+        "operator_watchers",
         "targets",
         "targets_by_id",
     )
@@ -111,6 +114,7 @@
         self.catalog: Catalog | None = None
         self.targets_by_id: dict[str, Target] = {}
         self.on_snapshot: Callable[[], None] = lambda: None
+        self.operator_watchers: list[Callable[[KeyedPage], None]] = []
         self.on_target_change: Callable[[Target | None, Target | None], None] = (
             lambda former, current: None
         )
@@ -213,6 +217,8 @@
             if record.key == CONFIGURATION_KEY and record.value is not None:
                 with isolated(self._events, CONFIGURATION_TOPIC, record.key):
                     self.apply_configuration_record(record.value)
+        for watcher in self.operator_watchers:
+            watcher(page)
 
     def apply_configuration_record(self, body: bytes) -> None:
         """Apply a configuration that this or another node has read, unless it is older."""
--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from celeryrun.gateway._planned_stop import STOPPING, StopSchedule
 from celeryrun.gateway._relay import Relay
 from celeryrun.gateway._request_log import RequestLog
+from celeryrun.gateway._rollouts import Rollouts
 from celeryrun.gateway._server import SchedulerServer
 from celeryrun.gateway._stream_origins import StreamOrigins
 from celeryrun.gateway._version_records import VersionRecords
@@ -80,6 +81,7 @@
         kernel.register("version-records", VersionRecords(kernel))
         kernel.register("origin-records", OriginRecords(kernel))
         kernel.register("stream-origins", StreamOrigins(kernel, settings))
+        kernel.register("rollouts", Rollouts(kernel, settings))
         kernel.register("scheduler", SchedulerServer(kernel, settings))
         kernel.register("scheduler-client", SchedulerClient(kernel, settings))
         kernel.register("request-log", RequestLog(kernel))
@@ -128,7 +130,7 @@
             events.emit("reload-partial", file=self._path, why="[node] needs a restart")
             changed = dataclasses.replace(changed, node=self.settings.node)
         self.settings = changed
-        for name in ("store", "scheduler", "relay", "pages"):
+        for name in ("store", "rollouts", "scheduler", "relay", "pages"):
             self.kernel.find(name).apply(changed)
         events.emit("reloaded", file=self._path)
 
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -20,6 +20,13 @@
 __all__ = ["GatewayMetrics"]
 
 
+ROLLOUT_GAUGES = {
+    "exposed": "Requests granted to the new version by this node's scheduler since the order",
+    "results": "Responses of the new version that count as evidence",
+    "bad": "Responses of the new version that failed or were slow",
+}
+
+
 class GatewayMetrics:
     """Service that holds the Prometheus metrics.
 
@@ -38,6 +45,7 @@
         "first_byte",
         "refusals",
         "resumed_streams",
+        "rollouts",
         "target_crashes",
         "whole_answer",
     )
@@ -82,6 +90,13 @@
             registry=self._registry,
         )
 
+        self.rollouts = {
+            name: Gauge(
+                f"celeryrun_rollout_{name}", text, ("pool", "version"), registry=self._registry
+            )
+            for name, text in ROLLOUT_GAUGES.items()
+        }
+
         self._store_era = Gauge(
             "celeryrun_store_era",
             "Latest era of the store that this node knows; it rises when a copy is restored",
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -34,6 +34,7 @@
 from celeryrun.gateway._listen import listen
 from celeryrun.gateway._members import SCHEDULER_KEY, Members
 from celeryrun.gateway._origin_records import OriginRecords
+from celeryrun.gateway._rollouts import Rollouts
 from celeryrun.gateway._stream_origins import StreamOrigins, merge_reports
 from celeryrun.gateway._topic_follower import MAX_REASON_CHARS, TopicFollower
 from celeryrun.gateway._version_records import VersionRecords
@@ -136,6 +137,8 @@
         self._origins: StreamOrigins = kernel.find("stream-origins")
         self._version_records: VersionRecords = kernel.find("version-records")
         self._version_records.is_scheduler = self._has_majority
+        rollouts: Rollouts = kernel.find("rollouts")
+        rollouts.is_decider = self._schedules_for_most
         self._origin_records: OriginRecords = kernel.find("origin-records")
         self._origin_records.is_needed = self._must_store_origins
         self._origins.broken_at = self._broken_at
@@ -175,6 +178,7 @@
             resolve_origin=self._origins.resolve,
             list_confirmed_at=self._origins.list_confirmed_at,
             confirm_list=self._discovery.targets.hurry,
+            gate=rollouts.gate,
         )
 
     def start(self) -> None:
@@ -271,6 +275,17 @@
     def _has_majority(self) -> bool:
         return self.fleet_share() > MAJORITY_SHARE
 
+    def _schedules_for_most(self) -> bool:
+        """Return whether this is the scheduler of most nodes, not merely the last that is up.
+
+        Silent nodes lose their share in time; a node that has lost the store besides may be the
+        one that is cut off.
+        """
+        connected = len(self._links_by_node) + (1 if self.has_local_requests else 0)
+        is_most = connected > MAJORITY_SHARE * len(self._members.address_by_node)
+        is_cut_off = self._discovery.targets.is_store_lost and not is_most
+        return connected > 0 and self._has_majority() and not is_cut_off
+
     def _must_store_origins(self) -> bool:
         return self._has_majority() and self._version_records.has_several()
 
--- a/celeryrun/platform/__init__.py
+++ b/celeryrun/platform/__init__.py
@@ -11,6 +11,12 @@
     response_headers,
 )
 from celeryrun.platform._names import READY_PATH
+from celeryrun.platform._rollouts import (
+    ROLLOUT_PREFIX,
+    RolloutStatus,
+    decode_rollout_order,
+    decode_rollout_status,
+)
 from celeryrun.platform._store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
@@ -27,16 +33,20 @@
     "CONFIGURATION_TOPIC",
     "NODES_TOPIC",
     "READY_PATH",
+    "ROLLOUT_PREFIX",
     "STREAMS_TOPIC",
     "TARGETS_TOPIC",
     "CallerRequest",
     "KeyedPage",
     "KeyedRecord",
+    "RolloutStatus",
     "Store",
     "StoreUnavailableError",
     "TargetResponse",
     "UnreadableRecordError",
     "decode_catalog",
+    "decode_rollout_order",
+    "decode_rollout_status",
     "decode_target",
     "format_request",
     "read_request",
--- a/celeryrun/rollouts/_evidence.py
+++ b/celeryrun/rollouts/_evidence.py
@@ -25,6 +25,7 @@
 WORSE_FACTOR = 3.0  # times the chance of old versions
 SLOW_FACTOR = 2.5  # times the median of old versions above which a response is slow
 UNMATCHED_SLOW_FACTOR = 4.0  # the same where old versions had less load
+LATE_SHARE = 0.6  # of the time after which a response is slow
 REFERENCE_SAMPLES = 101  # latest durations of old versions in one group
 MIN_REFERENCE_SAMPLES = 8
 FULL_SHARE = 0.7  # of the slots from which on a target counts as full
@@ -134,12 +135,14 @@
 
     Attributes
     ----------
-    results : int
+    results, results_by_group : int, Counter
         Number of responses of the new version.
     bad : int
         Number of them that failed or were slow.
     sick_targets : set of str
         Targets of the new version that are worse than the others of it.
+    target_count : int
+        Number of targets of the new version; one alone can't be told from its version.
     """
 
     __slots__ = (
@@ -149,7 +152,9 @@
         "_tried_targets",
         "bad",
         "results",
+        "results_by_group",
         "sick_targets",
+        "target_count",
     )
 
     def __init__(self) -> None:
@@ -160,8 +165,10 @@
         self._sums: defaultdict[tuple[str, Group], _Sum] = defaultdict(_Sum)
         self._tried_targets: set[str] = set()
         self.results = 0
+        self.results_by_group: Counter[Group] = Counter()
         self.bad = 0
         self.sick_targets: set[str] = set()
+        self.target_count = 1
 
     @property
     def suspicion(self) -> float:
@@ -184,6 +191,7 @@
             return None
         self._tried_targets.add(target)
         self.results += 1
+        self.results_by_group[observation.group] += 1
         found: VersionIsBad | SickTarget | None = None
         trials = self._trials_of(observation)
         self.bad += any(is_bad for _, is_bad in trials)
@@ -201,6 +209,11 @@
         limit = self._slow_limit(group, is_full)
         return limit is not None and seconds > limit
 
+    def is_late(self, group: Group, is_full: bool, seconds: float) -> bool:
+        """Return whether a response that is still to come is late, but perhaps not slow."""
+        limit = self._slow_limit(group, is_full)
+        return limit is not None and seconds > LATE_SHARE * limit
+
     def _trials_of(self, observation: Observation) -> list[tuple[str, bool]]:
         trials = [("failures", observation.failed)]
         if not observation.failed:
@@ -234,7 +247,7 @@
         target, bad = total.bad_by_target.most_common(1)[0]
         all_bad = total.bad_by_target.total()
         verdict = VersionIsBad(reason, all_bad, total.trials, chance)
-        if bad <= SINGLE_TARGET_SHARE * all_bad or len(self._tried_targets) == 1:
+        if bad <= SINGLE_TARGET_SHARE * all_bad or self.target_count == 1:
             return verdict
         self.sick_targets.add(target)
         sick = len(self.sick_targets)
--- a/celeryrun/rollouts/_gate.py
+++ b/celeryrun/rollouts/_gate.py
@@ -72,7 +72,9 @@
         if rollout is None and not rejected and completed is None:
             return None
         listed = [target for target in targets if target.version not in rejected]
-        banned = {target.id for target in targets if target.version in rejected}
+        # The old targets stop only once a completion is written, so this node missed it.
+        listed = listed or list(targets)
+        banned = {target.id for target in targets} - {target.id for target in listed}
         if rollout is None or rollout.state == ROLLED_BACK:
             preferred = {target.id for target in listed if target.version == completed}
             return Allowance(preferred or {target.id for target in listed}, banned=banned)
@@ -144,7 +146,8 @@
             target for target in targets if target.version not in {rollout.order.version, *rejected}
         ]
         usable = [target for target in new if target.id not in rollout.evidence.sick_targets]
-        rollout.advance(sum(target.slots for target in usable), len(old), len(new), now)
+        new_slots, old_slots = (sum(target.slots for target in found) for found in (usable, old))
+        rollout.advance(new_slots, old_slots, len(new), now)
         if rollout.state == ROLLED_BACK:
             self._reject(rollout)
 
--- a/celeryrun/rollouts/_rollout.py
+++ b/celeryrun/rollouts/_rollout.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
@@ -27,19 +28,26 @@
 
 RUNNING, COMPLETED, ROLLED_BACK = "running", "completed", "rolled_back"
 
-CANARY_SHARE = 0.5  # of the allowed exposure that the canary stage may use
-SLACK_SHARE = 0.4  # of the exposure allowed beyond the share that it may use
+CANARY_SHARE = 0.7  # of the allowed exposure that the canary stage may use
+SLACK_SHARE = 0.6  # of the exposure allowed beyond the share that it may use
 STEP_SHARE = 0.2  # of the requests for the new version once it looks good
-MIN_CANARY_TARGETS = 2  # so that a sick target can be told from a bad version
+PULSE_ROUNDS = 2  # requests of a pulse per slot; the first round fills the slots
 MIN_RESULTS = 30  # of the new version before it looks good
+MIN_GROUP_RESULTS = 10  # of each group of requests that is not rare
+MIN_GROUP_SHARE = 0.05  # of the requests, in a group that is not rare
+MIN_DOUBTFUL = 3  # requests in progress that are late but not slow yet
+MIN_DOUBTFUL_SHARE = 0.2  # of those on the new version
 SPARSE_RESULT_SHARE = 0.02  # of the requests that suffice where there are few
 MAX_SUSPICION = 0.4  # above which the new version gets no larger share
 # Parts of the order's duration:
 STEP_AT = 0.55  # more requests for the new version
 FULL_AT = 0.65  # all new requests for the new version
-SPARSE_AT = 0.7  # larger shares also with few results
+SPARSE_AT = 0.75  # larger shares also with few results
+SUSPECT_AT = 0.98  # roll-back of a version that still looks bad
 COMPLETE_AT = 0.8  # completion if the old targets are idle
 LAST_COMPLETE_AT = 0.92  # completion in any case
+MIN_STAGE = 0.08  # of a stage after the first
+OVERLOADED_CAPACITY = 0.8  # of the old slots, enough also where all of them are in use
 CAPACITY_MARGIN = 1.1  # free capacity of the new version, in slots in use
 
 
@@ -120,7 +128,10 @@
     found_sick: list[SickTarget] = field(default_factory=list)
     _tokens: float = 0.0
     _is_pulse: bool = False
-    _max_in_use: int = 0
+    _pulses: int = 0
+    _stage_began: float = 0.0
+    _stage_results: int = 0
+    _requests_by_group: Counter[Group] = field(default_factory=Counter)
     _pending_by_grant: dict[int, _Pending] = field(default_factory=dict)
 
     @classmethod
@@ -144,25 +155,27 @@
     def canaries(self, targets: Collection[str], old_count: int) -> list[str]:
         """Return the targets of the new version that get requests in this stage."""
         usable = sorted(set(targets) - self.evidence.sick_targets)
-        if self.stage is Stage.FULL:
+        if self.stage is Stage.FULL or not usable:
             return usable
-        count = max(MIN_CANARY_TARGETS, math.ceil(self._share() * old_count))
-        return usable[:count]
+        count = min(len(usable), max(1, math.ceil(self._share() * old_count)))
+        first = self._pulses * count
+        return [usable[(first + number) % len(usable)] for number in range(count)]
 
     def open_slots(self, slots: int) -> int:
-        """Return how many requests the new version may get now.
+        """Return how many requests the canaries may get now.
 
         They come in pulses that fill the canaries' slots, since a fault that shows only under load
-        does not show on targets that are idle.
+        does not show on targets that are idle. Each pulse goes to other targets.
         """
         if self.stage is Stage.CANARY:
             allowed = CANARY_SHARE * self.limits.share * self.requests
             allowed += SLACK_SHARE * self.limits.slack
             self._tokens = min(self._tokens, allowed - self.exposed)
-        if self._tokens >= slots:
+        if self._tokens >= PULSE_ROUNDS * slots:
             self._is_pulse = True
-        elif self._tokens < 1:
+        elif self._tokens < 1 and self._is_pulse:
             self._is_pulse = False
+            self._pulses += 1
         return max(0, int(self._tokens)) if self._is_pulse else 0
 
     def record_grant(
@@ -176,13 +189,13 @@
     ) -> None:
         """Count a granted request; its duration and outcome follow."""
         self.requests += 1
+        self._requests_by_group[observation.group] += 1
         if self.stage is not Stage.FULL:
             self._tokens += self._share()
         if is_new:
             self.exposed += 1
             self._tokens -= 1
         self._pending_by_grant[grant_id] = _Pending(observation, is_new, now, events, forget_at)
-        self._max_in_use = max(self._max_in_use, len(self._pending_by_grant))
 
     def record_end(self, grant_id: int, failed: bool | None, seconds: float, events: int) -> None:
         """Learn from the end of a request; ``failed`` is None if it tells nothing."""
@@ -197,15 +210,17 @@
             pending.is_new,
         )
 
-    def advance(self, new_slots: int, old_targets: int, new_targets: int, now: float) -> None:
+    def advance(self, new_slots: int, old_slots: int, new_targets: int, now: float) -> None:
         """Go on to the next stage or to the verdict if it is time.
 
         Parameters
         ----------
         new_slots : int
             Slots of the usable targets of the new version.
-        old_targets, new_targets : int
-            Numbers of ready targets.
+        old_slots : int
+            Slots of the old targets.
+        new_targets : int
+            Number of ready targets of the new version.
         """
         if self.state != RUNNING:
             return
@@ -215,25 +230,67 @@
             if passed >= 1:
                 self._roll_back("no targets")
             return
-        has_capacity = new_slots >= CAPACITY_MARGIN * len(self._pending_by_grant)
+        self.evidence.target_count = new_targets
+        needed = CAPACITY_MARGIN * len(self._pending_by_grant)
+        has_capacity = new_slots >= min(needed, OVERLOADED_CAPACITY * old_slots)
         looks_good = self.evidence.suspicion <= MAX_SUSPICION
-        if self.evidence.results < MIN_RESULTS:
+        if passed >= SUSPECT_AT and not looks_good:
+            self._roll_back("suspect at the deadline")
+            return
+        looks_good = looks_good and not self._is_doubtful(now)
+        if not self._has_results():
             is_tried = self.evidence.results >= SPARSE_RESULT_SHARE * self.requests
             looks_good = looks_good and is_tried and passed >= SPARSE_AT
+        if self.stage is not Stage.CANARY:
+            in_stage = (now - self._stage_began) / self.order.duration
+            looks_good = looks_good and in_stage >= MIN_STAGE
         if self.stage is Stage.CANARY and passed >= STEP_AT and looks_good:
-            self.stage = Stage.STEP
+            self._enter(Stage.STEP, now)
         elif self.stage is Stage.STEP and passed >= FULL_AT and looks_good and has_capacity:
-            self.stage = Stage.FULL
+            self._enter(Stage.FULL, now)
         elif self.stage is Stage.FULL and has_capacity and looks_good:
-            is_old_idle = not self.in_progress or not old_targets
+            is_old_idle = not self.in_progress or not old_slots
             if passed >= LAST_COMPLETE_AT or (passed >= COMPLETE_AT and is_old_idle):
                 self.state = COMPLETED
                 self.verdict = "no worse than the old versions"
 
+    def rest(self) -> None:
+        """Note that another scheduler may use the exposure up to now."""
+        self._tokens = 0.0
+        self.exposed = max(self.exposed, SLACK_SHARE * self.limits.slack)
+
     def withdraw(self) -> None:
         """End an order that its operator has withdrawn or replaced."""
         self._roll_back("withdrawn")
 
+    def _has_results(self) -> bool:
+        """Return whether each group of requests that is not rare has brought results."""
+        counted = self.evidence.results_by_group
+        return self.evidence.results - self._stage_results >= MIN_RESULTS and all(
+            counted[group] >= MIN_GROUP_RESULTS
+            for group, requests in self._requests_by_group.items()
+            if requests >= MIN_GROUP_SHARE * self.requests
+        )
+
+    def _is_doubtful(self, now: float) -> bool:
+        """Return whether many requests on the new version are late but not slow yet."""
+        new = [pending for pending in self._pending_by_grant.values() if pending.is_new]
+        doubtful = sum(
+            pending.is_counted
+            or self.evidence.is_late(
+                pending.observation.group,
+                pending.observation.is_full,
+                (now - pending.granted) / max(1, pending.events),
+            )
+            for pending in new
+        )
+        return doubtful >= max(MIN_DOUBTFUL, MIN_DOUBTFUL_SHARE * len(new))
+
+    def _enter(self, stage: Stage, now: float) -> None:
+        self.stage = stage
+        self._stage_began = now
+        self._stage_results = self.evidence.results
+
     def _share(self) -> float:
         return CANARY_SHARE * self.limits.share if self.stage is Stage.CANARY else STEP_SHARE
 
@@ -251,6 +308,7 @@
                 self._roll_back(verdict)
             case SickTarget() as sick:
                 self.found_sick.append(sick)
+                self._stage_results = self.evidence.results
 
     def _expire(self, now: float) -> None:
         """Count responses that are late already, and forget requests whose end got lost."""
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -118,6 +118,7 @@
     placed: int = 0
     loads_of_version: Callable[[QueuedRequest], dict[str, TargetLoad]] = lambda queued: {}
     allowance: Allowance | None = None
+    _general_loads: dict[str, TargetLoad] | None = None
     _next_send_by_target: dict[str, float] = field(default_factory=dict)
     _returns_by_target: dict[str, int] = field(default_factory=dict)
     _free_times_by_target: dict[str, list[float]] = field(default_factory=dict)
@@ -172,7 +173,12 @@
             }
             if free.keys() - set(queued.slot_request.excluded_targets):
                 return free
-        return {name: load for name, load in self.targets.items() if name in self.allowance.general}
+        if self._general_loads is None:
+            general = self.allowance.general
+            self._general_loads = {
+                name: load for name, load in self.targets.items() if name in general
+            }
+        return self._general_loads
 
     def occupy(self, target: str, end: float) -> None:
         """Occupy a target's next free slot until a time."""
--- a/celeryrun/settings/_gateway.py
+++ b/celeryrun/settings/_gateway.py
@@ -75,6 +75,13 @@
     quota_over: float = setting(Number(0, 10), "fraction by which a quota may be exceeded", 0.1)
     quota_slack: float = setting(Number(0, 1e12), "amount allowed beyond that fraction", 0.0)
     quota_window: float = setting(Duration(0.1, 600), "time over which quotas are counted", 8.0)
+    expose_share: float = setting(
+        Number(0, 1), "share of a pool's requests that an unproved version may get", 0.1
+    )
+    expose_slack: float = setting(Number(0, 1e9), "requests allowed beyond that share", 0.0)
+    rollback_lag: float = setting(
+        Duration(0, 600), "longest time until a bad version gets no work; 0 for no roll-outs", 0.0
+    )
 
 
 @dataclass(frozen=True, slots=True)
