Roll-outs: each group of requests has its part of the canaries' requests

Urgent requests were placed first and left 1 of 70 results to the least urgent group, so that a fault on its route alone would not have shown.

--- a/celeryrun/gateway/_rollouts.py
+++ b/celeryrun/gateway/_rollouts.py
@@ -262,8 +262,11 @@
         if accepted is None:
             return
         rollout = self.gate.rollout_by_pool[pool]
-        if rollout.state == RUNNING:
-            self.gate.withdraw(pool)
+        was_running = rollout.state == RUNNING
+        self.gate.withdraw(pool)
+        if pool not in self.gate.rollout_by_pool:
+            del self._accepted_by_pool[pool]
+        if was_running:
             self._events.emit("rollout-withdrawn", pool=pool, version=accepted.order.version)
 
     def _apply_statuses(self, page: KeyedPage) -> None:
@@ -304,10 +307,7 @@
             return
         rollout = self.gate.rollout_by_pool[pool]
         if status.state != RUNNING:
-            if rollout.state == RUNNING:
-                self.gate.decide(pool, status.to, status.state)
-            elif rollout.state == COMPLETED == status.state:
-                self.gate.decide(pool, status.to, COMPLETED)
+            self.gate.decide(pool, status.to, status.state)
         elif not accepted.is_new and accepted.began > status.began:
             age = min(max(0.0, time.time() - status.began), rollout.order.duration)
             rollout.began = min(rollout.began, now() - age)
--- a/celeryrun/rollouts/_gate.py
+++ b/celeryrun/rollouts/_gate.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from celeryrun.catalog import Target
@@ -26,6 +26,8 @@
         Targets for first tries of new requests while their slots are free.
     open_slots : int
         Number of requests for the canaries.
+    takes : callable
+        Returns whether a canary is to get a request of a rank, prompt tokens and events.
     banned : set of str
         Targets for no request, not even one that is bound to their version.
     """
@@ -33,8 +35,13 @@
     general: set[str]
     canaries: set[str] = field(default_factory=set)
     open_slots: int = 0
+    takes: Callable[[int, int, float], bool] = lambda rank, prompt_tokens, events: True
     banned: set[str] = field(default_factory=set)
 
+    def may_use_canary(self, rank: int, prompt_tokens: int, events: float, retry: bool) -> bool:
+        """Return whether a new request is to run on a canary if one is free."""
+        return self.open_slots > 0 and not retry and self.takes(rank, prompt_tokens, events)
+
 
 @dataclass(slots=True)
 class RolloutGate:
@@ -46,13 +53,14 @@
         Newest order of each pool.
     rejected_by_pool : dict
         Versions that were rolled back, by pool.
-    completed_by_pool : dict
-        Version whose completion is written, by pool.
+    superseded_by_pool : dict
+        Versions that served when a completion was written, by pool.
     """
 
     rollout_by_pool: dict[str, Rollout] = field(default_factory=dict)
     rejected_by_pool: dict[str, set[str]] = field(default_factory=dict)
-    completed_by_pool: dict[str, str] = field(default_factory=dict)
+    superseded_by_pool: dict[str, set[str]] = field(default_factory=dict)
+    _old_by_pool: dict[str, set[str]] = field(default_factory=dict)
     _pool_by_grant: dict[int, str] = field(default_factory=dict)
 
     def allow(
@@ -68,21 +76,22 @@
         """
         rollout = self.rollout_by_pool.get(pool)
         rejected = self.rejected_by_pool.get(pool, set())
-        completed = self.completed_by_pool.get(pool)
-        if rollout is None and not rejected and completed is None:
+        superseded = self.superseded_by_pool.get(pool, set())
+        if rollout is None and not rejected and not superseded:
             return None
-        listed = [target for target in targets if target.version not in rejected]
-        # The old targets stop only once a completion is written, so this node missed it.
-        listed = listed or list(targets)
+        targets = list(targets)
+        # The old targets stop only once a completion is written, so this node has missed it.
+        listed = [target for target in targets if target.version not in rejected] or targets
         banned = {target.id for target in targets} - {target.id for target in listed}
-        if rollout is None or rollout.state == ROLLED_BACK:
-            preferred = {target.id for target in listed if target.version == completed}
-            return Allowance(preferred or {target.id for target in listed}, banned=banned)
+        if rollout is None or rollout.state == ROLLED_BACK or superseded:
+            current = {target.id for target in listed if target.version not in superseded}
+            return Allowance(current or {target.id for target in listed}, banned=banned)
         version = rollout.order.version
         new = {target.id: target for target in listed if target.version == version}
         old = {target.id for target in listed if target.version != version}
-        if completed == version:
-            return Allowance(new.keys() | set() or old, banned=banned)
+        self._old_by_pool.setdefault(pool, set()).update(
+            target.version for target in listed if target.id in old
+        )
         canaries = set(rollout.canaries(new, len(old)))
         if not old:
             return Allowance(canaries or set(new), banned=banned)
@@ -91,7 +100,8 @@
         if rollout.stage is Stage.FULL:
             return Allowance(canaries or old, banned=banned)
         slots = sum(new[id].slots for id in canaries)
-        return Allowance(old, canaries, rollout.open_slots(slots) if canaries else 0, banned)
+        open_slots = rollout.open_slots(slots) if canaries else 0
+        return Allowance(old, canaries, open_slots, rollout.takes, banned)
 
     def record_grant(
         self,
@@ -161,8 +171,8 @@
         else:
             former = None
         self.rejected_by_pool.get(order.pool, set()).discard(order.version)
-        if self.completed_by_pool.get(order.pool) == order.version:
-            del self.completed_by_pool[order.pool]
+        self.superseded_by_pool.pop(order.pool, None)
+        self._old_by_pool.pop(order.pool, None)
         self.rollout_by_pool[order.pool] = rollout
         return former
 
@@ -172,7 +182,9 @@
         if rollout is not None and rollout.state == RUNNING:
             rollout.withdraw()
             self._reject(rollout)
-        self.completed_by_pool.pop(pool, None)
+        elif rollout is not None and rollout.state == COMPLETED:
+            del self.rollout_by_pool[pool]
+            self.superseded_by_pool.pop(pool, None)
 
     def decide(self, pool: str, version: str, state: str) -> None:
         """Apply a written verdict of this or another scheduler."""
@@ -181,11 +193,9 @@
         match state:
             case "rolled_back":
                 self.rejected_by_pool.setdefault(pool, set()).add(version)
-                if self.completed_by_pool.get(pool) == version:
-                    del self.completed_by_pool[pool]
             case "completed":
                 self.rejected_by_pool.get(pool, set()).discard(version)
-                self.completed_by_pool[pool] = version
+                self.superseded_by_pool[pool] = self._old_by_pool.get(pool, set()) - {version}
         if is_current and rollout is not None and state in (COMPLETED, ROLLED_BACK):
             rollout.state = state
             self._forget_grants(pool)
--- a/celeryrun/rollouts/_rollout.py
+++ b/celeryrun/rollouts/_rollout.py
@@ -35,6 +35,7 @@
 MIN_RESULTS = 30  # of the new version before it looks good
 MIN_GROUP_RESULTS = 10  # of each group of requests that is not rare
 MIN_GROUP_SHARE = 0.05  # of the requests, in a group that is not rare
+GROUP_LEAD = 3.0  # requests by which a group may be ahead of its part of the exposure
 MIN_DOUBTFUL = 3  # requests in progress that are late but not slow yet
 MIN_DOUBTFUL_SHARE = 0.2  # of those on the new version
 SPARSE_RESULT_SHARE = 0.02  # of the requests that suffice where there are few
@@ -132,6 +133,7 @@
     _stage_began: float = 0.0
     _stage_results: int = 0
     _requests_by_group: Counter[Group] = field(default_factory=Counter)
+    _exposed_by_group: Counter[Group] = field(default_factory=Counter)
     _pending_by_grant: dict[int, _Pending] = field(default_factory=dict)
 
     @classmethod
@@ -171,13 +173,28 @@
             allowed = CANARY_SHARE * self.limits.share * self.requests
             allowed += SLACK_SHARE * self.limits.slack
             self._tokens = min(self._tokens, allowed - self.exposed)
-        if self._tokens >= PULSE_ROUNDS * slots:
+        rounds = PULSE_ROUNDS if self.stage is Stage.CANARY else 1
+        if self._tokens >= rounds * slots:
             self._is_pulse = True
         elif self._tokens < 1 and self._is_pulse:
             self._is_pulse = False
             self._pulses += 1
         return max(0, int(self._tokens)) if self._is_pulse else 0
 
+    def takes(self, rank: int, prompt_tokens: int, events: float) -> bool:
+        """Return whether a request's group has not yet had its part of the exposure.
+
+        Urgent requests are placed first and would else leave no canary to the others. A group's
+        part lies between its share of the requests and an equal part, so that a fault on a rare
+        route shows too.
+        """
+        group = group_of(rank, prompt_tokens, events)
+        if not self.requests:
+            return True
+        share = self._requests_by_group[group] / self.requests
+        part = (share + 1 / max(1, len(self._requests_by_group))) / 2
+        return self._exposed_by_group[group] <= part * self.exposed + GROUP_LEAD
+
     def record_grant(
         self,
         grant_id: int,
@@ -194,6 +211,7 @@
             self._tokens += self._share()
         if is_new:
             self.exposed += 1
+            self._exposed_by_group[observation.group] += 1
             self._tokens -= 1
         self._pending_by_grant[grant_id] = _Pending(observation, is_new, now, events, forget_at)
 
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -165,13 +165,19 @@
             return self.loads_of_version(queued)
         if self.allowance is None:
             return self.targets
-        if self.allowance.open_slots > 0 and not queued.slot_request.retry:
+        slot_request = queued.slot_request
+        if self.allowance.may_use_canary(
+            slot_request.rank,
+            slot_request.prompt_tokens,
+            slot_request.expected_events,
+            slot_request.retry,
+        ):
             free = {
                 name: self.targets[name]
                 for name in self.allowance.canaries
                 if name in self.targets and self.next_free_by_target[name] <= self.now
             }
-            if free.keys() - set(queued.slot_request.excluded_targets):
+            if free.keys() - set(slot_request.excluded_targets):
                 return free
         if self._general_loads is None:
             general = self.allowance.general
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -109,6 +109,8 @@
         Whether every response says that the runner leaves; the store's entry stays as it is.
     retry_after : float or None
         Seconds that the runner names as it turns every request away with 503, None to serve.
+    failing_share : float
+        Part of the requests that are executed and answered with 500, as by a bad version.
     version : str
         Version of the software, in the store's entry and in each event of a stream.
     """
@@ -145,6 +147,8 @@
         self.leaving = False
         self.retry_after: float | None = None
         self.version = version
+        self.failing_share = 0.0
+        self._failures_due = 0.0
         self._silent_until = 0.0
         self.state: str | None = None
         self._born = 1
@@ -265,6 +269,13 @@
             del self._in_progress[id(recorded)]
             self.running -= 1
 
+    def _is_failure_due(self) -> bool:
+        self._failures_due += self.failing_share
+        if self._failures_due < 1:
+            return False
+        self._failures_due -= 1
+        return True
+
     def _own_headers(self) -> dict[str, str]:
         """Return the headers in which the runner speaks of itself."""
         headers = {}
@@ -305,7 +316,7 @@
             common_headers["Celeryrun_Response_Seal"] = f"seal-{self.id}"
         if self._consume_fault("unpromised"):
             send_response(connection, 503, b"busy", **common_headers)
-        elif self._consume_fault("error"):
+        elif self._consume_fault("error") or self._is_failure_due():
             send_response(connection, 500, b"failed", **common_headers)
         elif fault := next(filter(self._consume_fault, UNFRAMED_FAULTS), None):
             await self._send_unframed(connection, recorded, common_headers, fault)
