Roll-outs: tests of the gate, of all plays, and of whole deployments

They showed that one canary alone served a pool without old targets, and that a pulse never began on targets with many slots; both mended. 6 s for the orders of the deployments, since a node that has just started reads its next page of orders only after 1.5 s.

--- a/celeryrun/gateway/tests/test_rollouts.py
+++ b/celeryrun/gateway/tests/test_rollouts.py
@@ -10,7 +10,7 @@
 
 BOUNDS = "expose_share = 0.1\nexpose_slack = 50\nrollback_lag = 5s"
 KEY = "rollout/app"
-DURATION = 4.0  # s
+DURATION = 6.0  # s
 
 
 class RolloutSite(Site):
@@ -121,7 +121,7 @@
 def test_another_scheduler_goes_on_when_the_first_stops_halfway(failing_share):
     async def scenario():
         async with RolloutSite(gateways=3) as site:
-            site.order(duration=6.0)
+            site.order()
             await site.start_version()
             await site.reach("running")
             await asyncio.sleep(1.0)
@@ -253,8 +253,7 @@
             for runner in site.olds:
                 runner.work = 0.3
             await site.start_version()
-            await asyncio.sleep(1.0)
-            assert counts(site.news) and counts(site.olds)
+            await site.wait_until(lambda: counts(site.news) and counts(site.olds), 5.0)
             assert site.status() is None
 
     run(scenario())
--- a/celeryrun/rollouts/_gate.py
+++ b/celeryrun/rollouts/_gate.py
@@ -94,13 +94,14 @@
         )
         canaries = set(rollout.canaries(new, len(old)))
         if not old:
-            return Allowance(canaries or set(new), banned=banned)
+            sound = new.keys() - rollout.evidence.sick_targets
+            return Allowance(sound or set(new), banned=banned)
         if not is_decider:
             return Allowance(old, banned=banned)
         if rollout.stage is Stage.FULL:
             return Allowance(canaries or old, banned=banned)
         slots = sum(new[id].slots for id in canaries)
-        open_slots = rollout.open_slots(slots) if canaries else 0
+        open_slots = rollout.open_slots(slots, now) if canaries else 0
         return Allowance(old, canaries, open_slots, rollout.takes, banned)
 
     def record_grant(
--- a/celeryrun/rollouts/_rollout.py
+++ b/celeryrun/rollouts/_rollout.py
@@ -31,6 +31,7 @@
 CANARY_SHARE = 0.7  # of the allowed exposure that the canary stage may use
 SLACK_SHARE = 0.6  # of the exposure allowed beyond the share that it may use
 STEP_SHARE = 0.2  # of the requests for the new version once it looks good
+PULSE_INTERVAL = 0.1  # after which a pulse begins although it fills no slots
 PULSE_ROUNDS = 2  # requests of a pulse per slot; the first round fills the slots
 MIN_RESULTS = 30  # of the new version before it looks good
 MIN_GROUP_RESULTS = 10  # of each group of requests that is not rare
@@ -130,6 +131,7 @@
     _tokens: float = 0.0
     _is_pulse: bool = False
     _pulses: int = 0
+    _pulse_ended: float = -math.inf
     _stage_began: float = 0.0
     _stage_results: int = 0
     _requests_by_group: Counter[Group] = field(default_factory=Counter)
@@ -163,7 +165,7 @@
         first = self._pulses * count
         return [usable[(first + number) % len(usable)] for number in range(count)]
 
-    def open_slots(self, slots: int) -> int:
+    def open_slots(self, slots: int, now: float) -> int:
         """Return how many requests the canaries may get now.
 
         They come in pulses that fill the canaries' slots, since a fault that shows only under load
@@ -174,11 +176,13 @@
             allowed += SLACK_SHARE * self.limits.slack
             self._tokens = min(self._tokens, allowed - self.exposed)
         rounds = PULSE_ROUNDS if self.stage is Stage.CANARY else 1
-        if self._tokens >= rounds * slots:
+        is_due = now - self._pulse_ended >= PULSE_INTERVAL * self.order.duration
+        if self._tokens >= rounds * slots or (is_due and self._tokens >= 1):
             self._is_pulse = True
         elif self._tokens < 1 and self._is_pulse:
             self._is_pulse = False
             self._pulses += 1
+            self._pulse_ended = now
         return max(0, int(self._tokens)) if self._is_pulse else 0
 
     def takes(self, rank: int, prompt_tokens: int, events: float) -> bool:
