--- a/celeryrun/gateway/tests/test_rollouts.py
+++ b/celeryrun/gateway/tests/test_rollouts.py
@@ -1,6 +1,7 @@
 """Roll-outs of whole deployments: orders, statuses and what runners of both versions get."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
@@ -19,8 +20,8 @@
     def __init__(self, gateways=1, **options):
         super().__init__(gateways, apps=3, models=0, bounds=BOUNDS, **options)
         self.olds, self.news = self.apps, []
-        self.statuses = []
         self.calls = None
+        self.stopped = ()
 
     async def start_version(self, version="v2", failing_share=0.0):
         """Start runners of another version beside the others, and the calls."""
@@ -42,12 +43,9 @@
             await asyncio.sleep(0.008)
 
     async def _send(self, gateway):
-        try:
+        # The calls of a gateway that stops fail.
+        with contextlib.suppress(OSError):
             await self.send_request("/bookings/1", gateway=gateway)
-        except OSError:
-            self.lost = getattr(self, "lost", 0) + 1
-
-    stopped = ()
 
     def order(self, version="v2", duration=DURATION, **changes):
         """Write an order to the store."""
@@ -145,12 +143,13 @@
             await site.start_version()
             await site.reach("running")
             site.store.faults.add("down")
+            served = counts(site.olds) + counts(site.news)
             await asyncio.sleep(DURATION)
             assert site.status()["state"] == "running"
-            served = counts(site.olds) + counts(site.news)
+            assert site.events("rollout-not-stored")
+            assert counts(site.olds) + counts(site.news) > served + 100
             site.store.faults.clear()
             await site.reach("completed")
-            assert counts(site.olds) + counts(site.news) > served
 
     run(scenario())
 
--- a/celeryrun/rollouts/_evidence.py
+++ b/celeryrun/rollouts/_evidence.py
@@ -192,7 +192,6 @@
         self._tried_targets.add(target)
         self.results += 1
         self.results_by_group[observation.group] += 1
-        found: VersionIsBad | SickTarget | None = None
         trials = self._trials_of(observation)
         self.bad += any(is_bad for _, is_bad in trials)
         for reason, is_bad in trials:
@@ -200,9 +199,9 @@
                 total = self._sums[reason, group]
                 chance = self._chance(reason, group) if is_bad or total.value > 0 else PRIOR_CHANCE
                 total.add(target, is_bad, chance)
-                if total.value >= THRESHOLD and found is None:
-                    found = self._judge(reason, total, chance)
-        return found
+                if total.value >= THRESHOLD:
+                    return self._judge(reason, total, chance)
+        return None
 
     def is_overdue(self, group: Group, is_full: bool, seconds: float) -> bool:
         """Return whether a response that is still to come is already slow."""
--- a/celeryrun/rollouts/_rollout.py
+++ b/celeryrun/rollouts/_rollout.py
@@ -30,6 +30,9 @@
 
 CANARY_SHARE = 0.7  # of the allowed exposure that the canary stage may use
 SLACK_SHARE = 0.6  # of the exposure allowed beyond the share that it may use
+ENOUGH_EXPOSED = 110  # requests that show a bad version; the rest is kept for the last stage
+WATCH_SHARE = 0.25  # of the allowed exposure from then on
+WATCHED_STEP_SHARE = 0.1
 STEP_SHARE = 0.2  # of the requests for the new version once it looks good
 PULSE_INTERVAL = 0.1  # after which a pulse begins although it fills no slots
 PULSE_ROUNDS = 2  # requests of a pulse per slot; the first round fills the slots
@@ -42,12 +45,12 @@
 SPARSE_RESULT_SHARE = 0.02  # of the requests that suffice where there are few
 MAX_SUSPICION = 0.4  # above which the new version gets no larger share
 # Parts of the order's duration:
-STEP_AT = 0.55  # more requests for the new version
-FULL_AT = 0.65  # all new requests for the new version
-SPARSE_AT = 0.75  # larger shares also with few results
+STEP_AT = 0.68  # more requests for the new version
+FULL_AT = 0.77  # all new requests for the new version
+SPARSE_AT = 0.77  # larger shares also with few results
 SUSPECT_AT = 0.98  # roll-back of a version that still looks bad
-COMPLETE_AT = 0.8  # completion if the old targets are idle
-LAST_COMPLETE_AT = 0.92  # completion in any case
+COMPLETE_AT = 0.85  # completion if the old targets are idle
+LAST_COMPLETE_AT = 0.93  # completion in any case
 MIN_STAGE = 0.08  # of a stage after the first
 OVERLOADED_CAPACITY = 0.8  # of the old slots, enough also where all of them are in use
 CAPACITY_MARGIN = 1.1  # free capacity of the new version, in slots in use
@@ -314,7 +317,10 @@
         self._stage_results = self.evidence.results
 
     def _share(self) -> float:
-        return CANARY_SHARE * self.limits.share if self.stage is Stage.CANARY else STEP_SHARE
+        is_enough = self.exposed >= ENOUGH_EXPOSED
+        if self.stage is Stage.CANARY:
+            return (WATCH_SHARE if is_enough else CANARY_SHARE) * self.limits.share
+        return WATCHED_STEP_SHARE if is_enough else STEP_SHARE
 
     def _roll_back(self, verdict: VersionIsBad | str) -> None:
         if self.state == RUNNING:
--- a/celeryrun/rollouts/tests/plays.py
+++ b/celeryrun/rollouts/tests/plays.py
@@ -70,6 +70,7 @@
     "bad at once, few targets": Play(0.3, targets=6),
     "bad later": Play(0.3, since=4.0),
     "bad late": Play(0.3, since=8.5),
+    "bad late, many targets": Play(0.3, since=8.5, targets=24),
     "bad under load": Play(0.3, load=0.75),
     "bad on one route": Play(0.4, route="short"),
     "bad on one rare route": Play(0.5, route="tag"),
