Roll-outs: no work for decided orders, and no suspicion below 0.05 s

A stall of the processor makes a 5 ms response slow, and the last stage has no old version beside it.

--- a/celeryrun/gateway/_rollouts.py
+++ b/celeryrun/gateway/_rollouts.py
@@ -73,9 +73,9 @@
 
     __slots__ = (
         "_accepted_by_pool",
-        "_changed",
         "_discovery",
         "_events",
+        "_has_orders",
         "_members",
         "_metrics_by_name",
         "_seen",
@@ -97,7 +97,7 @@
         self._accepted_by_pool: dict[str, _Accepted] = {}
         self._status_by_pool: dict[str, RolloutStatus] = {}
         self._seen: dict[tuple[str, str], None] = {}
-        self._changed = asyncio.Event()
+        self._has_orders = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self.gate = RolloutGate()
         self.is_decider: Callable[[], bool] = lambda: False
@@ -120,9 +120,7 @@
 
     async def _run(self) -> None:
         while True:
-            if not self._accepted_by_pool:
-                self._changed.clear()
-                await self._changed.wait()
+            await self._has_orders.wait()
             await asyncio.sleep(TICK)
             for pool, accepted in list(self._accepted_by_pool.items()):
                 try:
@@ -181,8 +179,9 @@
 
     async def _write(self) -> None:
         while True:
+            await self._has_orders.wait()
             await asyncio.sleep(TICK)
-            if not self._accepted_by_pool or not self.is_decider() or not self._members.is_loaded():
+            if not self.is_decider() or not self._members.is_loaded():
                 continue
             for pool in list(self._accepted_by_pool):
                 if pool not in self._accepted_by_pool:
@@ -251,7 +250,7 @@
         self.gate.begin(rollout)
         accepted = _Accepted(order, digest, round(time.time(), 3), is_new)
         self._accepted_by_pool[pool] = accepted
-        self._changed.set()
+        self._has_orders.set()
         self._events.emit(
             "rollout-ordered", pool=pool, version=order.version, duration=order.duration
         )
@@ -266,6 +265,8 @@
         self.gate.withdraw(pool)
         if pool not in self.gate.rollout_by_pool:
             del self._accepted_by_pool[pool]
+            if not self._accepted_by_pool:
+                self._has_orders.clear()
         if was_running:
             self._events.emit("rollout-withdrawn", pool=pool, version=accepted.order.version)
 
--- a/celeryrun/rollouts/_evidence.py
+++ b/celeryrun/rollouts/_evidence.py
@@ -10,6 +10,7 @@
 
 import math
 from collections import Counter, defaultdict, deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 __all__ = ["Evidence", "Observation", "SickTarget", "VersionIsBad"]
@@ -25,6 +26,7 @@
 WORSE_FACTOR = 3.0  # times the chance of old versions
 SLOW_FACTOR = 2.5  # times the median of old versions above which a response is slow
 UNMATCHED_SLOW_FACTOR = 4.0  # the same where old versions had less load
+MIN_EXCESS = 0.05  # s beyond the median in a slow response; less may come from a busy processor
 LATE_SHARE = 0.6  # of the time after which a response is slow
 REFERENCE_SAMPLES = 101  # latest durations of old versions in one group
 MIN_REFERENCE_SAMPLES = 8
@@ -225,11 +227,11 @@
         """Return the seconds above which a response is slow, None while that is not known."""
         matched = self._durations.get((group, is_full), ())
         if len(matched) >= MIN_REFERENCE_SAMPLES:
-            return SLOW_FACTOR * sorted(matched)[len(matched) // 2]
+            return _slow_limit(SLOW_FACTOR, matched, group)
         other = self._durations.get((group, not is_full), ())
         if len(other) >= MIN_REFERENCE_SAMPLES:
             factor = UNMATCHED_SLOW_FACTOR if is_full else SLOW_FACTOR
-            return factor * sorted(other)[len(other) // 2]
+            return _slow_limit(factor, other, group)
         return None
 
     def _chance(self, reason: str, group: Group) -> float:
@@ -256,3 +258,10 @@
             if target in other.bad_by_target:
                 other.clear()
         return SickTarget(target, reason)
+
+
+def _slow_limit(factor: float, durations: Collection[float], group: Group) -> float:
+    """Return the seconds per event above which a response is slow beside others of its group."""
+    median = sorted(durations)[len(durations) // 2]
+    events = max(1.0, 2.0 ** (group[2] - 1))
+    return max(factor * median, median + MIN_EXCESS / events)
--- a/celeryrun/rollouts/_gate.py
+++ b/celeryrun/rollouts/_gate.py
@@ -80,10 +80,14 @@
         if rollout is None and not rejected and not superseded:
             return None
         targets = list(targets)
+        is_over = rollout is None or rollout.state == ROLLED_BACK or bool(superseded)
+        hidden = rejected | superseded
+        if is_over and not any(target.version in hidden for target in targets):
+            return None
         # The old targets stop only once a completion is written, so this node has missed it.
         listed = [target for target in targets if target.version not in rejected] or targets
         banned = {target.id for target in targets} - {target.id for target in listed}
-        if rollout is None or rollout.state == ROLLED_BACK or superseded:
+        if rollout is None or is_over:
             current = {target.id for target in listed if target.version not in superseded}
             return Allowance(current or {target.id for target in listed}, banned=banned)
         version = rollout.order.version
@@ -149,7 +153,7 @@
     def advance(self, pool: str, targets: Iterable[Target], now: float) -> None:
         """Go on with a pool's roll-out if it is time; only for the scheduler of most nodes."""
         rollout = self.rollout_by_pool.get(pool)
-        if rollout is None:
+        if rollout is None or rollout.state != RUNNING:
             return
         rejected = self.rejected_by_pool.get(pool, set())
         new = [target for target in targets if target.version == rollout.order.version]
