--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from celeryrun.rollouts import Allowance
 from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
 from celeryrun.scheduling._lengths import LengthErrors
@@ -115,6 +116,8 @@
         Whether streams last several times longer on some targets than on others.
     loads_of_version : callable
         Returns those of the targets that are certainly of the version that a request needs.
+    allowance : Allowance or None
+        Targets that requests may use during or after a roll-out, None for all.
     """
 
     targets: dict[str, TargetLoad]
@@ -129,6 +132,8 @@
     placed: int = 0
     is_uneven: bool = False
     loads_of_version: Callable[[QueuedRequest], dict[str, TargetLoad]] = lambda queued: {}
+    allowance: Allowance | None = None
+    _general_loads: dict[str, TargetLoad] | None = None
     _next_send_by_target: dict[str, float] = field(default_factory=dict)
     _returns_by_target: dict[str, int] = field(default_factory=dict)
     _free_times_by_target: dict[str, list[float]] = field(default_factory=dict)
@@ -174,7 +179,30 @@
 
     def candidates(self, queued: QueuedRequest) -> dict[str, TargetLoad]:
         """Return the targets on which a request may run, apart from those that it excludes."""
-        return self.loads_of_version(queued) if queued.slot_request.version else self.targets
+        if queued.slot_request.version:
+            return self.loads_of_version(queued)
+        if self.allowance is None:
+            return self.targets
+        slot_request = queued.slot_request
+        if self.allowance.may_use_canary(
+            slot_request.rank,
+            slot_request.prompt_tokens,
+            slot_request.expected_events,
+            slot_request.retry,
+        ):
+            free = {
+                name: self.targets[name]
+                for name in self.allowance.canaries
+                if name in self.targets and self.next_free_by_target[name] <= self.now
+            }
+            if free.keys() - set(slot_request.excluded_targets):
+                return free
+        if self._general_loads is None:
+            general = self.allowance.general
+            self._general_loads = {
+                name: load for name, load in self.targets.items() if name in general
+            }
+        return self._general_loads
 
     def occupy(self, target: str, end: float) -> None:
         """Occupy a target's next free slot until a time."""
