Scheduler: grant hedges at once or not at all, within a share of the work

A slot request says whether it is a hedge. It is denied while any request of its pool waits, without a free slot now, if no second target would have a free slot, or beyond [hedging] extra_work (default 0: off). It is charged to the retry budget as before. The loser's slot is released as lost, from which nothing is learned.

--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -176,6 +176,7 @@
             list_confirmed_at=self._origins.list_confirmed_at,
             confirm_list=self._discovery.targets.hurry,
         )
+        self.scheduler.hedge_gate.budget.share = settings.hedging.extra_work
 
     def start(self) -> None:
         """Start planning; ``listen`` opens the listener."""
@@ -206,6 +207,7 @@
         """Apply reloaded settings."""
         self._settings = settings
         self.scheduler.set_limits(_fleet_limits(settings))
+        self.scheduler.hedge_gate.budget.share = settings.hedging.extra_work
 
     def set_local_reply_handler(self, reply: Callable[[Reply], None]) -> None:
         """Set the handler of replies to this node's own slot requests."""
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -39,6 +39,8 @@
         Latest time at which the request ends.
     retry_charged_at : float or None
         Time at which the request was charged to the retry budget, None if it was not.
+    hedge_work : float
+        Seconds charged to the budget of hedges, 0 if it is no hedge or has won.
     """
 
     node: str
@@ -53,6 +55,7 @@
     fingerprint: int = 0
     deadline: float = math.inf
     retry_charged_at: float | None = None
+    hedge_work: float = 0.0
 
     def overdue_time(self) -> float:
         """Return when the first byte becomes overdue; infinity once it has arrived."""
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -10,6 +10,7 @@
     "COMPLETE",
     "CRASHED",
     "FAILED",
+    "LOST",
     "REJECTED",
     "UNREACHABLE",
     "UNUSED",
@@ -32,6 +33,7 @@
 UNREACHABLE = "unreachable"  # nothing was sent
 UNUSED = "unused"  # the node no longer needed the grant
 CANCELLED = "cancelled"
+LOST = "lost"  # ended since another attempt at the same request has won
 Outcome = str  # one of the constants above
 
 
@@ -75,6 +77,9 @@
     version : str
         Version of which the target must be, empty if any will do or, where the stream is resumed,
         if the node does not know it.
+    hedge : bool
+        Whether the request runs on another target, and this attempt is to be granted at once or
+        not at all.
     """
 
     id: int
@@ -99,6 +104,7 @@
     stream: int = 0
     resumed: bool = False
     version: str = ""
+    hedge: bool = False
 
     @property
     def urgency(self) -> tuple[int, int]:
@@ -130,7 +136,8 @@
     Parameters
     ----------
     kind : str
-        ``quota``, ``overload``, ``suspect``, ``retry-budget``, ``no-target`` or ``stream-version``.
+        ``quota``, ``overload``, ``suspect``, ``retry-budget``, ``hedge-budget``, ``no-target`` or
+        ``stream-version``.
     retry_after : float
         Seconds after which a new request may succeed.
     """
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -10,6 +10,7 @@
 
 from celeryrun.catalog import Pool, Target
 from celeryrun.continuity import Bound, Resolution, Unknown
+from celeryrun.hedging import HedgeGate
 from celeryrun.scheduling import _messages as messages
 from celeryrun.scheduling._crash_history import CrashHistory
 from celeryrun.scheduling._demand import PoolDemand
@@ -75,6 +76,11 @@
         Returns the start of the last read that showed the targets of a pool to be the newest list.
     confirm_list : callable, optional
         Called when the list must be read again before a resumed stream can be placed.
+
+    Attributes
+    ----------
+    hedge_gate : HedgeGate
+        Decides on hedges; its budget is empty at first.
     """
 
     __slots__ = (
@@ -93,6 +99,7 @@
         "_resolve_origin",
         "_resolve_by_key_by_pool",
         "_targets",
+        "hedge_gate",
         "loads_by_target",
         "pauses",
         "queues_by_pool",
@@ -130,6 +137,7 @@
         self._confirm_list = confirm_list
         self.rate_limits = TargetRateLimits(fleet_share)
         self.pauses = TargetPauses()
+        self.hedge_gate = HedgeGate()
         self._load_by_grant_id: dict[int, TargetLoad] = {}
         self._demand_by_pool: defaultdict[str, PoolDemand] = defaultdict(PoolDemand)
         self._fair_shares_by_pool: defaultdict[str, FairShares] = defaultdict(FairShares)
@@ -155,6 +163,8 @@
         """
         if self._crash_history.assess(slot_request.fingerprint, now).refused:
             return Denial(slot_request.id, "suspect", 0.0)
+        if slot_request.hedge and self.queues_by_pool.get(slot_request.pool):
+            return Denial(slot_request.id, "overload", 0.0)
         if slot_request.probed_parts and not self._probes.admit(slot_request.probed_parts, now):
             return Denial(slot_request.id, "suspect", PROBE_INTERVAL)
         if not self._limits.admit_attempt(slot_request, now):
@@ -178,7 +188,8 @@
             wait = min(MAX_ORIGIN_WAIT, slot_request.patience / 2)
             resolve_by_key = self._resolve_by_key_by_pool.setdefault(slot_request.pool, {})
             resolve_by_key[node, slot_request.id] = now + wait
-        self._record_work(slot_request, now)
+        if not slot_request.hedge:
+            self._record_work(slot_request, now)
         return None
 
     def plan(
@@ -231,7 +242,9 @@
         ):
             if not full_scan and not planning_round.idle_targets:
                 break
-            if not self._decide(queued, planning_round, may_be_late=False):
+            if queued.slot_request.hedge or not self._decide(
+                queued, planning_round, may_be_late=False
+            ):
                 late.append(queued)
         for queued in late:
             if not full_scan and not planning_round.idle_targets:
@@ -303,6 +316,12 @@
         """
         now = planning_round.now
         placement = find_placement(queued, planning_round)
+        if queued.slot_request.hedge:
+            wait, work = (placement.start - now, placement.first_byte) if placement else (None, 0)
+            kind = self.hedge_gate.find_denial(wait, work, planning_round.idle_targets, now)
+            if kind is not None:
+                planning_round.denials.append(self._deny(queued, kind, now, now))
+                return True
         if placement is None:
             # A target of its version may be certain again within what is left of its patience.
             queued.is_scheduled |= bool(queued.slot_request.version)
@@ -346,6 +365,8 @@
             active_grant = load.active_grants_by_id[grant_id]
             load.learn_first_byte(active_grant, seconds)
             load.shorten_prefill(now)
+            if active_grant.hedge_work:
+                self._settle_hedge(active_grant, 0.0, now)
             self.pauses.record_served(active_grant.target, active_grant.granted, load.slots)
 
     def release(self, released: SlotReleased, now: float) -> str | None:
@@ -364,6 +385,7 @@
             return None
         if released.outcome in (messages.UNREACHABLE, messages.UNUSED):
             self._refund_retry(active_grant.pool, active_grant.retry_charged_at)
+        self._settle_hedge(active_grant, _extra_work(released, active_grant), now)
         match released.outcome:
             case messages.COMPLETE:
                 load.record_result(failed=False)
@@ -525,7 +547,12 @@
             fingerprint=slot_request.fingerprint,
             deadline=queued.deadline_time,
             retry_charged_at=queued.retry_charged_at,
+            hedge_work=placement.first_byte if slot_request.hedge else 0.0,
         )
+        if slot_request.hedge:
+            self.hedge_gate.budget.charge(active_grant.hedge_work, now)
+        else:
+            self.hedge_gate.budget.record_work(placement.duration, now)
         load.add_grant(grant_id, active_grant)
         self.rate_limits.consume(placement.target, now)
         self._load_by_grant_id[grant_id] = load
@@ -552,5 +579,21 @@
         if charged_at is not None:
             self._limits.refund_retry(pool, charged_at)
 
+    def _settle_hedge(self, active_grant: ActiveGrant, extra_work: float, now: float) -> None:
+        """Replace what was charged for a hedge by the work that it or its loser took."""
+        self.hedge_gate.budget.settle(active_grant.hedge_work, extra_work, now)
+        active_grant.hedge_work = 0.0
+
     def _add_jitter(self, seconds: float) -> float:
         return seconds * (1 + RETRY_JITTER * self._random.random())
+
+
+def _extra_work(released: SlotReleased, active_grant: ActiveGrant) -> float:
+    """Return the seconds of a slot that a released attempt took beside the one that counts."""
+    match released.outcome:
+        case messages.LOST:
+            return released.seconds
+        case messages.COMPLETE | messages.UNUSED | messages.UNREACHABLE:
+            return 0.0
+        case _:
+            return released.seconds if active_grant.hedge_work else 0.0
--- a/celeryrun/settings/__init__.py
+++ b/celeryrun/settings/__init__.py
@@ -4,6 +4,7 @@
     BoundSettings,
     GatewayNodeSettings,
     GatewaySettings,
+    HedgingSettings,
     StoreSettings,
 )
 from celeryrun.settings._load import (
@@ -27,6 +28,7 @@
     "BoundSettings",
     "GatewayNodeSettings",
     "GatewaySettings",
+    "HedgingSettings",
     "LimitSettings",
     "NodeSettings",
     "PeerSettings",
--- a/celeryrun/settings/_gateway.py
+++ b/celeryrun/settings/_gateway.py
@@ -16,7 +16,13 @@
     Size,
 )
 
-__all__ = ["BoundSettings", "GatewayNodeSettings", "GatewaySettings", "StoreSettings"]
+__all__ = [
+    "BoundSettings",
+    "GatewayNodeSettings",
+    "GatewaySettings",
+    "HedgingSettings",
+    "StoreSettings",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +83,15 @@
     quota_window: float = setting(Duration(0.1, 600), "time over which quotas are counted", 8.0)
 
 
+@dataclass(frozen=True, slots=True)
+class HedgingSettings:
+    """``[hedging]``: second attempts at slow requests."""
+
+    extra_work: float = setting(
+        Number(0, 1), "extra work for second attempts, as a share of all work; 0 for none", 0.0
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Validated settings of a gateway."""
@@ -84,3 +99,4 @@
     node: GatewayNodeSettings
     store: StoreSettings
     bounds: BoundSettings
+    hedging: HedgingSettings
