Gateway: hedge slow requests; the first response wins, the other attempt is closed

Both attempts run; the first whole response of a plain request, or first event of a resumable stream, is passed on. An attempt that fails leaves the other one.

--- a/celeryrun/gateway/_attempt.py
+++ b/celeryrun/gateway/_attempt.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from celeryrun.catalog import Target
 from celeryrun.gateway._client import SchedulerClient
 from celeryrun.gateway._stream import MAX_EVENT_BYTES, has_event
 from celeryrun.gateway._stream_origins import RecordedOrigin
 from celeryrun.kernel import now
-from celeryrun.scheduling import CANCELLED, UNUSED, Grant, Outcome
+from celeryrun.platform import TargetResponse
+from celeryrun.scheduling import CANCELLED, LOST, UNUSED, Grant, Outcome
 from celeryrun.transport import Exchange, TargetFailedError
 
 __all__ = ["Attempt", "AttemptChain"]
@@ -78,6 +80,15 @@
         elif origin is not None:
             self._scheduler_client.report_origin(origin)
 
+    def report_statements(self, response: TargetResponse) -> None:
+        """Report what a response says of its target to the scheduler and all nodes."""
+        client, target = self._scheduler_client, self.target
+        client.report_limit(target.id, response.rate_limit, self.began)
+        if response.pause is not None:
+            client.report_pause(target.run, response.pause)
+        if response.leaving:
+            client.report_leaving(target.run)
+
     def close(self, outcome: Outcome | None = None, events: int = 0) -> None:
         """Abort the connection and release the slot, unless that was done.
 
@@ -126,7 +137,7 @@
 
 
 class AttemptChain:
-    """Attempts of one request: the current one, its successor and the one in reserve.
+    """Attempts of one request: the current one, its successor, its hedge, the one in reserve.
 
     Attributes
     ----------
@@ -134,32 +145,60 @@
         Attempt whose response is relayed.
     successor : Attempt or None
         Attempt that is ready to replace a silent current one.
+    hedge : Attempt or None
+        Attempt that another target works on beside the current one.
+    hedge_won : bool
+        Whether the hedge has its response, or its first event, before the current one.
+    on_hedge_lost : callable
+        Called with a hedge that is closed because it is no longer needed.
     """
 
-    __slots__ = ("_reserve", "current", "successor")
+    __slots__ = ("_reserve", "current", "hedge", "hedge_won", "on_hedge_lost", "successor")
 
     def __init__(self) -> None:
         self.current: Attempt | None = None
         self.successor: Attempt | None = None
         self._reserve: Attempt | None = None
+        self.hedge: Attempt | None = None
+        self.hedge_won = False
+        self.on_hedge_lost: Callable[[Attempt], None] = lambda attempt: None
 
     def take_next(self) -> Attempt | None:
-        """Make the successor, or else the attempt in reserve, the current one."""
-        if self.successor is not None:
+        """Make a hedge that has won, the successor or another open attempt the current one."""
+        if self.hedge_won:
+            self.drop_successor()
+            self._take_hedge()
+        elif self.successor is not None:
             self.current, self.successor = self.successor, None
         elif self.has_reserve:
             self.current, self._reserve = self._reserve, None
             assert self.current is not None
             self.current.keep()
         else:
-            self.current = None
+            self._take_hedge()
         return self.current
 
+    def _take_hedge(self) -> None:
+        self.current, self.hedge, self.hedge_won = self.hedge, None, False
+
+    def offer_successor(self, attempt: Attempt, is_allowed: bool) -> bool:
+        """Keep an attempt to replace a silent current one; return whether it may."""
+        if not is_allowed or self.hedge_won:
+            attempt.close(UNUSED)
+            return False
+        self.successor = attempt
+        return True
+
     @property
     def has_reserve(self) -> bool:
         """Whether a silent target may still go on with its response."""
         return self._reserve is not None and self._reserve.is_open
 
+    @property
+    def has_other(self) -> bool:
+        """Whether another attempt than the current one works on the request."""
+        return self.has_reserve or self.hedge is not None
+
     async def reserve_goes_on(self, is_stream: bool) -> bool:
         """Return whether the target in reserve goes on with its response before it is closed."""
         return self._reserve is not None and await self._reserve.goes_on(is_stream)
@@ -188,9 +227,17 @@
             self.successor.close(UNUSED)
             self.successor = None
 
+    def drop_hedge(self) -> None:
+        """Close the hedge, which has lost."""
+        hedge, self.hedge, self.hedge_won = self.hedge, None, False
+        if hedge is not None:
+            hedge.close(LOST)
+            self.on_hedge_lost(hedge)
+
     def close(self) -> None:
         """Close all attempts."""
         if self.current is not None:
             self.current.close()
         self.drop_reserve()
         self.drop_successor()
+        self.drop_hedge()
--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -155,6 +155,16 @@
             self._ready_targets_by_pool[pool] = found
         return found
 
+    def is_ready(self, target: Target) -> bool:
+        """Return whether the newest list has this run of a target as ready, at its address."""
+        listed = self.targets_by_id.get(target.id)
+        return (
+            listed is not None
+            and listed.ready
+            and (listed.host, listed.port, listed.born) == (target.host, target.port, target.born)
+            and listed.version == target.version
+        )
+
     def find_pool(self, name: str) -> Pool:
         """Return a pool's configuration, or the defaults if it has none."""
         known = self.catalog.pools_by_name.get(name) if self.catalog is not None else None
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -36,6 +36,8 @@
         "aborts",
         "answers",
         "first_byte",
+        "hedges",
+        "hedge_seconds",
         "refusals",
         "resumed_streams",
         "target_crashes",
@@ -82,6 +84,19 @@
             registry=self._registry,
         )
 
+        self.hedges = Counter(
+            "celeryrun_hedges",
+            "Second attempts at slow requests, by what became of them",
+            ("result",),
+            registry=self._registry,
+        )
+
+        self.hedge_seconds = Counter(
+            "celeryrun_hedge_seconds",
+            "Seconds for which targets worked on attempts that lost",
+            registry=self._registry,
+        )
+
         self._store_era = Gauge(
             "celeryrun_store_era",
             "Latest era of the store that this node knows; it rises when a copy is restored",
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -18,6 +18,7 @@
 from celeryrun.gateway._client import SchedulerClient
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._discovery import Discovery
+from celeryrun.gateway._hedge import HedgeSteps, Hedging
 from celeryrun.gateway._metrics import GatewayMetrics
 from celeryrun.gateway._planned_stop import STOPPING, DurationHistory, PlannedStop, StopSchedule
 from celeryrun.gateway._request_log import RequestLog
@@ -38,13 +39,12 @@
     UNREACHABLE_TARGETS,
     RequestState,
     build_slot_request,
-    expected_events,
     refusal_for_denial,
     silence_timeout,
 )
 from celeryrun.gateway._stream_origins import RecordedOrigin, StreamOrigins
 from celeryrun.kernel import Kernel, now
-from celeryrun.platform import CallerRequest, TargetResponse, format_request, read_request
+from celeryrun.platform import CallerRequest, format_request, read_request
 from celeryrun.scheduling import (
     BROKEN,
     COMPLETE,
@@ -97,6 +97,7 @@
         "_crash_tracker",
         "_discovery",
         "_durations",
+        "_hedging",
         "_metrics",
         "_origins",
         "_planned_stop",
@@ -115,6 +116,14 @@
         self._settings = settings
         self._durations = DurationHistory()
         self._planned_stop = PlannedStop()
+        self._hedging = Hedging(
+            HedgeSteps(self._open_attempt, self._send, self._end_attempt, self._has_survived),
+            settings,
+            self._planned_stop,
+            self._crash_tracker,
+            self._request_log,
+            self._metrics,
+        )
 
     def start(self) -> None:
         """Do nothing; the service has no task."""
@@ -125,6 +134,7 @@
     def apply(self, settings: GatewaySettings) -> None:
         """Apply reloaded settings."""
         self._settings = settings
+        self._hedging.apply(settings)
 
     def begin_stop(self, schedule: StopSchedule) -> None:
         """Refuse from now on what can't be answered before a planned stop."""
@@ -209,15 +219,9 @@
                     self._leave_silent_target(state, response_relay, attempts, attempt)
                     continue
                 attempts.keep_reserve()
-                events = response_relay.events
-                outcome = await self._classify_result(state, result, attempt.target, events)
-                self._report_suspects(state, attempt.target, outcome, attempt.began)
-                if outcome == COMPLETE:
-                    route, size = state.admission.route.name, _expected_size(state)
-                    self._durations.record(route, now() - attempt.began, size)
-                attempt.close(outcome, events)
+                await self._end_attempt(state, attempt, result, response_relay.events)
                 if self._finish_attempt(
-                    connection, state, response_relay, result, attempt.target, attempts.has_reserve
+                    connection, state, response_relay, result, attempt.target, attempts.has_other
                 ):
                     return
         finally:
@@ -234,12 +238,15 @@
 
         Without a successor, the target in reserve goes on, and the current one is not needed.
         """
+        if attempts.hedge_won:
+            self._hedging.end_loser(state, attempt, attempts)
+            return
         if attempts.successor is None:
             self._request_log.emit(state, "silence-ended", unused=attempt.target.id)
             attempt.close()
             return
         attempt.outcome = FAILED
-        _record_progress(state, response_relay)
+        response_relay.record_progress(state)
         self._request_log.emit(
             state,
             "target-silent",
@@ -279,16 +286,16 @@
     ) -> bool:
         """Open an attempt at another target than a silent one; return whether one may take it."""
         assert attempts.current is not None
-        if not response_relay.can_continue():
+        max_attempts = state.admission.route.max_attempts
+        if state.attempts >= max_attempts or not response_relay.can_continue():
             return False
         state.excluded_targets.append(attempts.current.target.id)
-        _record_progress(state, response_relay)
+        response_relay.record_progress(state)
         pause = SEARCH_PAUSE
         while True:
             match await self._open_attempt(state):
                 case Attempt() as attempt:
-                    attempts.successor = attempt
-                    return True
+                    return attempts.offer_successor(attempt, state.attempts < max_attempts)
                 case Refusal():
                     return False
                 case Denial():
@@ -334,7 +341,7 @@
         """Return the seconds for which a target must be left, 0 for a stream that has begun."""
         if state.last_event_at is not None:
             return 0.0
-        return self._durations.expect(state.admission.route.name, _expected_size(state))
+        return self._durations.expect(state.admission.route.name, state.expected_size)
 
     def _log_resumption(self, state: RequestState, grant: Grant) -> None:
         self._request_log.emit(
@@ -357,20 +364,10 @@
         assert catalog is not None
         return recheck_admission(catalog, state.admission, state.request.api_key, self._freshness())
 
-    def _is_ready(self, target: Target) -> bool:
-        """Return whether the newest list has this run of a target as ready, at its address."""
-        listed = self._discovery.targets_by_id.get(target.id)
-        return (
-            listed is not None
-            and listed.ready
-            and (listed.host, listed.port, listed.born) == (target.host, target.port, target.born)
-            and listed.version == target.version
-        )
-
     def _may_send(self, state: RequestState, target: Target) -> bool:
         """Return whether a target takes new requests of this node and may continue a stream."""
         return (
-            self._is_ready(target)
+            self._discovery.is_ready(target)
             and self._may_continue(state, target)
             and not self._scheduler_client.pause_left(target.run)
         )
@@ -449,49 +446,56 @@
             if now() >= state.respond_by:
                 attempt.outcome = UNUSED
                 raise TimeoutError
-            attempt.was_sent = True
-            state.attempts += 1
-            await attempt.exchange.send(
-                format_request(
-                    state.request,
-                    attempt.target.id,
-                    state.admission.workspace.name or None,
-                    state.respond_by - now(),
-                    state.last_event,
-                )
-            )
+            await self._send(state, attempt)
         is_stream = state.admission.route.kind.stream
         silence = SilenceWatch(
             silence_timeout(state, attempt.grant.expected_first_byte),
             lambda: self._find_successor(state, response_relay, attempts),
             attempts.drop_successor,
             (lambda: attempts.reserve_goes_on(is_stream)) if attempts.has_reserve else None,
+            self._hedging.plan(state, attempts, attempt, response_relay),
+            attempts.drop_hedge,
         )
         return await response_relay.relay(
             attempt,
             silence,
             on_accepted=attempts.drop_reserve,
-            on_event=lambda: self._bind_stream(state, attempt.target),
+            on_event=lambda: self._bind_stream(state, attempt),
             has_survived=lambda: self._has_survived(attempt.target),
-            on_statements=lambda response: self._report_statements(attempt, response),
+            on_statements=attempt.report_statements,
         )
 
-    def _report_statements(self, attempt: Attempt, response: TargetResponse) -> None:
-        """Report what a response says of its target to the scheduler and all nodes."""
-        target = attempt.target
-        self._scheduler_client.report_limit(target.id, response.rate_limit, attempt.began)
-        if response.pause is not None:
-            self._scheduler_client.report_pause(target.run, response.pause)
-        if response.leaving:
-            self._scheduler_client.report_leaving(target.run)
+    async def _send(self, state: RequestState, attempt: Attempt) -> None:
+        """Send a request to the target of an attempt."""
+        attempt.was_sent = True
+        state.attempts += 1
+        workspace = state.admission.workspace.name or None
+        remaining = state.respond_by - now()
+        await attempt.exchange.send(
+            format_request(state.request, attempt.target.id, workspace, remaining, state.last_event)
+        )
 
-    def _bind_stream(self, state: RequestState, target: Target) -> RecordedOrigin | None:
+    def _bind_stream(self, state: RequestState, attempt: Attempt) -> RecordedOrigin | None:
         """Bind a stream to the version of its first event; return the origin if it is news."""
         if not state.stream or state.is_bound:
             return None
         state.is_bound = True
-        state.version = target.version
-        return self._origins.record_own(state.stream, target, state.request.deadline)
+        state.version = attempt.target.version
+        self._hedging.record(state, attempt)
+        return self._origins.record_own(state.stream, attempt.target, state.request.deadline)
+
+    async def _end_attempt(
+        self, state: RequestState, attempt: Attempt, result: Result, events: int = 0
+    ) -> None:
+        """Report the result of an attempt, and close it."""
+        outcome = await self._classify_result(state, result, attempt.target, events)
+        self._report_suspects(state, attempt.target, outcome, attempt.began)
+        if outcome == COMPLETE:
+            route = state.admission.route
+            self._durations.record(route.name, now() - attempt.began, state.expected_size)
+            if not route.kind.stream:
+                self._hedging.record(state, attempt)
+        attempt.close(outcome, events)
 
     async def _classify_result(
         self,
@@ -548,17 +552,17 @@
         response_relay: ResponseRelay,
         result: Result,
         target: Target,
-        has_reserve: bool,
+        has_other: bool,
     ) -> bool:
         """Respond to a caller after an attempt; return whether the response is final.
 
         Parameters
         ----------
-        has_reserve : bool
-            Whether an earlier target, which was silent, may still go on with its response.
+        has_other : bool
+            Whether another target works on the request, or may still go on with its response.
         """
         route = state.admission.route
-        may_repeat = state.attempts < route.max_attempts or has_reserve
+        may_repeat = state.attempts < route.max_attempts or has_other
         is_paused = self._scheduler_client.pause_left(target.run) > 0
         if not (isinstance(result, Rejected) and is_paused):
             state.excluded_targets.append(target.id)
@@ -580,7 +584,7 @@
                 )
                 return True
             case Rejected(status=status):
-                if has_reserve or (may_repeat and response_relay.can_continue()):
+                if has_other or (may_repeat and response_relay.can_continue()):
                     self._request_log.emit(state, "rejected", status=status, target=target.id)
                     return False
                 if connection.response_started:
@@ -599,7 +603,7 @@
         )
         if may_repeat and route.kind.repeatable and response_relay.can_continue():
             self._readmit_targets(state)
-            _record_progress(state, response_relay)
+            response_relay.record_progress(state)
             return False
         self._fail(connection, state, response_relay)
         return True
@@ -709,14 +713,3 @@
     ) -> None:
         self._request_log.log_refusal(state.request, refusal, by, state)
         connection.refuse(refusal)
-
-
-def _record_progress(state: RequestState, response_relay: ResponseRelay) -> None:
-    """Note how much of a stream its caller has, for the target that continues it."""
-    if response_relay.events:
-        state.last_event = response_relay.last_id
-        state.last_event_at = response_relay.last_event_at
-
-
-def _expected_size(state: RequestState) -> float:
-    return max(1.0, expected_events(state))
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -8,6 +8,7 @@
 from celeryrun.catalog import Route
 from celeryrun.gateway._attempt import Attempt
 from celeryrun.gateway._silence import SilenceWatch, SuccessorFoundError
+from celeryrun.gateway._state import RequestState
 from celeryrun.gateway._stream import EventSplitter, EventTooLargeError
 from celeryrun.gateway._stream_origins import RecordedOrigin
 from celeryrun.kernel import now
@@ -22,7 +23,16 @@
     format_head,
 )
 
-__all__ = ["Broken", "Finished", "Rejected", "ResponseRelay", "Result", "Silent"]
+__all__ = [
+    "MAX_HELD_BYTES",
+    "Broken",
+    "Finished",
+    "Rejected",
+    "ResponseRelay",
+    "Result",
+    "Silent",
+    "find_fault",
+]
 
 MAX_HELD_BYTES = 262_144  # bytes; a response up to this size is read whole before it is sent
 MIN_FAILURE_STATUS = 500
@@ -137,6 +147,12 @@
         # Without an id, a target would start the stream again.
         return self._route.kind.resumable and (bool(self.last_id) or not self._splitter.line_count)
 
+    def record_progress(self, state: RequestState) -> None:
+        """Note how much of a stream its caller has, for the target that continues it."""
+        if self.events:
+            state.last_event = self.last_id
+            state.last_event_at = self.last_event_at
+
     def send_held(self) -> bool:
         """Send the response that is held back; return whether there was one."""
         if self._held_response is None:
@@ -176,21 +192,22 @@
             # The target in reserve may have gone on in the same turn of the event loop.
             on_accepted()
             silence.end_reserve()
+            if is_stream:
+                silence.end_hedge()
 
+        is_stream = False
         try:
             head = await silence.wait(exchange.read_head)
             response = read_response(head, self._request)
             if response.matches_request or response.not_run:
                 on_statements(response)
-            if response.not_run:
-                return Rejected(head.status)
-            self.all_rejected = False
-            if not response.matches_request or response.has_content_encoding:
-                return Broken("malformed")
-            if head.status < MIN_FAILURE_STATUS and not response.sealed:
-                return Broken("unsealed")
+            fault = find_fault(response)
+            self.all_rejected &= isinstance(fault, Rejected)
+            if fault is not None:
+                return fault
             has_body = self._request.head.method != b"HEAD"
-            if self._route.kind.stream and head.status == 200 and has_body:
+            is_stream = self._route.kind.stream and head.status == 200 and has_body
+            if is_stream:
                 body = self._relay_stream(attempt, head, silence, accept, on_event)
             elif self._connection.response_started:
                 # Only further events can follow those that the caller has.
@@ -230,6 +247,7 @@
             self._record_first_byte()
             attempt.received += chunk
             if len(attempt.received) > MAX_HELD_BYTES:
+                silence.end_hedge()
                 return await self._relay_chunked(exchange, head, attempt.received)
         body = attempt.received
         if head.status in NOT_RUN_STATUSES:
@@ -325,5 +343,16 @@
         return [(b"Connection", self._connection.connection_header())]
 
 
+def find_fault(response: TargetResponse) -> Broken | Rejected | None:
+    """Return why a response whose head has come can't be passed on, None if it can."""
+    if response.not_run:
+        return Rejected(response.head.status)
+    if not response.matches_request or response.has_content_encoding:
+        return Broken("malformed")
+    if response.head.status < MIN_FAILURE_STATUS and not response.sealed:
+        return Broken("unsealed")
+    return None
+
+
 def _start_line(head: ResponseHead) -> bytes:
     return b"HTTP/1.1 %d %b" % (head.status, head.reason)
--- a/celeryrun/gateway/_silence.py
+++ b/celeryrun/gateway/_silence.py
@@ -35,11 +35,18 @@
     reserve_goes_on : callable, optional
         Coroutine function that returns whether an earlier, silent target goes on with its
         response; that one is as good as a successor.
+    hedge : callable, optional
+        Coroutine function that returns whether another target that works on the request has its
+        response; that one is as good as a successor.
+    discard_hedge : callable, optional
+        Called when the response of the target is passed on, so that no hedge may follow.
     """
 
     __slots__ = (
+        "_discard_hedge",
         "_discard_successor",
         "_find_successor",
+        "_hedge",
         "_progress_at",
         "_reserve",
         "_search",
@@ -52,6 +59,8 @@
         find_successor: Callable[[], Awaitable[bool]],
         discard_successor: Callable[[], None],
         reserve_goes_on: Callable[[], Awaitable[bool]] | None = None,
+        hedge: Callable[[], Awaitable[bool]] | None = None,
+        discard_hedge: Callable[[], None] = lambda: None,
     ) -> None:
         self._timeout = timeout
         self._find_successor = find_successor
@@ -61,6 +70,8 @@
         self._reserve: asyncio.Future[bool] | None = None
         if reserve_goes_on is not None:
             self._reserve = _start(reserve_goes_on())
+        self._hedge = None if hedge is None else _start(hedge())
+        self._discard_hedge = discard_hedge
 
     def end_reserve(self) -> None:
         """Note that the earlier target is no longer an alternative, even if it has gone on."""
@@ -68,6 +79,13 @@
             self._reserve.cancel()
             self._reserve = None
 
+    def end_hedge(self) -> None:
+        """Note that the response is passed on, so that no other may take its place."""
+        if self._hedge is not None:
+            self._hedge.cancel()
+            self._hedge = None
+            self._discard_hedge()
+
     def record_progress(self) -> None:
         """Note that the target goes on."""
         self._progress_at = now()
@@ -85,7 +103,7 @@
         SuccessorFoundError
             If another target is to take the request.
         """
-        if self._reserve is None and self._search is None:
+        if not self._searches():
             if self._timeout is None:
                 return await read()
             try:
@@ -121,7 +139,8 @@
             raise SuccessorFoundError
 
     def _searches(self) -> list[asyncio.Future[bool]]:
-        return [search for search in (self._reserve, self._search) if search is not None]
+        searches = (self._reserve, self._search, self._hedge)
+        return [search for search in searches if search is not None]
 
     def _has_found(self) -> bool:
         """Return whether another target is ready, or the one in reserve goes on."""
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from celeryrun.catalog import Pool
 from celeryrun.continuity import hash_attempt
@@ -84,6 +84,8 @@
         Version to which the stream is bound, empty while it is not, or not known.
     is_bound : bool
         Whether the response has brought an event, so that its version is certain.
+    is_hedge : bool
+        Whether this is the copy with which a hedge gets its slot.
     """
 
     request: CallerRequest
@@ -102,6 +104,7 @@
     stream: int = 0
     version: str = ""
     is_bound: bool = False
+    is_hedge: bool = False
 
     @classmethod
     def from_admission(
@@ -122,12 +125,26 @@
             stream=stream,
         )
 
+    def for_hedge(self, target: str) -> RequestState:
+        """Return a copy that gets a slot of another target than the one that works on it."""
+        return replace(
+            self,
+            is_hedge=True,
+            excluded_targets=[*self.excluded_targets, target],
+            paused_targets=set(self.paused_targets),
+        )
+
     @property
     def is_resumed(self) -> bool:
         """Whether the caller takes up a stream of which it has events."""
         has_events = self.request.last_event_id or self.request.resumed_id
         return self.admission.route.kind.resumable and bool(has_events)
 
+    @property
+    def expected_size(self) -> float:
+        """Expected length of the response, at least 1."""
+        return max(1.0, expected_events(self))
+
     @property
     def logged_parts(self) -> list[str] | None:
         """Ids of the first shared parts of the prompt, as logged; None if it has none."""
@@ -209,6 +226,7 @@
         stream=state.stream,
         resumed=state.is_resumed,
         version=state.version,
+        hedge=state.is_hedge,
     )
 
 
