Gateway: no refusal after an earlier target may have run the request

Where a first target broke off and a second one rejected the request, the caller got 503, which states that nothing was run. It now gets 502 (outcome unknown), or the failure held back. Found while the hedge was built, whose two attempts make the case more frequent.

--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -589,6 +589,8 @@
                     return False
                 if connection.response_started:
                     self._abort(connection, state, response_relay, "rejected")
+                elif not response_relay.all_rejected:
+                    self._fail(connection, state, response_relay)
                 else:
                     refusal = self._delay_past_pauses(state, REJECTED_BY_TARGET)
                     self._refuse(connection, state, refusal, "target")
