--- a/celeryrun/gateway/_hedge.py
+++ b/celeryrun/gateway/_hedge.py
@@ -25,7 +25,7 @@
 )
 from celeryrun.gateway._state import RequestState
 from celeryrun.gateway._stream import MAX_EVENT_BYTES, has_event
-from celeryrun.hedging import HedgeDelays, may_hedge
+from celeryrun.hedging import may_hedge
 from celeryrun.kernel import now
 from celeryrun.platform import read_response
 from celeryrun.scheduling import LOST, UNUSED
@@ -179,7 +179,6 @@
 
     __slots__ = (
         "_crash_tracker",
-        "_delays",
         "_metrics",
         "_planned_stop",
         "_request_log",
@@ -202,7 +201,6 @@
         self._crash_tracker = crash_tracker
         self._request_log = request_log
         self._metrics = metrics
-        self._delays = HedgeDelays()
 
     def apply(self, settings: GatewaySettings) -> None:
         """Apply reloaded settings."""
@@ -216,8 +214,8 @@
         response_relay: ResponseRelay,
     ) -> Callable[[], Awaitable[bool]] | None:
         """Return the hedge of a request that is sent to a target now, None if there is none."""
-        delay = self._delays.find(state.admission.route.name, state.request.prompt_tokens)
-        if attempts.hedge is None and (delay is None or not self._may_hedge(state, response_relay)):
+        delay = attempt.grant.hedge_delay
+        if attempts.hedge is None and not (delay and self._may_hedge(state, response_relay)):
             return None
         attempts.on_hedge_lost = lambda lost: self._on_lost(state, lost)
         return Hedge(
@@ -225,7 +223,7 @@
             attempts,
             response_relay,
             self._steps,
-            attempt.began + (delay or 0.0),
+            attempt.began + delay,
             lambda: self._may_hedge(state, response_relay),
             lambda hedge: self._on_sent(state, attempt, hedge),
         ).run
@@ -241,16 +239,9 @@
         assessment = self._crash_tracker.assess(state.request.shared_prompt_parts)
         return not assessment.refused and not assessment.on_probation
 
-    def record(self, state: RequestState, attempt: Attempt) -> None:
-        """Learn from a target that has its response, or its first event, now."""
-        if self._settings.hedging.extra_work:
-            route = state.admission.route.name
-            self._delays.record(route, state.request.prompt_tokens, now() - attempt.began)
-
     def end_loser(self, state: RequestState, attempt: Attempt, attempts: AttemptChain) -> None:
         """Close the attempt whose hedge has won."""
         assert attempts.hedge is not None
-        self.record(state, attempt)
         self._request_log.emit(
             state,
             "hedge-won",
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -460,7 +460,7 @@
             attempt,
             silence,
             on_accepted=attempts.drop_reserve,
-            on_event=lambda: self._bind_stream(state, attempt),
+            on_event=lambda: self._bind_stream(state, attempt.target),
             has_survived=lambda: self._has_survived(attempt.target),
             on_statements=attempt.report_statements,
         )
@@ -475,14 +475,13 @@
             format_request(state.request, attempt.target.id, workspace, remaining, state.last_event)
         )
 
-    def _bind_stream(self, state: RequestState, attempt: Attempt) -> RecordedOrigin | None:
+    def _bind_stream(self, state: RequestState, target: Target) -> RecordedOrigin | None:
         """Bind a stream to the version of its first event; return the origin if it is news."""
         if not state.stream or state.is_bound:
             return None
         state.is_bound = True
-        state.version = attempt.target.version
-        self._hedging.record(state, attempt)
-        return self._origins.record_own(state.stream, attempt.target, state.request.deadline)
+        state.version = target.version
+        return self._origins.record_own(state.stream, target, state.request.deadline)
 
     async def _end_attempt(
         self, state: RequestState, attempt: Attempt, result: Result, events: int = 0
@@ -491,10 +490,8 @@
         outcome = await self._classify_result(state, result, attempt.target, events)
         self._report_suspects(state, attempt.target, outcome, attempt.began)
         if outcome == COMPLETE:
-            route = state.admission.route
-            self._durations.record(route.name, now() - attempt.began, state.expected_size)
-            if not route.kind.stream:
-                self._hedging.record(state, attempt)
+            route = state.admission.route.name
+            self._durations.record(route, now() - attempt.began, state.expected_size)
         attempt.close(outcome, events)
 
     async def _classify_result(
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -9,6 +9,7 @@
 from celeryrun.continuity import hash_attempt
 from celeryrun.exception import Refusal
 from celeryrun.gateway._admission import Admission
+from celeryrun.hedging import may_hedge
 from celeryrun.platform import CallerRequest
 from celeryrun.scheduling import Denial, SlotRequest
 
@@ -227,6 +228,7 @@
         resumed=state.is_resumed,
         version=state.version,
         hedge=state.is_hedge,
+        route=route.name if may_hedge(route.kind, 1, route.max_attempts) else "",
     )
 
 
--- a/celeryrun/hedging/_gate.py
+++ b/celeryrun/hedging/_gate.py
@@ -5,6 +5,7 @@
 import math
 
 from celeryrun.catalog import RequestKind
+from celeryrun.hedging._delay import HedgeDelays
 
 __all__ = ["HedgeBudget", "HedgeGate", "may_hedge"]
 
@@ -88,18 +89,32 @@
 
 
 class HedgeGate:
-    """Decision of a scheduler on slot requests of hedges, which never wait.
+    """Decisions of a scheduler on hedges, which never wait for a slot.
 
     Attributes
     ----------
     budget : HedgeBudget
         Extra work allowed.
+    delays : HedgeDelays
+        Response times of all nodes' requests.
     """
 
-    __slots__ = ("budget",)
+    __slots__ = ("budget", "delays")
 
     def __init__(self) -> None:
         self.budget = HedgeBudget()
+        self.delays = HedgeDelays()
+
+    def find_delay(self, route: str, prompt_tokens: int) -> float:
+        """Return the seconds after which a request may be hedged, 0 for never."""
+        if not self.budget.share or not route:
+            return 0.0
+        return self.delays.find(route, prompt_tokens) or 0.0
+
+    def record_response(self, route: str, prompt_tokens: int, seconds: float) -> None:
+        """Learn from a response, or from a request that was waited for so long."""
+        if self.budget.share and route:
+            self.delays.record(route, prompt_tokens, seconds)
 
     def find_denial(
         self, wait: float | None, work: float, idle_targets: int, now: float
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -41,6 +41,8 @@
         Time at which the request was charged to the retry budget, None if it was not.
     hedge_work : float
         Seconds charged to the budget of hedges, 0 if it is no hedge or has won.
+    route : str
+        Name of the route if its response times decide on hedges, else empty.
     """
 
     node: str
@@ -56,6 +58,7 @@
     deadline: float = math.inf
     retry_charged_at: float | None = None
     hedge_work: float = 0.0
+    route: str = ""
 
     def overdue_time(self) -> float:
         """Return when the first byte becomes overdue; infinity once it has arrived."""
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -80,6 +80,8 @@
     hedge : bool
         Whether the request runs on another target, and this attempt is to be granted at once or
         not at all.
+    route : str
+        Name of the route if its requests may be hedged, else empty.
     """
 
     id: int
@@ -105,6 +107,7 @@
     resumed: bool = False
     version: str = ""
     hedge: bool = False
+    route: str = ""
 
     @property
     def urgency(self) -> tuple[int, int]:
@@ -121,6 +124,8 @@
         Predicted seconds to the first byte.
     version : str
         Version to which the stream is bound, empty for a new one.
+    hedge_delay : float
+        Seconds without a response after which a hedge may start, 0 for never.
     """
 
     slot_request_id: int
@@ -128,6 +133,7 @@
     target: str
     expected_first_byte: float
     version: str = ""
+    hedge_delay: float = 0.0
 
 
 class Denial(msgspec.Struct, array_like=True, tag=True):
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -367,6 +367,10 @@
             load.shorten_prefill(now)
             if active_grant.hedge_work:
                 self._settle_hedge(active_grant, 0.0, now)
+            if load.engine:
+                self.hedge_gate.record_response(
+                    active_grant.route, active_grant.prompt_tokens, seconds
+                )
             self.pauses.record_served(active_grant.target, active_grant.granted, load.slots)
 
     def release(self, released: SlotReleased, now: float) -> str | None:
@@ -386,6 +390,12 @@
         if released.outcome in (messages.UNREACHABLE, messages.UNUSED):
             self._refund_retry(active_grant.pool, active_grant.retry_charged_at)
         self._settle_hedge(active_grant, _extra_work(released, active_grant), now)
+        if released.outcome == messages.LOST or (
+            released.outcome == messages.COMPLETE and not load.engine
+        ):
+            self.hedge_gate.record_response(
+                active_grant.route, active_grant.prompt_tokens, released.seconds
+            )
         match released.outcome:
             case messages.COMPLETE:
                 load.record_result(failed=False)
@@ -548,6 +558,7 @@
             deadline=queued.deadline_time,
             retry_charged_at=queued.retry_charged_at,
             hedge_work=placement.first_byte if slot_request.hedge else 0.0,
+            route="" if slot_request.hedge else slot_request.route,
         )
         if slot_request.hedge:
             self.hedge_gate.budget.charge(active_grant.hedge_work, now)
@@ -562,6 +573,7 @@
             placement.target,
             placement.first_byte,
             slot_request.version,
+            self.hedge_gate.find_delay(slot_request.route, slot_request.prompt_tokens),
         )
 
     def _deny(
