Hedging: log denied hedges, and place hedges on targets that are free now

A hedge was also denied where its cheapest slot was free a moment later although another was free now; it now chooses among the free ones.

--- a/celeryrun/gateway/_hedge.py
+++ b/celeryrun/gateway/_hedge.py
@@ -28,7 +28,7 @@
 from celeryrun.hedging import may_hedge
 from celeryrun.kernel import now
 from celeryrun.platform import read_response
-from celeryrun.scheduling import LOST, UNUSED
+from celeryrun.scheduling import LOST, UNUSED, Denial
 from celeryrun.settings import GatewaySettings
 from celeryrun.transport import Exchange, TargetFailedError
 
@@ -72,6 +72,7 @@
         "_attempts",
         "_due_at",
         "_may_start",
+        "_on_denied",
         "_on_sent",
         "_response_relay",
         "_state",
@@ -87,6 +88,7 @@
         due_at: float,
         may_start: Callable[[], bool],
         on_sent: Callable[[Attempt], None],
+        on_denied: Callable[[object], None],
     ) -> None:
         self._state = state
         self._attempts = attempts
@@ -95,6 +97,7 @@
         self._due_at = due_at
         self._may_start = may_start
         self._on_sent = on_sent
+        self._on_denied = on_denied
 
     async def run(self) -> bool:
         """Send the request to another target; return whether that one responds first.
@@ -121,6 +124,7 @@
             return None
         attempt = await self._steps.open_attempt(self._state.for_hedge(current.target.id))
         if not isinstance(attempt, Attempt):
+            self._on_denied(attempt)
             return None
         if self._attempts.successor is not None or not self._may_start():
             attempt.close(UNUSED)
@@ -226,6 +230,7 @@
             attempt.began + delay,
             lambda: self._may_hedge(state, response_relay),
             lambda hedge: self._on_sent(state, attempt, hedge),
+            lambda reason: self._on_denied(state, reason),
         ).run
 
     def _may_hedge(self, state: RequestState, response_relay: ResponseRelay) -> bool:
@@ -263,6 +268,11 @@
         )
         self._metrics.hedges.labels("sent").inc()
 
+    def _on_denied(self, state: RequestState, reason: object) -> None:
+        why = reason.kind if isinstance(reason, Denial) else type(reason).__name__.lower()
+        self._request_log.emit(state, "hedge-denied", why=why)
+        self._metrics.hedges.labels("denied").inc()
+
     def _on_lost(self, state: RequestState, hedge: Attempt) -> None:
         self._request_log.emit(
             state, "hedge-lost", target=hedge.target.id, seconds=round(now() - hedge.began, 4)
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -156,7 +156,11 @@
 
     def candidates(self, queued: QueuedRequest) -> dict[str, TargetLoad]:
         """Return the targets on which a request may run, apart from those that it excludes."""
-        return self.loads_of_version(queued) if queued.slot_request.version else self.targets
+        loads = self.loads_of_version(queued) if queued.slot_request.version else self.targets
+        if queued.slot_request.hedge:
+            next_free = self.next_free_by_target
+            loads = {name: load for name, load in loads.items() if next_free[name] <= self.now}
+        return loads
 
     def occupy(self, target: str, end: float) -> None:
         """Occupy a target's next free slot until a time."""
