--- a/celeryrun/gateway/_hedge.py
+++ b/celeryrun/gateway/_hedge.py
@@ -274,6 +274,8 @@
         self._metrics.hedges.labels("denied").inc()
 
     def _on_lost(self, state: RequestState, hedge: Attempt) -> None:
+        # A stream that breaks off later may go on there.
+        state.excluded_targets = [id for id in state.excluded_targets if id != hedge.target.id]
         self._request_log.emit(
             state, "hedge-lost", target=hedge.target.id, seconds=round(now() - hedge.began, 4)
         )
