--- a/celeryrun/scheduling/tests/test_hedges.py
+++ b/celeryrun/scheduling/tests/test_hedges.py
@@ -66,7 +66,9 @@
     assert hedge.target != grant.target
 
 
-@pytest.mark.parametrize("case", ["no-slot", "last-target", "no-credit", "queue", "no-retries"])
+@pytest.mark.parametrize(
+    "case", ["no-slot", "last-target", "no-credit", "queue", "no-retries", "limits", "pauses"]
+)
 def test_hedge_never_waits(case):
     scheduler, grant = build_hedging_scheduler(targets=2 if case == "last-target" else 3)
     kind = "overload"
@@ -78,6 +80,13 @@
         case "no-credit":
             scheduler.hedge_gate.budget.share = 0.0
             kind = "hedge-budget"
+        case "limits":
+            for target in ("t1", "t2"):
+                scheduler.rate_limits.apply(target, 0.5, 0.0, 0.0)
+                scheduler.rate_limits.consume(target, 0.05)
+        case "pauses":
+            for target in scheduler._targets("model"):
+                scheduler.pauses.apply(target.run, 5.0, 0.0)
         case "queue":
             scheduler.submit("n", build_slot_request(11), 0.1)
         case "no-retries":
