--- a/celeryrun/catalog/__init__.py
+++ b/celeryrun/catalog/__init__.py
@@ -11,6 +11,7 @@
     Target,
     TargetRun,
     Workspace,
+    expect_patience,
 )
 from celeryrun.catalog._restored import Credible, Doubtful, Outdated, judge_restored_entry
 
@@ -29,5 +30,6 @@
     "TargetRun",
     "Workspace",
     "WorkspaceEntry",
+    "expect_patience",
     "judge_restored_entry",
 ]
--- a/celeryrun/catalog/_model.py
+++ b/celeryrun/catalog/_model.py
@@ -15,8 +15,14 @@
     "Target",
     "TargetRun",
     "Workspace",
+    "expect_patience",
 ]
 
+# Callers abandon a stream after the longest of these three times without an event.
+MIN_PATIENCE = 2.0  # s
+PATIENCE_PER_OBJECTIVE = 4.0  # times the objective of the first byte
+PATIENCE_PER_PAUSE = 8.0  # times the route's maximum pause between events
+
 
 @dataclass(frozen=True, slots=True)
 class RequestKind:
@@ -89,6 +95,17 @@
     patience: float = math.inf
 
 
+def expect_patience(objective: float, max_pause: float) -> float:
+    """Return the seconds without an event after which callers abandon a stream.
+
+    Examples
+    --------
+    >>> expect_patience(0.1, 0.1), expect_patience(0.8, 0.25), expect_patience(0.1, 0.5)
+    (2.0, 3.2, 4.0)
+    """
+    return max(MIN_PATIENCE, PATIENCE_PER_OBJECTIVE * objective, PATIENCE_PER_PAUSE * max_pause)
+
+
 @dataclass(frozen=True, slots=True)
 class Workspace:
     """A customer with its tier and quota.
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -43,6 +43,8 @@
         "aborts",
         "answers",
         "first_byte",
+        "hedges",
+        "hedge_seconds",
         "refusals",
         "resumed_streams",
         "rollouts",
@@ -96,6 +98,18 @@
             )
             for name, text in ROLLOUT_GAUGES.items()
         }
+        self.hedges = Counter(
+            "celeryrun_hedges",
+            "Second attempts at slow requests, by what became of them",
+            ("result",),
+            registry=self._registry,
+        )
+
+        self.hedge_seconds = Counter(
+            "celeryrun_hedge_seconds",
+            "Seconds for which targets worked on attempts that lost",
+            registry=self._registry,
+        )
 
         self._store_era = Gauge(
             "celeryrun_store_era",
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -181,6 +181,7 @@
             zone_of=lambda node: self._members.zone_by_node.get(node, ""),
             gate=rollouts.gate,
         )
+        self.scheduler.hedge_gate.budget.share = settings.hedging.extra_work
 
     def start(self) -> None:
         """Start planning; ``listen`` opens the listener."""
@@ -211,6 +212,7 @@
         """Apply reloaded settings."""
         self._settings = settings
         self.scheduler.set_limits(_fleet_limits(settings))
+        self.scheduler.hedge_gate.budget.share = settings.hedging.extra_work
 
     def set_local_reply_handler(self, reply: Callable[[Reply], None]) -> None:
         """Set the handler of replies to this node's own slot requests."""
--- a/celeryrun/platform/_decode.py
+++ b/celeryrun/platform/_decode.py
@@ -17,6 +17,7 @@
     Target,
     Workspace,
     WorkspaceEntry,
+    expect_patience,
 )
 from celeryrun.records import (
     HeaderText,
@@ -36,10 +37,6 @@
 __all__ = ["decode_catalog", "decode_draft", "decode_target"]
 
 MS_PER_SECOND = 1000.0
-# Clients abandon a stream after the longest of these three times without an event.
-MIN_PATIENCE = 2.0  # s
-PATIENCE_PER_OBJECTIVE = 4.0  # times the objective of the first byte
-PATIENCE_PER_PAUSE = 8.0  # times the route's maximum pause between events
 TOKEN_UNIT = "token_count"
 MAX_ENTRY_BYTES = 65_536  # of one target's entry
 TARGET_ID = re.compile(r"[!-~]{1,255}")  # sent in a header
@@ -112,24 +109,12 @@
 
 
 def decode_catalog(body: bytes) -> Catalog:
-    """Decode one version of the operator's configuration.
-
-    Raises
-    ------
-    UnreadableRecordError
-        If the record does not match the published schema, or a number is out of range.
-    """
+    """Decode one version of the operator's configuration; see `decode_draft`."""
     return decode_draft(body).catalog
 
 
 def decode_draft(body: bytes) -> CatalogDraft:
-    """Decode one version of the operator's configuration with all its entries.
-
-    Raises
-    ------
-    UnreadableRecordError
-        If the record does not match the published schema, or a number is out of range.
-    """
+    """Decode a configuration with all its entries, or raise UnreadableRecordError."""
     config = decode_json(body, _Config, "configuration")
     entries = tuple(_decode_workspace(tenant) for tenant in config.tenants or ())
     workspaces_by_key = {key: entry.workspace for entry in entries for key in entry.keys}
@@ -183,7 +168,6 @@
     )
     objective = (route.target_latency_ms or route.timeout_ms) / MS_PER_SECOND
     max_pause = route.gap_aim_ms / MS_PER_SECOND
-    patience = max(MIN_PATIENCE, PATIENCE_PER_OBJECTIVE * objective, PATIENCE_PER_PAUSE * max_pause)
     return Route(
         route.name,
         route.host.lower(),
@@ -196,7 +180,7 @@
         route.public,
         splits or (Split(route.service, 1.0),),
         max_pause,
-        patience if is_stream else route.timeout_ms / MS_PER_SECOND,
+        expect_patience(objective, max_pause) if is_stream else route.timeout_ms / MS_PER_SECOND,
     )
 
 
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -10,6 +10,7 @@
     "COMPLETE",
     "CRASHED",
     "FAILED",
+    "LOST",
     "REJECTED",
     "UNREACHABLE",
     "UNUSED",
@@ -32,6 +33,7 @@
 UNREACHABLE = "unreachable"  # nothing was sent
 UNUSED = "unused"  # the node no longer needed the grant
 CANCELLED = "cancelled"
+LOST = "lost"  # ended since another attempt at the same request has won
 Outcome = str  # one of the constants above
 
 
@@ -75,6 +77,11 @@
     version : str
         Version of which the target must be, empty if any will do or, where the stream is resumed,
         if the node does not know it.
+    hedge : bool
+        Whether the request runs on another target, and this attempt is to be granted at once or
+        not at all.
+    route : str
+        Name of the route if its requests may be hedged, else empty.
     """
 
     id: int
@@ -99,6 +106,8 @@
     stream: int = 0
     resumed: bool = False
     version: str = ""
+    hedge: bool = False
+    route: str = ""
 
     @property
     def urgency(self) -> tuple[int, int]:
@@ -115,6 +124,8 @@
         Predicted seconds to the first byte.
     version : str
         Version to which the stream is bound, empty for a new one.
+    hedge_delay : float
+        Seconds without a response after which a hedge may start, 0 for never.
     """
 
     slot_request_id: int
@@ -122,6 +133,7 @@
     target: str
     expected_first_byte: float
     version: str = ""
+    hedge_delay: float = 0.0
 
 
 class Denial(msgspec.Struct, array_like=True, tag=True):
@@ -130,7 +142,8 @@
     Parameters
     ----------
     kind : str
-        ``quota``, ``overload``, ``suspect``, ``retry-budget``, ``no-target`` or ``stream-version``.
+        ``quota``, ``overload``, ``suspect``, ``retry-budget``, ``hedge-budget``, ``no-target`` or
+        ``stream-version``.
     retry_after : float
         Seconds after which a new request may succeed.
     """
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -179,6 +179,14 @@
 
     def candidates(self, queued: QueuedRequest) -> dict[str, TargetLoad]:
         """Return the targets on which a request may run, apart from those that it excludes."""
+        loads = self._allowed_loads(queued)
+        if queued.slot_request.hedge:
+            next_free = self.next_free_by_target
+            loads = {name: load for name, load in loads.items() if next_free[name] <= self.now}
+        return loads
+
+    def _allowed_loads(self, queued: QueuedRequest) -> dict[str, TargetLoad]:
+        """Return the targets of a request's version, or those that roll-outs leave to it."""
         if queued.slot_request.version:
             return self.loads_of_version(queued)
         if self.allowance is None:
@@ -188,7 +196,7 @@
             slot_request.rank,
             slot_request.prompt_tokens,
             slot_request.expected_events,
-            slot_request.retry,
+            slot_request.retry or slot_request.hedge,
         ):
             free = {
                 name: self.targets[name]
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -10,6 +10,7 @@
 
 from celeryrun.catalog import Pool, Target
 from celeryrun.continuity import Bound, Resolution, Unknown
+from celeryrun.hedging import HedgeGate
 from celeryrun.rollouts import RolloutGate
 from celeryrun.scheduling import _messages as messages
 from celeryrun.scheduling._crash_history import CrashHistory
@@ -90,6 +91,11 @@
         Returns the availability zone of a node, empty if it is unknown.
     gate : RolloutGate, optional
         Restricts the targets of pools that move to another version; by default, none do.
+
+    Attributes
+    ----------
+    hedge_gate : HedgeGate
+        Decides on hedges; its budget is empty at first.
     """
 
     __slots__ = (
@@ -111,6 +117,7 @@
         "_resolve_by_key_by_pool",
         "_targets",
         "_zone_of",
+        "hedge_gate",
         "loads_by_target",
         "pauses",
         "queues_by_pool",
@@ -152,6 +159,7 @@
         self._gate = RolloutGate() if gate is None else gate
         self.rate_limits = TargetRateLimits(fleet_share)
         self.pauses = TargetPauses()
+        self.hedge_gate = HedgeGate()
         self._load_by_grant_id: dict[int, TargetLoad] = {}
         self._demand_by_pool: defaultdict[str, PoolDemand] = defaultdict(PoolDemand)
         self._fair_shares_by_pool: defaultdict[str, FairShares] = defaultdict(FairShares)
@@ -180,6 +188,8 @@
         """
         if self._crash_history.assess(slot_request.fingerprint, now).refused:
             return Denial(slot_request.id, "suspect", 0.0)
+        if slot_request.hedge and self.queues_by_pool.get(slot_request.pool):
+            return Denial(slot_request.id, "overload", 0.0)
         if slot_request.probed_parts and not self._probes.admit(slot_request.probed_parts, now):
             return Denial(slot_request.id, "suspect", PROBE_INTERVAL)
         if not self._limits.admit_attempt(slot_request, now):
@@ -205,7 +215,8 @@
             wait = min(MAX_ORIGIN_WAIT, slot_request.patience / 2)
             resolve_by_key = self._resolve_by_key_by_pool.setdefault(slot_request.pool, {})
             resolve_by_key[node, slot_request.id] = now + wait
-        self._record_work(slot_request, now)
+        if not slot_request.hedge:
+            self._record_work(slot_request, now)
         return None
 
     def plan(
@@ -263,7 +274,9 @@
         ):
             if not full_scan and not planning_round.idle_targets:
                 break
-            if not self._decide(queued, planning_round, may_be_late=False):
+            if queued.slot_request.hedge or not self._decide(
+                queued, planning_round, may_be_late=False
+            ):
                 late.append(queued)
         for queued in late:
             if not full_scan and not planning_round.idle_targets:
@@ -335,6 +348,12 @@
         """
         now = planning_round.now
         placement = find_placement(queued, planning_round)
+        if queued.slot_request.hedge:
+            wait, work = (placement.start - now, placement.first_byte) if placement else (None, 0)
+            kind = self.hedge_gate.find_denial(wait, work, planning_round.idle_targets, now)
+            if kind is not None:
+                planning_round.denials.append(self._deny(queued, kind, now, now))
+                return True
         if placement is None:
             # A target of its version may be certain again within what is left of its patience.
             queued.is_scheduled |= bool(queued.slot_request.version)
@@ -381,6 +400,12 @@
             active_grant = load.active_grants_by_id[grant_id]
             load.learn_first_byte(active_grant, seconds)
             load.shorten_prefill(now)
+            if active_grant.hedge_work:
+                self._settle_hedge(active_grant, 0.0, now)
+            if load.engine:
+                self.hedge_gate.record_response(
+                    active_grant.route, active_grant.prompt_tokens, seconds
+                )
             self.pauses.record_served(active_grant.target, active_grant.granted, load.slots)
 
     def release(self, released: SlotReleased, now: float) -> str | None:
@@ -405,6 +430,13 @@
             return None
         if released.outcome in (messages.UNREACHABLE, messages.UNUSED):
             self._refund_retry(active_grant.pool, active_grant.retry_charged_at)
+        self._settle_hedge(active_grant, _extra_work(released, active_grant), now)
+        if released.outcome == messages.LOST or (
+            released.outcome == messages.COMPLETE and not load.engine
+        ):
+            self.hedge_gate.record_response(
+                active_grant.route, active_grant.prompt_tokens, released.seconds
+            )
         match released.outcome:
             case messages.COMPLETE:
                 load.record_result(failed=False)
@@ -577,7 +609,13 @@
             deadline=queued.deadline_time,
             retry_charged_at=queued.retry_charged_at,
             lengths=None if slot_request.retry or slot_request.resumed else queued.lengths,
+            hedge_work=placement.first_byte if slot_request.hedge else 0.0,
+            route="" if slot_request.hedge else slot_request.route,
         )
+        if slot_request.hedge:
+            self.hedge_gate.budget.charge(active_grant.hedge_work, now)
+        else:
+            self.hedge_gate.budget.record_work(placement.duration, now)
         load.add_grant(grant_id, active_grant)
         self.rate_limits.consume(placement.target, now)
         self._load_by_grant_id[grant_id] = load
@@ -589,6 +627,7 @@
             placement.target,
             placement.first_byte,
             slot_request.version,
+            self.hedge_gate.find_delay(slot_request.route, slot_request.prompt_tokens),
         )
 
     def _record_in_gate(
@@ -627,3 +666,19 @@
         """Give back the charge of a retry that reached no target, if there was one."""
         if charged_at is not None:
             self._limits.refund_retry(pool, charged_at)
+
+    def _settle_hedge(self, active_grant: ActiveGrant, extra_work: float, now: float) -> None:
+        """Replace what was charged for a hedge by the work that it or its loser took."""
+        self.hedge_gate.budget.settle(active_grant.hedge_work, extra_work, now)
+        active_grant.hedge_work = 0.0
+
+
+def _extra_work(released: SlotReleased, active_grant: ActiveGrant) -> float:
+    """Return the seconds of a slot that a released attempt took beside the one that counts."""
+    match released.outcome:
+        case messages.LOST:
+            return released.seconds
+        case messages.COMPLETE | messages.UNUSED | messages.UNREACHABLE:
+            return 0.0
+        case _:
+            return released.seconds if active_grant.hedge_work else 0.0
