Gateways import no server of another kind

Cause: every gateway imported cheroot for a class of celeryrun.observe that only celeryrun.front uses; after a kill of all VMs each of them pays for it before it serves. The class is now celeryrun.front's.

--- a/celeryrun/cli/tests/test_gateway.py
+++ b/celeryrun/cli/tests/test_gateway.py
@@ -1,5 +1,8 @@
 """Subcommands for gateways and their logs."""
 
+import subprocess
+import sys
+
 import pytest
 from click.testing import CliRunner
 
@@ -37,3 +40,10 @@
     path.write_text(format_settings(bounds=bounds))
     result = CliRunner().invoke(main, ["check", "--gateway", str(path)])
     assert result.exit_code == code
+
+
+def test_start_of_a_gateway_imports_no_other_server():
+    script = "import sys, celeryrun.cli._gateway; print(*sys.modules)"
+    modules = subprocess.check_output([sys.executable, "-c", script], text=True).split()
+    assert "celeryrun.gateway" in modules
+    assert not {"cheroot", "urllib3", "celeryrun.front"} & set(modules)
--- a/celeryrun/front/_server.py
+++ b/celeryrun/front/_server.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
 
-from celeryrun.observe import LoggedServer
+import cheroot.wsgi
+import logbook
+
 from celeryrun.transport import ignore_new_connections
 
 __all__ = ["Server"]
 
+log = logbook.Logger("http")
+
 POLL_INTERVAL = 0.05  # s
 READ_TIMEOUT = 2  # s for a complete request to arrive on an open connection
 
 
-class Server(LoggedServer):
+class Server(cheroot.wsgi.Server):
     """HTTP server with a fixed number of threads that drains before it stops.
 
     Attributes
@@ -31,6 +36,11 @@
         """Whether a connection may stay open after a response."""
         return not self.draining and bool(super().can_add_keepalive_connection)
 
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Log an error message of the server as a warning."""
+        exc_info = sys.exc_info() if traceback else None
+        log.warning("{}", str(msg).strip(), exc_info=exc_info)
+
     def finish(self, is_idle: Callable[[], bool]) -> None:
         """Stop accepting connections, answer all accepted requests, then stop.
 
--- a/celeryrun/observe/__init__.py
+++ b/celeryrun/observe/__init__.py
@@ -2,7 +2,6 @@
 
 from celeryrun.observe._logging import (
     LEVEL_BY_NAME,
-    LoggedServer,
     json_handler,
     redirect_errors_to_log,
     request_context,
@@ -11,7 +10,6 @@
 
 __all__ = [
     "LEVEL_BY_NAME",
-    "LoggedServer",
     "Metrics",
     "WorkspaceLabels",
     "json_handler",
--- a/celeryrun/observe/_logging.py
+++ b/celeryrun/observe/_logging.py
@@ -8,14 +8,12 @@
 from types import TracebackType
 from typing import Any, TextIO
 
-import cheroot.wsgi
 import logbook
 import logbook.compat
 import msgspec
 
-__all__ = ["LoggedServer", "json_handler", "redirect_errors_to_log", "request_context"]
+__all__ = ["json_handler", "redirect_errors_to_log", "request_context"]
 
-http_log = logbook.Logger("http")
 process_log = logbook.Logger("process")
 
 LEVEL_BY_NAME = {
@@ -43,15 +41,6 @@
     return handler
 
 
-class LoggedServer(cheroot.wsgi.Server):
-    """WSGI server that sends its error messages to the log."""
-
-    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
-        """Log an error message of the server as a warning."""
-        exc_info = sys.exc_info() if traceback else None
-        http_log.warning("{}", str(msg).strip(), exc_info=exc_info)
-
-
 def redirect_errors_to_log() -> None:
     """Log uncaught exceptions, warnings and messages of the standard `logging` module."""
     sys.excepthook = _log_uncaught_exception
--- a/celeryrun/observe/tests/test_observe.py
+++ b/celeryrun/observe/tests/test_observe.py
@@ -8,9 +8,9 @@
 
 import logbook
 
+from celeryrun.front._server import Server
 from celeryrun.kernel import check_invariant, violation_counts
 from celeryrun.observe import (
-    LoggedServer,
     Metrics,
     json_handler,
     redirect_errors_to_log,
@@ -27,7 +27,7 @@
         try:
             raise ValueError("bad")
         except ValueError:
-            LoggedServer(("127.0.0.1", 0), None).error_log("oops", traceback=True)
+            Server(("127.0.0.1", 0), None).error_log("oops", traceback=True)
     first, second = map(json.loads, stream.getvalue().splitlines())
     assert (first["request_id"], first["workspace"]) == ("id-1", "cajas")
     assert first["message"] == 'two\nlines and a "quote"'
