A node that others choose as scheduler reads the list of targets at once

Cause: a node that waits for its turn to read the list and is dialled by others could not grant until then. The new test fails on the code before.

--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -563,6 +563,8 @@
             previous.close()
         self._last_received_at_by_node[hello.node] = link.last_received_at
         self.add_held_slots(hello.node, hello.held_slots)
+        if self._discovery.targets.position is None:
+            self._discovery.targets.resume_reading()
         self._events.emit("node-joined", peer=hello.node, holds=len(hello.held_slots))
         for report in self._crash_tracker.reports():
             link.send(report)
--- a/celeryrun/gateway/tests/test_fleet_starts.py
+++ b/celeryrun/gateway/tests/test_fleet_starts.py
@@ -1,8 +1,11 @@
 """Start of many gateways at once: who reads the list of targets, and who serves without it."""
 
+import asyncio
+
 import pytest
 
 from celeryrun.gateway import _list_start
+from celeryrun.gateway._links import Hello, Link
 from celeryrun.gateway._list_start import FIRST_READERS, list_read_delay
 from standins.site import Site, run
 
@@ -14,10 +17,8 @@
     monkeypatch.setattr(_list_start, "READERS_PER_SECOND", 0.01)
 
 
-def lists_read(site):
-    return sum(
-        gateway.kernel.find("discovery").targets.position is not None for gateway in site.gateways
-    )
+def has_list(gateway):
+    return gateway.kernel.find("discovery").targets.position is not None
 
 
 async def restart_all(site):
@@ -45,7 +46,7 @@
     async def scenario():
         async with Site(gateways=4) as site:
             await restart_all(site)
-            assert lists_read(site) < 4
+            assert not all(map(has_list, site.gateways))
             for number in range(12):
                 response = await site.send_request("/calls/a", gateway=number % 4)
                 assert response.status == 200
@@ -77,12 +78,28 @@
     run(scenario())
 
 
+def test_gateway_that_others_choose_reads_the_list():
+    async def scenario():
+        async with Site(gateways=4) as site:
+            await restart_all(site)
+            lacking = [gateway for gateway in site.gateways if not has_list(gateway)]
+            address = lacking[0].settings.node.peer_address
+            _, link = await asyncio.get_running_loop().create_connection(
+                lambda: Link(lambda *_: None, lambda _: None), address.host, address.port
+            )
+            link.send(Hello(site.gateways[0].settings.node.name))
+            await site.wait_until(lambda: has_list(lacking[0]), seconds=2.0)
+            link.close()
+
+    run(scenario())
+
+
 def test_gateways_whose_scheduler_stops_read_the_list_and_serve():
     async def scenario():
         async with Site(gateways=3) as site:
             await restart_all(site)
             client = site.gateways[0].kernel.find("scheduler-client")
-            await site.wait_until(lambda: lists_read(site))
+            await site.wait_until(lambda: any(map(has_list, site.gateways)))
             scheduler = client._current_scheduler
             lost = next(g for g in site.gateways if g.settings.node.name == scheduler)
             lost.kernel.find("scheduler-client").stop()
