--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -66,8 +66,8 @@
     count_readers : callable
         Returns how many nodes retry during an outage of the store.
     on_page : callable
-        Called with the start and the page of each read by this node that had news; the start of a
-        snapshot is None.
+        Called with the start and the page of each read by this node that had news, except the
+        first; the start of a snapshot is None.
     """
 
     __slots__ = (
@@ -289,7 +289,8 @@
             self.confirmed_at = max(self.confirmed_at, began)
             self._confirmed.set()
         self._apply_accepted(decision, former, page)
-        if isinstance(decision, Accepted) and page.records:
+        is_first = former is None
+        if isinstance(decision, Accepted) and page.records and not is_first:
             self.on_page(start, page)
 
     async def _read_snapshot(self) -> KeyedPage:
