--- a/celeryrun/gateway/tests/test_topic_follower.py
+++ b/celeryrun/gateway/tests/test_topic_follower.py
@@ -157,7 +157,7 @@
 
 
 def test_first_snapshot_is_not_forwarded():
-    """Sent to all nodes of a fleet that starts, it would fill the link of the one that schedules."""
+    """Sent to all nodes of a fleet that starts, it would fill the link of the one scheduling."""
 
     class OneSnapshotStore:
         era_watchers = []
