--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -21,14 +21,12 @@
     Message,
     NewerConfiguration,
     OriginReport,
-    TargetEntry,
     TargetLeaving,
     TargetLimit,
     TargetPaused,
     TraitsCompleted,
     VersionReport,
 )
-from celeryrun.gateway._list_start import TargetListStart
 from celeryrun.gateway._members import SCHEDULER_KEY, Members
 from celeryrun.gateway._server import Reply, SchedulerServer, TargetNotice
 from celeryrun.gateway._stream_origins import RecordedOrigin, StreamOrigins
@@ -88,7 +86,6 @@
         "_current_scheduler",
         "_request_ids",
         "_leaving",
-        "_list_start",
         "_links_by_node",
         "_local_server",
         "_name",
@@ -125,7 +122,6 @@
         self._dialed_at_by_node: dict[str, float] = {}
         self._pending_by_request_id: dict[int, PendingRequest] = {}
         self._active_grants_by_id: dict[int, ActiveGrant] = {}
-        self._list_start = TargetListStart(self._discovery.targets, self._name)
         self._task: asyncio.Task[None] | None = None
         self._startup_done = asyncio.Event()
         self._started_at = 0.0
@@ -135,7 +131,6 @@
     def start(self) -> None:
         """Start choosing the fleet's scheduler."""
         self._started_at = now()
-        self._list_start.start(self._started_at)
         self._members.on_change = self._update_scheduler
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -313,8 +308,6 @@
         is_late = time - self._started_at > MAX_STARTUP_WAIT
         if is_late or (self._members.is_loaded() and not self._dialing):
             self._startup_done.set()
-        if self._members.is_loaded():
-            self._list_start.update(candidates, is_late and self._is_scheduler())
 
     def _select_scheduler(self, candidates: list[str], time: float) -> str:
         """Return the first available candidate, and dial those ranked before it."""
@@ -444,8 +437,6 @@
             case Heartbeat():
                 self._apply_freshness(link, message)
                 self._local_server.compare_versions(link, message)
-            case TargetEntry():
-                self._discovery.adopt_target(message.target)
             case NewerConfiguration():
                 self._local_server.apply_newer_configuration(link, message)
             case Feed():
--- a/celeryrun/gateway/_discovery.py
+++ b/celeryrun/gateway/_discovery.py
@@ -43,7 +43,6 @@
 MAX_READ_DELAY = 1.0  # s
 INITIAL_READ_DELAY = 1.5  # s; by then a new node usually has a scheduler that reads for it
 RECOVERY_GRACE = 2.3  # s after an outage of the store for which it may lack targets
-MAX_PEER_LIST_AGE = 5.0  # s for which a node may do without a list that its scheduler has
 MAX_REMOVED_TARGETS = 1024  # latest removed targets that are remembered
 MAX_UNREADABLE_IDS = 1024  # ids of unreadable entries that are not logged again
 
@@ -162,15 +161,8 @@
         return known if known is not None else Pool(name)
 
     def is_loaded(self) -> bool:
-        """Return whether a configuration was read, and the list by this node or its scheduler."""
-        has_list = self.targets.confirmed_at > float("-inf")
-        has_peer_list = now() - self.targets.peer_confirmed_at <= MAX_PEER_LIST_AGE
-        return self.catalog is not None and (has_list or has_peer_list)
-
-    def adopt_target(self, target: Target) -> None:
-        """Use a target of which the scheduler grants a slot, until the list has been read."""
-        if self.targets.position is None:
-            self._accept_target(target)
+        """Return whether a configuration and the targets were read."""
+        return self.catalog is not None and self.targets.confirmed_at > float("-inf")
 
     def configuration_age(self) -> float:
         """Return the greatest possible age of the configuration in force, in seconds.
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -11,7 +11,7 @@
 import logbook
 import msgspec
 
-from celeryrun.catalog import Target, TargetRun
+from celeryrun.catalog import TargetRun
 from celeryrun.history import Position
 from celeryrun.platform import KeyedPage, KeyedRecord
 from celeryrun.scheduling import (
@@ -36,7 +36,6 @@
     "Message",
     "NewerConfiguration",
     "OriginReport",
-    "TargetEntry",
     "TargetLeaving",
     "TargetLimit",
     "TargetPaused",
@@ -46,7 +45,7 @@
 
 log = logbook.Logger("links")
 
-PROTOCOL = 5  # incremented when a message changes meaning; nodes with another value are rejected
+PROTOCOL = 4  # incremented when a message changes meaning; nodes with another value are rejected
 LENGTH_PREFIX = struct.Struct(">I")
 MAX_FRAME = 1024 * 1024  # bytes; the largest message lists all slots that a node holds
 MAX_DECOMPRESSED = 4 * 1024 * 1024  # bytes of records in one message, several reads of the store
@@ -196,12 +195,6 @@
     born: int = 0
 
 
-class TargetEntry(msgspec.Struct, array_like=True, tag="Entry"):
-    """Entry of a target, sent before a grant of it to a node that has not read the list yet."""
-
-    target: Target
-
-
 class TargetLeaving(msgspec.Struct, array_like=True, tag=True):
     """Notice that a run of a target has stated that it leaves.
 
@@ -302,7 +295,6 @@
     | Grant
     | Denial
     | CrashReport
-    | TargetEntry
     | TargetLeaving
     | TargetLimit
     | TargetPaused
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -25,7 +25,6 @@
     Message,
     NewerConfiguration,
     OriginReport,
-    TargetEntry,
     TargetLeaving,
     TargetLimit,
     TargetPaused,
@@ -105,7 +104,6 @@
         "_links_by_node",
         "_local_reply_handler",
         "_name",
-        "_nodes_without_list",
         "_nodes_without_store",
         "_discovery",
         "_next_plan_at",
@@ -159,7 +157,6 @@
         self._unlisted_nodes: list[UnlistedNode] = []
         self._work_available = asyncio.Event()
         self._started_at = now()
-        self._nodes_without_list: set[str] = set()
         self._nodes_without_store: set[str] = set()
         self._local_reply_handler: Callable[[Reply], None] = lambda reply: None
         self.followers: tuple[TopicFollower, ...] = (
@@ -282,11 +279,6 @@
         if heartbeat.freshness and heartbeat.freshness[0][0] < 0:
             self._nodes_without_store.add(node)
 
-    def _note_list_of_node(self, node: str, heartbeat: Heartbeat) -> None:
-        self._nodes_without_list.discard(node)
-        if heartbeat.freshness and heartbeat.freshness[0][1:] == (0, 0):
-            self._nodes_without_list.add(node)
-
     def _is_store_down(self) -> bool:
         """Return whether neither this node nor any that uses this scheduler reaches the store."""
         return (
@@ -470,10 +462,6 @@
         if node == self._name:
             self._local_reply_handler(reply)
         elif node in self._links_by_node:
-            if isinstance(reply, Grant) and node in self._nodes_without_list:
-                target = self._discovery.targets_by_id.get(reply.target)
-                if target is not None:
-                    self._links_by_node[node].send(TargetEntry(target))
             self._links_by_node[node].send(reply)
 
     async def _run(self) -> None:
@@ -528,7 +516,6 @@
             case Heartbeat() if link.node:
                 self._last_received_at_by_node[link.node] = link.last_received_at
                 self._note_store_of_node(link.node, message)
-                self._note_list_of_node(link.node, message)
                 freshness = tuple(follower.freshness() for follower in self.followers)
                 link.send(Heartbeat(message.number, freshness, *self._discovery.version_in_force()))
                 self.compare_versions(link, message)
@@ -563,8 +550,6 @@
             previous.close()
         self._last_received_at_by_node[hello.node] = link.last_received_at
         self.add_held_slots(hello.node, hello.held_slots)
-        if self._discovery.targets.position is None:
-            self._discovery.targets.resume_reading()
         self._events.emit("node-joined", peer=hello.node, holds=len(hello.held_slots))
         for report in self._crash_tracker.reports():
             link.send(report)
@@ -617,7 +602,6 @@
             return
         del self._links_by_node[link.node]
         self._nodes_without_store.discard(link.node)
-        self._nodes_without_list.discard(link.node)
         self._replicas_are_stale = True
         pools = self.scheduler.drop_node(link.node, now())
         self._events.emit("node-left", peer=link.node)
--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -57,17 +57,14 @@
         Start of the last read that showed the data to be the newest, -inf before the first.
     formerly_confirmed_at : float
         Its value before the page that is being applied, or was last.
-    peer_confirmed_at : float
-        Start of the last read by which another node's data was the newest, -inf before the first;
-        this node may not have that data.
     recovered_at : float
         Time of the store's first reply after its last outage, or of the first records after it was
         restored from a copy, -inf before both.
     count_readers : callable
         Returns how many nodes retry during an outage of the store.
     on_page : callable
-        Called with the start and the page of each read by this node that had news, except the
-        first; the start of a snapshot is None.
+        Called with the start and the page of each read by this node that had news; the start of a
+        snapshot is None.
     """
 
     __slots__ = (
@@ -90,7 +87,6 @@
         "_resumed",
         "count_readers",
         "on_page",
-        "peer_confirmed_at",
         "confirmed_at",
         "formerly_confirmed_at",
         "recovered_at",
@@ -127,7 +123,6 @@
         self._task: asyncio.Task[None] | None = None
         self.confirmed_at = float("-inf")
         self.formerly_confirmed_at = float("-inf")
-        self.peer_confirmed_at = float("-inf")
         self.recovered_at = float("-inf")
         self.count_readers: Callable[[], int] = lambda: 1
         self.on_page: Callable[[Position | None, KeyedPage], None] = lambda start, page: None
@@ -157,9 +152,8 @@
             return
         if self._long_read is not None:
             self._long_read.cancel()
-        if self.position is not None:
-            self._suspended_until = min(self._suspended_until, now() + MAX_FEED_DELAY)
-            self._resumed.set()
+        self._suspended_until = min(self._suspended_until, now() + MAX_FEED_DELAY)
+        self._resumed.set()
 
     def apply_page(self, start: Position | None, page: KeyedPage) -> None:
         """Apply a page that another node read, if it follows what this node has applied."""
@@ -179,7 +173,6 @@
         heartbeat_interval : float
             Seconds between two confirmations.
         """
-        self.peer_confirmed_at = max(self.peer_confirmed_at, read_began)
         if not self._cursor.covers(end):
             return
         self.confirmed_at = max(self.confirmed_at, read_began)
@@ -207,11 +200,6 @@
         if self._long_read is not None:
             self._long_read.cancel()
 
-    def defer_until(self, time: float) -> None:
-        """Read the topic no earlier than at a time unless ``resume_reading`` is called."""
-        self._suspended_until = time
-        self._resumed.set()
-
     def resume_reading(self) -> None:
         """Resume reading the topic, as the other node has lost the store."""
         self._suspended_until = float("-inf")
@@ -289,8 +277,7 @@
             self.confirmed_at = max(self.confirmed_at, began)
             self._confirmed.set()
         self._apply_accepted(decision, former, page)
-        is_first = former is None
-        if isinstance(decision, Accepted) and page.records and not is_first:
+        if isinstance(decision, Accepted) and page.records:
             self.on_page(start, page)
 
     async def _read_snapshot(self) -> KeyedPage:
--- a/celeryrun/gateway/tests/test_topic_follower.py
+++ b/celeryrun/gateway/tests/test_topic_follower.py
@@ -156,32 +156,6 @@
     assert ages[0] < 1.0
 
 
-def test_first_snapshot_is_not_forwarded():
-    """Sent to all nodes of a fleet that starts, it would fill the link of the one scheduling."""
-
-    class OneSnapshotStore:
-        era_watchers = []
-
-        async def read_snapshot(self, topic, patience=0.0):
-            return KeyedPage((KeyedRecord("key", b"value"),), Position(1, 1), True, True)
-
-        async def read(self, topic, start, wait):
-            return page(7)
-
-    forwarded = []
-    follower = _topic_follower.TopicFollower(
-        OneSnapshotStore(), None, "topic", MAX_WAIT, READ_DELAY, lambda page: None
-    )
-    follower.on_page = lambda start, page: forwarded.append(start)
-
-    async def read_twice():
-        await follower._read_page()
-        await follower._read_page()
-
-    asyncio.run(read_twice())
-    assert forwarded == [Position(1, 1)]
-
-
 def test_late_snapshot_is_awaited_longer_after_each_failure(monkeypatch):
     """Nodes that begin anew before a shared store has answered would never finish."""
 
