--- a/celeryrun/gateway/_topic_follower.py
+++ b/celeryrun/gateway/_topic_follower.py
@@ -17,8 +17,6 @@
 __all__ = ["MAX_REASON_CHARS", "TopicFollower", "isolated"]
 
 INITIAL_RETRY_DELAY = 0.1  # s after the first failed call
-INITIAL_PATIENCE = 0.6  # s, doubled with each failed snapshot
-MAX_PATIENCE = 4.8  # s; a store that came back must not wait longer for its readers
 MAX_MISSED_CONFIRMATIONS = 3.5  # heartbeats without a confirmation before a node reads by itself
 MAX_FEED_DELAY = 0.2  # s for which the snapshot of a new era may come from another node
 HURRY_INTERVAL = 0.1  # s between two reads that are made at once
@@ -83,7 +81,6 @@
         "_store",
         "_task",
         "_max_wait",
-        "_patience",
         "_resumed",
         "count_readers",
         "on_page",
@@ -114,7 +111,6 @@
         self._long_read: asyncio.Future[KeyedPage | None] | None = None
         self._store_lost = False
         self._suspended_until = float("-inf")
-        self._patience = 0.0
         self._confirmed = asyncio.Event()
         self._resumed = asyncio.Event()
         self._hurry = asyncio.Event()
@@ -259,7 +255,7 @@
         began = now()
         start = self._cursor.next_read
         if start is None:
-            page = await self._read_snapshot()
+            page = await self._store.read_snapshot(self.topic)
             self._suspended_until = max(self._suspended_until, now() + self._initial_delay)
         else:
             changes = await self._read_changes(start)
@@ -280,18 +276,6 @@
         if isinstance(decision, Accepted) and page.records:
             self.on_page(start, page)
 
-    async def _read_snapshot(self) -> KeyedPage:
-        """Read the newest record of every key, with more patience after each failure.
-
-        A whole fleet that starts reads at once. If each node gave up and began anew before its
-        share of the store's bandwidth had brought a page, none would ever finish.
-        """
-        patience = self._patience
-        self._patience = min(MAX_PATIENCE, 2 * patience or INITIAL_PATIENCE)
-        page = await self._store.read_snapshot(self.topic, patience)
-        self._patience = 0.0
-        return page
-
     async def _read_changes(self, start: Position) -> KeyedPage | None:
         """Read the changes from a position on; return None if a snapshot must be read instead."""
         wait = 0.0 if self._is_hurried else self._max_wait
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -102,15 +102,9 @@
             for watcher in self.era_watchers:
                 watcher(era)
 
-    async def read_snapshot(self, topic: str, patience: float = 0.0) -> KeyedPage:
+    async def read_snapshot(self, topic: str) -> KeyedPage:
         """Read the latest record of every key of a topic.
 
-        Parameters
-        ----------
-        patience : float
-            Seconds by which the response of each call may be later than usual, for a store whose
-            bandwidth is shared by many readers.
-
         Raises
         ------
         StoreUnavailableError
@@ -122,7 +116,7 @@
         while True:
             path = f"/celeryrun/log-newest?topic={topic}&part=0"
             path += f"&after={quote(after_key, safe='')}" if after_key else ""
-            status, era, body = await self._call("GET", path, wait=patience)
+            status, era, body = await self._call("GET", path)
             if status != HTTP_OK:
                 raise StoreUnavailableError(
                     f"read of {topic} failed with status {status}; wait for the store to recover"
