Roll-outs: findings of the review; losses of placements count while at most one request a target waits

Now a node that has not decided for a moment reads the verdicts first, verdicts are never written over, and a completion is a flag of its own.

--- a/celeryrun/gateway/_rollouts.py
+++ b/celeryrun/gateway/_rollouts.py
@@ -43,6 +43,7 @@
 __all__ = ["Rollouts"]
 
 TICK = 0.1  # s between two looks at each roll-out
+MAX_GAP = 1.0  # s between two looks after which another node may have decided
 RETRY_DELAY = 0.3  # s after a failed write
 MAX_SEEN = 1024  # latest orders known to be old in a restored copy
 
@@ -55,6 +56,7 @@
     digest: str
     began: float  # Unix seconds
     is_new: bool
+    former_status: RolloutStatus | None = None  # stored before it, perhaps of an equal order
     stage: int = 0
     sick: int = 0
     state: str = RUNNING
@@ -83,6 +85,8 @@
         "_status_by_pool",
         "_store",
         "_tasks",
+        "_ticked_at",
+        "_undecided_at",
         "gate",
         "is_decider",
     )
@@ -99,7 +103,10 @@
         self._seen: dict[tuple[str, str], None] = {}
         self._has_orders = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._ticked_at = float("-inf")
+        self._undecided_at = float("inf")
         self.gate = RolloutGate()
+        self.gate.is_decider = self._may_decide
         self.is_decider: Callable[[], bool] = lambda: False
         self._discovery.operator_watchers.append(self._apply_orders)
         self._members.page_watchers.append(self._apply_statuses)
@@ -122,6 +129,7 @@
         while True:
             await self._has_orders.wait()
             await asyncio.sleep(TICK)
+            self._check_decider()
             for pool, accepted in list(self._accepted_by_pool.items()):
                 try:
                     self._advance(pool, accepted)
@@ -129,12 +137,27 @@
                     reason = repr(error)[:MAX_REASON_CHARS]
                     self._events.emit("rollout-failed", pool=pool, why=reason)
 
+    def _check_decider(self) -> None:
+        """Note whether another node may have decided, and read its verdict before the next own."""
+        time_now = now()
+        if not self.is_decider() or time_now - self._ticked_at > MAX_GAP:
+            self._undecided_at = time_now
+        self._ticked_at = time_now
+        if self.is_decider() and not self._may_decide():
+            self._members.follower.hurry()
+
+    def _may_decide(self) -> bool:
+        """Return whether this node decides, and has read all verdicts of nodes before it."""
+        return self.is_decider() and self._members.follower.confirmed_at > self._undecided_at
+
     def _advance(self, pool: str, accepted: _Accepted) -> None:
-        rollout = self.gate.rollout_by_pool[pool]
-        if not self.is_decider() or not self._members.is_loaded():
-            rollout.rest()
+        rollout, targets = self.gate.rollout_by_pool[pool], self._discovery.ready_targets(pool)
+        if self._members.is_loaded():
+            self.gate.note_old(pool, targets)
+        if not self._may_decide():
+            rollout.rest(now())
         else:
-            self.gate.advance(pool, self._discovery.ready_targets(pool), now())
+            self.gate.advance(pool, targets, now())
         self._log_progress(rollout, accepted)
 
     def _log_progress(self, rollout: Rollout, accepted: _Accepted) -> None:
@@ -181,13 +204,13 @@
         while True:
             await self._has_orders.wait()
             await asyncio.sleep(TICK)
-            if not self.is_decider() or not self._members.is_loaded():
+            if not self._may_decide():
                 continue
             for pool in list(self._accepted_by_pool):
                 if pool not in self._accepted_by_pool:
                     continue
-                status = self._wanted_status(pool)
-                if status == self._status_by_pool.get(pool):
+                status, stored = self._wanted_status(pool), self._status_by_pool.get(pool)
+                if status == stored or self._is_verdict(pool, stored):
                     continue
                 try:
                     await self._put(pool, status)
@@ -195,9 +218,23 @@
                     self._events.emit("rollout-not-stored", pool=pool, why=str(error))
                     await asyncio.sleep(RETRY_DELAY)
 
+    def _is_verdict(self, pool: str, stored: RolloutStatus | None) -> bool:
+        """Return whether a stored status is the verdict on the order in force, which stays."""
+        accepted = self._accepted_by_pool[pool]
+        return (
+            stored is not None
+            and stored != accepted.former_status
+            and stored.order == accepted.digest
+            and stored.state != RUNNING
+        )
+
     async def _put(self, pool: str, status: RolloutStatus) -> None:
         body = msgspec.json.encode(status)
         await self._store.put(NODES_TOPIC, ROLLOUT_PREFIX + pool, body)
+        accepted = self._accepted_by_pool.get(pool)
+        if accepted is None or accepted.digest != status.order:
+            # Another order came meanwhile.
+            return
         self._status_by_pool[pool] = status
         self._events.emit("rollout-stored", pool=pool, version=status.to, state=status.state)
         if status.state == COMPLETED:
@@ -248,7 +285,8 @@
         else:
             rollout = Rollout.taken_over(order, limits, 0.0, now())
         self.gate.begin(rollout)
-        accepted = _Accepted(order, digest, round(time.time(), 3), is_new)
+        former_status = self._status_by_pool.get(pool) if is_new else None
+        accepted = _Accepted(order, digest, round(time.time(), 3), is_new, former_status)
         self._accepted_by_pool[pool] = accepted
         self._has_orders.set()
         self._events.emit(
@@ -302,7 +340,7 @@
         for version in status.rejected:
             if version != current:
                 self.gate.decide(pool, version, "rolled_back")
-        if accepted is None or accepted.is_new and status.began < accepted.began - TICK:
+        if accepted is None or status == accepted.former_status:
             return
         if status.order != accepted.digest or status.to != current:
             return
--- a/celeryrun/rollouts/_gate.py
+++ b/celeryrun/rollouts/_gate.py
@@ -55,11 +55,15 @@
         Versions that were rolled back, by pool.
     superseded_by_pool : dict
         Versions that served when a completion was written, by pool.
+    is_decider : callable
+        Returns whether this scheduler decides; if not, it gives an unproved version nothing.
     """
 
     rollout_by_pool: dict[str, Rollout] = field(default_factory=dict)
     rejected_by_pool: dict[str, set[str]] = field(default_factory=dict)
     superseded_by_pool: dict[str, set[str]] = field(default_factory=dict)
+    is_decider: Callable[[], bool] = lambda: True
+    _completed_pools: set[str] = field(default_factory=set)
     _old_by_pool: dict[str, set[str]] = field(default_factory=dict)
     _pool_by_grant: dict[int, str] = field(default_factory=dict)
 
@@ -80,7 +84,8 @@
         if rollout is None and not rejected and not superseded:
             return None
         targets = list(targets)
-        is_over = rollout is None or rollout.state == ROLLED_BACK or bool(superseded)
+        is_written = pool in self._completed_pools
+        is_over = rollout is None or rollout.state == ROLLED_BACK or is_written
         hidden = rejected | superseded
         if is_over and not any(target.version in hidden for target in targets):
             return None
@@ -93,9 +98,7 @@
         version = rollout.order.version
         new = {target.id: target for target in listed if target.version == version}
         old = {target.id for target in listed if target.version != version}
-        self._old_by_pool.setdefault(pool, set()).update(
-            target.version for target in listed if target.id in old
-        )
+        self.note_old(pool, targets)
         canaries = set(rollout.canaries(new, len(old)))
         if not old:
             sound = new.keys() - rollout.evidence.sick_targets
@@ -108,6 +111,15 @@
         open_slots = rollout.open_slots(slots, now) if canaries else 0
         return Allowance(old, canaries, open_slots, rollout.takes, banned)
 
+    def note_old(self, pool: str, targets: Iterable[Target]) -> None:
+        """Note which versions serve beside the new one while an order is in progress."""
+        rollout = self.rollout_by_pool.get(pool)
+        if rollout is None or rollout.state == ROLLED_BACK or pool in self._completed_pools:
+            return
+        hidden = {rollout.order.version, *self.rejected_by_pool.get(pool, ())}
+        versions = {target.version for target in targets} - hidden
+        self._old_by_pool.setdefault(pool, set()).update(versions)
+
     def record_grant(
         self,
         grant_id: int,
@@ -177,6 +189,7 @@
             former = None
         self.rejected_by_pool.get(order.pool, set()).discard(order.version)
         self.superseded_by_pool.pop(order.pool, None)
+        self._completed_pools.discard(order.pool)
         self._old_by_pool.pop(order.pool, None)
         self.rollout_by_pool[order.pool] = rollout
         return former
@@ -189,6 +202,7 @@
             self._reject(rollout)
         elif rollout is not None and rollout.state == COMPLETED:
             del self.rollout_by_pool[pool]
+            self._completed_pools.discard(pool)
             self.superseded_by_pool.pop(pool, None)
 
     def decide(self, pool: str, version: str, state: str) -> None:
@@ -198,9 +212,10 @@
         match state:
             case "rolled_back":
                 self.rejected_by_pool.setdefault(pool, set()).add(version)
-            case "completed":
+            case "completed" if is_current and pool not in self._completed_pools:
                 self.rejected_by_pool.get(pool, set()).discard(version)
                 self.superseded_by_pool[pool] = self._old_by_pool.get(pool, set()) - {version}
+                self._completed_pools.add(pool)
         if is_current and rollout is not None and state in (COMPLETED, ROLLED_BACK):
             rollout.state = state
             self._forget_grants(pool)
@@ -214,3 +229,5 @@
         self._pool_by_grant = {
             grant_id: other for grant_id, other in self._pool_by_grant.items() if other != pool
         }
+        if pool in self.rollout_by_pool:
+            self.rollout_by_pool[pool].forget_grants()
--- a/celeryrun/rollouts/_rollout.py
+++ b/celeryrun/rollouts/_rollout.py
@@ -131,6 +131,7 @@
     verdict: VersionIsBad | str = ""
     evidence: Evidence = field(default_factory=Evidence)
     found_sick: list[SickTarget] = field(default_factory=list)
+    _is_taken_over: bool = False
     _tokens: float = 0.0
     _is_pulse: bool = False
     _pulses: int = 0
@@ -152,7 +153,8 @@
     ) -> Rollout:
         """Go on with an order that another scheduler has begun and used some exposure of."""
         began = now - min(max(0.0, age), order.duration)
-        return cls(order, limits, began, exposed=SLACK_SHARE * limits.slack)
+        exposed = SLACK_SHARE * limits.slack
+        return cls(order, limits, began, exposed=exposed, _is_taken_over=True)
 
     @property
     def in_progress(self) -> int:
@@ -265,7 +267,9 @@
         looks_good = looks_good and not self._is_doubtful(now)
         if not self._has_results():
             is_tried = self.evidence.results >= SPARSE_RESULT_SHARE * self.requests
-            looks_good = looks_good and is_tried and passed >= SPARSE_AT
+            # The clock of another node tells the age of an order that was taken over.
+            is_sparse = is_tried and passed >= SPARSE_AT and not self._is_taken_over
+            looks_good = looks_good and is_sparse
         if self.stage is not Stage.CANARY:
             in_stage = (now - self._stage_began) / self.order.duration
             looks_good = looks_good and in_stage >= MIN_STAGE
@@ -279,10 +283,17 @@
                 self.state = COMPLETED
                 self.verdict = "no worse than the old versions"
 
-    def rest(self) -> None:
+    def rest(self, now: float) -> None:
         """Note that another scheduler may use the exposure up to now."""
         self._tokens = 0.0
         self.exposed = max(self.exposed, SLACK_SHARE * self.limits.slack)
+        for grant_id, pending in list(self._pending_by_grant.items()):
+            if now > pending.forget_at:
+                del self._pending_by_grant[grant_id]
+
+    def forget_grants(self) -> None:
+        """Forget all requests in progress."""
+        self._pending_by_grant.clear()
 
     def withdraw(self) -> None:
         """End an order that its operator has withdrawn or replaced."""
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -32,7 +32,7 @@
 LOSS_COST = 0.3  # cost of a stream that is late or has no end, in seconds that it had left
 PAUSE_COST = 1.0  # cost of each stream whose events are paused too long, in objectives
 HOPELESS_COST = 1e9  # cost of a first byte after the caller has left, above all others
-UNEVEN_RATIO = 2.0  # of event gaps, above which targets are of unlike speed
+UNEVEN_RATIO = 2.0  # of the quartiles of event gaps, above which targets are of unlike speed
 ZONE_COST = 0.05  # cost of another availability zone than the node's, in durations
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler, others few slots
@@ -153,9 +153,10 @@
         """Start a planning round over a pool's targets."""
         planning_round = cls(targets, fleet_share, now, demand, rate_limits, pauses_by_target)
         min_end = now + OVERRUN_DELAY
-        event_gaps = [load.event_gap for load in targets.values() if load.engine]
+        event_gaps = sorted(load.event_gap for load in targets.values() if load.engine)
         if event_gaps:
-            planning_round.is_uneven = max(event_gaps) > UNEVEN_RATIO * min(event_gaps)
+            fast, slow = (event_gaps[part * len(event_gaps) // 4] for part in (1, 3))
+            planning_round.is_uneven = slow > UNEVEN_RATIO * fast
         for name, load in targets.items():
             occupying = load.occupying_grants(now)
             excess = len(occupying) - planning_round._slot_count(load)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -48,7 +48,6 @@
 MAX_ORIGIN_WAIT = 1.0  # s for which a stream's origin may still be on its way to a new scheduler
 ENTRY_DELAY = 0.2  # s after its start within which a target writes its entry
 MIN_RUN_AGE = 0.5  # s since a grant after which its connection is made
-MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler
 # Outcomes that tell something of a version; the others are the caller's or the target's wish.
 FAILED_BY_OUTCOME = {
     messages.COMPLETE: False,
@@ -248,8 +247,7 @@
         if unresolved:
             queue = {key: queued for key, queued in queue.items() if key not in unresolved}
         targets = self._usable_loads(pool, now)
-        is_decider = self._fleet_share() > MAJORITY_SHARE
-        allowance = self._gate.allow(pool, self._targets(pool), is_decider, now)
+        allowance = self._gate.allow(pool, self._targets(pool), self._gate.is_decider(), now)
         if allowance is not None and allowance.banned:
             targets = {name: targets[name] for name in targets.keys() - allowance.banned}
         planning_round = PlanningRound.from_loads(
@@ -265,6 +263,8 @@
         planning_round.loads_of_version = lambda queued: self._loads_of_version(
             queued, targets, now
         )
+        # A slot that is kept free for the right request is lost to all others where many wait.
+        planning_round.is_uneven &= len(queue) <= len(targets)
         full_scan = full_scan or len(queue) * len(targets) <= FULL_SCAN_LIMIT
         if not full_scan and not planning_round.idle_targets:
             return [], denials
@@ -523,6 +523,7 @@
                 if active_grant.node == node:
                     load.remove_grant(grant_id, now)
                     self._load_by_grant_id.pop(grant_id, None)
+                    self._gate.record_end(grant_id, None, 0.0, 0)
                     pools.add(active_grant.pool)
         return pools
 
@@ -534,6 +535,7 @@
                 if now > active_grant.deadline + GRANT_EXPIRY_DELAY:
                     load.remove_grant(grant_id, now)
                     self._load_by_grant_id.pop(grant_id, None)
+                    self._gate.record_end(grant_id, None, 0.0, 0)
 
     def forget_targets(self, listed: set[str]) -> None:
         """Remove the loads of targets that are no longer listed and have no active grants."""
