--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -43,8 +43,6 @@
         Called with each page of the registry, which also holds records of other services.
     speed_by_node : dict
         Processor speed of each node, in cores.
-    zone_by_node : dict
-        Availability zone of each node.
     """
 
     __slots__ = (
@@ -58,7 +56,6 @@
         "on_change",
         "page_watchers",
         "speed_by_node",
-        "zone_by_node",
     )
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
@@ -71,7 +68,6 @@
         )
         self.address_by_node: dict[str, Address] = {}
         self.speed_by_node: dict[str, float] = {}
-        self.zone_by_node: dict[str, str] = {}
         self.on_change: Callable[[], None] = lambda: None
         self._registered_era: int | None = None
         self.page_watchers: list[Callable[[KeyedPage], None]] = []
@@ -137,7 +133,6 @@
             if record.value is None:
                 self.address_by_node.pop(name, None)
                 self.speed_by_node.pop(name, None)
-                self.zone_by_node.pop(name, None)
                 continue
             try:
                 node_record = msgspec.json.decode(record.value, type=_NodeRecord)
@@ -148,5 +143,4 @@
                 continue
             self.address_by_node[name] = address
             self.speed_by_node[name] = node_record.speed
-            self.zone_by_node[name] = node_record.zone
         self.on_change()
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -178,7 +178,6 @@
             resolve_origin=self._origins.resolve,
             list_confirmed_at=self._origins.list_confirmed_at,
             confirm_list=self._discovery.targets.hurry,
-            zone_of=lambda node: self._members.zone_by_node.get(node, ""),
             gate=rollouts.gate,
         )
         self.scheduler.hedge_gate.budget.share = settings.hedging.extra_work
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -110,8 +110,6 @@
     broken_at : float
         Time at which the target was last known to be down or to end a connection early, unless
         another response outlasted that.
-    zone : str
-        Availability zone, empty if unknown.
     """
 
     engine: bool
@@ -128,7 +126,6 @@
     next_overdue: float = math.inf
     busy_since: float = math.inf
     broken_at: float = -math.inf
-    zone: str = ""
     active_grants_by_id: dict[int, ActiveGrant] = field(default_factory=dict)
 
     def predict(
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -33,7 +33,6 @@
 PAUSE_COST = 1.0  # cost of each stream whose events are paused too long, in objectives
 HOPELESS_COST = 1e9  # cost of a first byte after the caller has left, above all others
 UNEVEN_RATIO = 2.0  # of the quartiles of event gaps, above which targets are of unlike speed
-ZONE_COST = 0.05  # cost of another availability zone than the node's, in durations
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler, others few slots
 OVERRUN_DELAY = 0.05  # s from now until the expected end of a request that overruns its own
@@ -53,8 +52,6 @@
         response must have ended.
     lengths : LengthErrors
         Errors of the expected lengths of its kind.
-    zone : str
-        Availability zone of the node, empty if unknown.
     is_scheduled : bool
         Whether an earlier planning round assigned a slot that was not free yet.
     """
@@ -66,7 +63,6 @@
     give_up_time: float
     deadline_time: float
     lengths: LengthErrors
-    zone: str = ""
     is_scheduled: bool = False
 
     @property
@@ -301,9 +297,8 @@
 
     The cost is the time until the end, plus the delay beyond the objective, the risk of a
     failure, and the pauses caused in other streams on the target. Of unlike targets it is also the
-    risk that it is late, or that it does not end in time since it is longer than expected. Of
-    nearly equal targets, one in the availability zone of the node is preferred. A placement that is
-    too late for the caller is chosen only if all are.
+    risk that it is late, or that it does not end in time since it is longer than expected. A
+    placement that is too late for the caller is chosen only if all are.
     """
     slot_request = queued.slot_request
     objective = max(MIN_OBJECTIVE, slot_request.objective)
@@ -335,8 +330,6 @@
             > slot_request.max_pause
         ):
             cost += PAUSE_COST * len(load.active_grants_by_id) * objective
-        if queued.zone and load.zone and load.zone != queued.zone:
-            cost += ZONE_COST * duration
         if start + first_byte > latest:
             cost += HOPELESS_COST
         placement = Placement(name, start, first_byte, duration)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -86,8 +86,6 @@
         Returns the start of the last read that showed the targets of a pool to be the newest list.
     confirm_list : callable, optional
         Called when the list must be read again before a resumed stream can be placed.
-    zone_of : callable, optional
-        Returns the availability zone of a node, empty if it is unknown.
     gate : RolloutGate, optional
         Restricts the targets of pools that move to another version; by default, none do.
 
@@ -115,7 +113,6 @@
         "_resolve_origin",
         "_resolve_by_key_by_pool",
         "_targets",
-        "_zone_of",
         "hedge_gate",
         "loads_by_target",
         "pauses",
@@ -137,7 +134,6 @@
         ),
         list_confirmed_at: Callable[[str], float] = lambda pool: math.inf,
         confirm_list: Callable[[], None] = lambda: None,
-        zone_of: Callable[[str], str] = lambda node: "",
         gate: RolloutGate | None = None,
     ) -> None:
         self._limits = LimitEnforcer(limits, fleet_share, no_prior_usage)
@@ -154,7 +150,6 @@
         self._resolve_by_key_by_pool: dict[str, dict[tuple[str, int], float]] = {}
         self._list_confirmed_at = list_confirmed_at
         self._confirm_list = confirm_list
-        self._zone_of = zone_of
         self._gate = RolloutGate() if gate is None else gate
         self.rate_limits = TargetRateLimits(fleet_share)
         self.pauses = TargetPauses()
@@ -207,7 +202,6 @@
             now + slot_request.patience,
             now + slot_request.deadline,
             self._lengths_by_kind[slot_request.pool, slot_request.rank],
-            self._zone_of(node),
         )
         self.queues_by_pool.setdefault(slot_request.pool, {})[node, slot_request.id] = queued
         if slot_request.resumed or slot_request.version:
@@ -581,7 +575,7 @@
         loads = {}
         for target in self._targets(pool):
             load = self._load(target.id, pool, target.slots)
-            load.slots, load.zone = target.slots, target.zone
+            load.slots = target.slots
             if now >= load.excluded_until and not load.is_unresponsive(now):
                 loads[target.id] = load
         return loads
