transport: space behind a value is no part of it, and a length must be a number

Cause: the parser beneath keeps white space behind a value, and a length that was no number counted as none, so the end of the connection ended the body. The same for values of requests: 404 for "Host: NAME ", 502 for an attempt id. Why this works: values are stripped where both parsers receive them, and no length can count as none any more.

--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -28,6 +28,7 @@
 HEADER_OBJECT_BYTES = 200  # that Python keeps for a header besides its name and value
 LIST_ITEM_BYTES = 100  # that Python keeps for an item of a header whose value is read as a list
 TRAILER_OVERHEAD = 4  # bytes per trailer for ": " and CRLF
+OPTIONAL_SPACE = b" \t"  # around a value, and no part of it; the parser beneath keeps what follows
 DELAY = re.compile(rb"[0-9]+(\.[0-9]+)?")  # Retry-After in seconds, with fractions
 LAST_CHUNK = b"0\r\n\r\n"
 MIN_INTERIM_STATUS = 100
@@ -213,7 +214,7 @@
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
+        self._headers.append((name.lower(), value.strip(OPTIONAL_SPACE)))
 
     def on_body(self, data: bytes) -> None:
         self.body_callback(data)
@@ -288,6 +289,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header of the head, and count a trailer."""
+        value = value.strip(OPTIONAL_SPACE)
         size = len(name) + len(value)
         if self.head is None:
             self._headers.append((name.lower(), value))
@@ -374,11 +376,13 @@
             return
         chunked = b"chunked" in _joined_values(self._headers, b"transfer-encoding").lower()
         length = _joined_values(self._headers, b"content-length")
+        if length and not length.isdigit():
+            raise MalformedMessageError("the length is no number")
         self.head = ResponseHead(
             status,
             self._reason,
             self._headers,
-            int(length) if length.isdigit() and not chunked else None,
+            int(length) if length and not chunked else None,
             chunked,
         )
         self.head_callback()
