transport: a body in a transfer coding other than chunks is not passed on

Cause: the line that names the coding was dropped, though only chunks are decoded; "chunked" was looked for anywhere in it. Why this works: no coding is left that is dropped without being decoded. Heads go to the parser beneath without white space at the ends of their lines, so that both agree on which coding is the last. Its tests use one site for all four routes.

--- a/celeryrun/gateway/tests/raw_targets.py
+++ b/celeryrun/gateway/tests/raw_targets.py
@@ -43,6 +43,7 @@
     def __init__(self, site, service, respond):
         self._site = site
         self._service = service
+        self._id = f"raw-{service}"
         self._respond = respond
         self.attempt_ids = []
 
@@ -60,9 +61,9 @@
             "sequence": 1,
             "born": 1,
         }
-        self._site.store.put("keyed.servers", "raw", entry)
+        self._site.store.put("keyed.servers", self._id, entry)
         discoveries = [gateway.kernel.find("discovery") for gateway in self._site.gateways]
-        await self._site.wait_until(lambda: all("raw" in d.targets_by_id for d in discoveries))
+        await self._site.wait_until(lambda: all(self._id in d.targets_by_id for d in discoveries))
         return self
 
     async def __aexit__(self, *_):
--- a/celeryrun/gateway/tests/test_malformed_responses.py
+++ b/celeryrun/gateway/tests/test_malformed_responses.py
@@ -1,74 +1,110 @@
 """Responses that are none in HTTP/1.1, or of which a part is missing, reach no caller as whole."""
 
+import asyncio
+
 import pytest
 
 from celeryrun.gateway.tests.raw_targets import SEAL, RawTarget, responder
+from celeryrun.transport import LAST_CHUNK, format_chunk
 from standins.site import Site, run
 
-SERVICE_BY_PATH = {
-    "/calls/a": "app",
-    "/bookings/a": "app",
-    "/drafts/a": "model",
-    "/chats/a": "model",
-}
-PATHS = list(SERVICE_BY_PATH)
+PATHS = ["/calls/a", "/bookings/a", "/drafts/a", "/chats/a"]
 EVENT = b"id: 1\ndata: a\n\n"
 BODY = EVENT * 4
+CHUNKS = format_chunk(BODY) + LAST_CHUNK
 
 
-async def response_to(path, raw, body=b""):
-    """Return what a caller gets if the only target responds with these bytes."""
-    service = SERVICE_BY_PATH[path]
+async def responses_to(respond):
+    """Return what callers get on all kinds of routes if all targets respond in the same way."""
     async with (
         Site(apps=0, models=0) as site,
-        RawTarget(site, service, responder(raw)) as target,
+        RawTarget(site, "app", respond) as app,
+        RawTarget(site, "model", respond) as model,
     ):
-        response = await site.send_request(path, body=body)
-        assert target.attempt_ids
-        return response
+        responses = await asyncio.gather(*map(site.send_request, PATHS))
+        assert app.attempt_ids and model.attempt_ids
+        return dict(zip(PATHS, responses, strict=True))
+
+
+def check_not_passed_on(raw):
+    """Check that no caller gets a complete response but one that states a failure."""
+
+    async def scenario():
+        responses = await responses_to(responder(raw))
+        passed_on = {path: r for path, r in responses.items() if r.complete and r.status != 502}
+        assert not passed_on
 
+    run(scenario())
 
-async def check_not_passed_on(path, raw):
-    """Check that a caller gets no complete response but one that states a failure."""
-    response = await response_to(path, raw)
-    assert not response.complete or response.status == 502, response
 
+def check_whole(raw):
+    """Check that every caller gets the body of the target."""
 
-async def check_whole(path, raw):
-    response = await response_to(path, raw)
-    assert response.complete and response.status == 200 and response.body == BODY, response
+    async def scenario():
+        responses = await responses_to(responder(raw))
+        spoiled = {
+            path: response
+            for path, response in responses.items()
+            if not response.complete or response.status != 200 or response.body != BODY
+        }
+        assert not spoiled
+
+    run(scenario())
 
 
-@pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("space", [b" ", b"\t", b" \t "])
-def test_cut_body_is_not_whole_whatever_space_follows_its_length(path, space):
+def test_cut_body_is_not_whole_whatever_space_follows_its_length(space):
     """A length with a space behind it counted as none, so that the body ended where it was cut."""
     length = b"%d" % (len(BODY) + len(EVENT)) + space
-    head = b"HTTP/1.1 200 OK\r\n{seal}Content-Length: %b\r\n\r\n" % length
-    run(check_not_passed_on(path, head + BODY))
+    check_not_passed_on(b"HTTP/1.1 200 OK\r\n{seal}Content-Length: %b\r\n\r\n" % length + BODY)
 
 
-@pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("space", [b"", b" ", b"\t"])
-def test_sound_body_is_whole_whatever_space_follows_its_length(path, space):
+def test_sound_body_is_whole_whatever_space_follows_its_length(space):
     length = b"%d" % len(BODY) + space
-    run(check_whole(path, b"HTTP/1.1 200 OK\r\n{seal}Content-Length: %b\r\n\r\n" % length + BODY))
+    check_whole(b"HTTP/1.1 200 OK\r\n{seal}Content-Length: %b\r\n\r\n" % length + BODY)
 
 
 def test_space_behind_a_value_of_a_request_or_response_is_no_part_of_it():
     """A host, or an attempt id that either side sends, was compared with the space behind it."""
+    raw = b"HTTP/1.1 200 OK\r\n{seal}Content-Length: %d\r\n\r\n" % len(BODY) + BODY
 
-    async def scenario():
-        head = b"HTTP/1.1 200 OK\r\n{seal}Content-Length: %d\r\n\r\n" % len(BODY)
-        head = head.replace(b"{seal}", SEAL.replace("\r\n", " \t\r\n").encode())
-
-        async def respond(reader, writer, attempt_id):
-            writer.write(head.replace(b"{id}", attempt_id.encode()) + BODY)
+    async def respond(reader, writer, attempt_id):
+        lines = SEAL.format(id=attempt_id).replace("\r\n", " \t\r\n")
+        writer.write(raw.replace(b"{seal}", lines.encode()))
 
+    async def scenario():
         async with Site(apps=0, models=0) as site, RawTarget(site, "app", respond):
-            request = site.format_request("/calls/a").replace(b"\r\n", b" \r\n")
-            request = request.replace(b"HTTP/1.1 ", b"HTTP/1.1").removesuffix(b" \r\n") + b"\r\n"
-            response = await site.send_bytes(request)
+            start, *lines = site.format_request("/calls/a").split(b"\r\n")[:-2]
+            data = b"".join([start, b"\r\n", *(line + b" \t\r\n" for line in lines), b"\r\n"])
+            response = await site.send_bytes(data)
             assert response.complete and response.status == 200 and response.body == BODY
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    "codings", [b"gzip", b"chunke", b"xchunked", b"chunked, gzip", b"chunked;a=b", b"chunked,"]
+)
+def test_body_in_another_transfer_coding_is_not_passed_on(codings):
+    """The line that names the coding was dropped, so the coded bytes counted as the body."""
+    check_not_passed_on(b"HTTP/1.1 200 OK\r\n{seal}Transfer-Encoding: %b\r\n\r\n" % codings + BODY)
+
+
+@pytest.mark.parametrize("codings", [b"gzip, chunked", b"chunked, chunked"])
+def test_chunks_of_a_body_in_another_transfer_coding_are_not_passed_on(codings):
+    """Only the chunks were decoded, and the name of the other coding was dropped."""
+    head = b"HTTP/1.1 200 OK\r\n{seal}Transfer-Encoding: %b\r\n\r\n" % codings
+    check_not_passed_on(head + CHUNKS)
+
+
+@pytest.mark.parametrize(
+    "codings", [b"chunked", b"Chunked ", b"chunked\t", b", chunked", b"identity, chunked"]
+)
+def test_sound_chunks_are_whole_however_their_coding_is_written(codings):
+    check_whole(b"HTTP/1.1 200 OK\r\n{seal}Transfer-Encoding: %b\r\n\r\n" % codings + CHUNKS)
+
+
+@pytest.mark.parametrize("lines", [b"", b"Transfer-Encoding: identity\r\n"])
+def test_sound_body_that_ends_with_its_connection_is_whole(lines):
+    check_whole(b"HTTP/1.1 200 OK\r\n{seal}%b\r\n" % lines + BODY)
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from itertools import dropwhile
 from typing import Any
 
 import httptools
@@ -349,16 +350,46 @@
 
 
 class ResponseParser(_Parser):
-    """Parser of a single response, after any interim (1xx) ones."""
+    """Parser of a single response, after any interim (1xx) ones.
 
-    __slots__ = ("_is_interim", "_reason", "head")
+    Heads are passed to the parser beneath line by line, without the white space at the ends of
+    lines: it would take a transfer coding with a tab behind it for another one.
+    """
+
+    __slots__ = ("_is_interim", "_line", "_reason", "head")
 
     def __init__(self) -> None:
         super().__init__(httptools.HttpResponseParser)
         self._is_interim = False
+        self._line = bytearray()
         self._reason = b""
         self.head: ResponseHead | None = None
 
+    def feed(self, data: bytes | memoryview) -> None:
+        """Parse received bytes.
+
+        Raises
+        ------
+        MalformedMessageError
+            If the bytes are not valid HTTP, request an upgrade or have a body in a transfer coding
+            other than ``chunked``.
+        """
+        if self.head is not None:
+            super().feed(data)
+            return
+        searched = len(self._line)
+        self._line += data
+        while self.head is None:
+            end = self._line.find(b"\n", searched) + 1
+            if not end:
+                return
+            super().feed(_without_trailing_space(bytes(self._line[:end])))
+            del self._line[:end]
+            searched = 0
+        if self._line:
+            super().feed(bytes(self._line))
+            self._line.clear()
+
     def on_message_begin(self) -> None:
         """Reset the state left by an interim response."""
         super().on_message_begin()
@@ -374,16 +405,16 @@
         self._is_interim = MIN_INTERIM_STATUS <= status < MIN_FINAL_STATUS
         if self._is_interim or self.head is not None:
             return
-        chunked = b"chunked" in _joined_values(self._headers, b"transfer-encoding").lower()
+        codings = _transfer_codings(self._headers)
         length = _joined_values(self._headers, b"content-length")
-        if length and not length.isdigit():
-            raise MalformedMessageError("the length is no number")
+        if (length and not length.isdigit()) or codings not in ([], [b"chunked"]):
+            raise MalformedMessageError("the length of the body is unknown")
         self.head = ResponseHead(
             status,
             self._reason,
             self._headers,
-            int(length) if length and not chunked else None,
-            chunked,
+            int(length) if length and not codings else None,
+            bool(codings),
         )
         self.head_callback()
 
@@ -391,3 +422,29 @@
         """Report the end of the final response."""
         if not self._is_interim:
             self.end_callback()
+
+
+def _without_trailing_space(line: bytes) -> bytes:
+    """Return a line of a head without white space before its end; an empty line stays as it is.
+
+    Examples
+    --------
+    >>> _without_trailing_space(b"a: 1 \\t\\r\\n")
+    b'a: 1\\r\\n'
+    """
+    content = line.rstrip(b"\r\n")
+    return content.rstrip(OPTIONAL_SPACE) + line[len(content) :] if content.strip() else line
+
+
+def _transfer_codings(headers: Headers) -> list[bytes]:
+    """Return the transfer codings of a body, in lower case.
+
+    Examples
+    --------
+    >>> _transfer_codings([(b"transfer-encoding", b"identity, Chunked")])
+    [b'chunked']
+    """
+    values = _joined_values(headers, b"transfer-encoding").lower().split(b",")
+    codings = [value.strip(OPTIONAL_SPACE) for value in values]
+    # The parser beneath decodes chunks only if the last coding in the list is `chunked`.
+    return list(dropwhile(lambda coding: coding in (b"", b"identity"), codings))
