--- a/celeryrun/gateway/tests/test_malformed_responses.py
+++ b/celeryrun/gateway/tests/test_malformed_responses.py
@@ -108,3 +108,34 @@
 @pytest.mark.parametrize("lines", [b"", b"Transfer-Encoding: identity\r\n"])
 def test_sound_body_that_ends_with_its_connection_is_whole(lines):
     check_whole(b"HTTP/1.1 200 OK\r\n{seal}%b\r\n" % lines + BODY)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        *(b"HTTP/1.1 %b OK" % status for status in (b"000", b"001", b"099", b"600", b"999")),
+        *(
+            b"%b 200 OK" % version
+            for version in (b"HTTP/2.0", b"HTTP/0.9", b"RTSP/1.0", b"ICE/1.0")
+        ),
+        *(b"HTTP/1.1 200 O%cK" % control for control in b"\x00\x01\x0b\x1b\x7f"),
+        b"HTTP/1.1 103 Early Hints\r\n\r\nRTSP/1.0 200 OK",
+    ],
+)
+def test_status_line_that_is_none_is_not_passed_on(line):
+    """Statuses below 100 or above 599, other protocols and control characters were let through."""
+    check_not_passed_on(line + b"\r\n{seal}Content-Length: %d\r\n\r\n" % len(BODY) + BODY)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.0 200 All \tright \xe9",
+        b"\r\nHTTP/1.1 200 OK",
+        b"HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK",
+    ],
+)
+def test_sound_status_line_is_passed_on(line):
+    check_whole(line + b"\r\n{seal}Content-Length: %d\r\n\r\n" % len(BODY) + BODY)
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -32,6 +32,10 @@
 OPTIONAL_SPACE = b" \t"  # around a value, and no part of it; the parser beneath keeps what follows
 DELAY = re.compile(rb"[0-9]+(\.[0-9]+)?")  # Retry-After in seconds, with fractions
 LAST_CHUNK = b"0\r\n\r\n"
+MAX_QUOTED_BYTES = 60  # of a line that an error message repeats
+RESPONSE_START = b"HTTP/1."
+# Version, status and reason phrase, of RFC 9112, section 4.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?")
 MIN_INTERIM_STATUS = 100
 MIN_FINAL_STATUS = 200
 HOP_BY_HOP = frozenset(
@@ -352,16 +356,18 @@
 class ResponseParser(_Parser):
     """Parser of a single response, after any interim (1xx) ones.
 
-    Heads are passed to the parser beneath line by line, without the white space at the ends of
-    lines: it would take a transfer coding with a tab behind it for another one.
+    Heads are passed to the parser beneath line by line, as it reads two things too loosely: it
+    takes any status of three digits, other protocols and control characters in a status line, and
+    it takes a transfer coding with a tab behind it for another one.
     """
 
-    __slots__ = ("_is_interim", "_line", "_reason", "head")
+    __slots__ = ("_is_interim", "_is_start_due", "_line", "_reason", "head")
 
     def __init__(self) -> None:
         super().__init__(httptools.HttpResponseParser)
         self._is_interim = False
         self._line = bytearray()
+        self._is_start_due = True
         self._reason = b""
         self.head: ResponseHead | None = None
 
@@ -382,14 +388,30 @@
         while self.head is None:
             end = self._line.find(b"\n", searched) + 1
             if not end:
+                self._check_start()
                 return
-            super().feed(_without_trailing_space(bytes(self._line[:end])))
+            self._feed_line(bytes(self._line[:end]))
             del self._line[:end]
             searched = 0
         if self._line:
             super().feed(bytes(self._line))
             self._line.clear()
 
+    def _check_start(self) -> None:
+        """Check the first bytes of a status line, which may never end."""
+        start = self._line.lstrip(b"\r")[: len(RESPONSE_START)]
+        if self._is_start_due and not RESPONSE_START.startswith(start):
+            raise MalformedMessageError("the response does not begin with its version")
+
+    def _feed_line(self, line: bytes) -> None:
+        """Parse a line of a head; empty ones may precede a status line."""
+        line = _without_trailing_space(line)
+        content = line.rstrip(b"\r\n")
+        if content and self._is_start_due and not STATUS_LINE.fullmatch(content):
+            raise MalformedMessageError(f"not a status line: {content[:MAX_QUOTED_BYTES]!r}")
+        self._is_start_due = not content
+        super().feed(line)
+
     def on_message_begin(self) -> None:
         """Reset the state left by an interim response."""
         super().on_message_begin()
--- a/celeryrun/transport/tests/test_exchange.py
+++ b/celeryrun/transport/tests/test_exchange.py
@@ -147,3 +147,20 @@
 def test_address_that_no_system_call_takes_is_refused(host, port):
     with pytest.raises(TargetFailedError, match="refused"):
         asyncio.run(open_exchange(host, port, 1.0))
+
+
+@pytest.mark.parametrize(
+    "start", [b"\x00", b"{", b"HTTP/2", b"RTSP/1.0 200", b"http/1.1", b"\r\r\n"]
+)
+def test_response_that_begins_with_no_version_is_malformed_before_its_line_ends(start):
+    async def scenario():
+        with pytest.raises(TargetFailedError, match="malformed"):
+            await exchange_with(start, pause=30.0)
+
+    run(scenario())
+
+
+def test_response_in_segments_of_one_byte():
+    interim = b"\r\nHTTP/1.1 103 Early\r\nLink: a \r\n\r\n"
+    data = interim + b"HTTP/1.1 200\r\nTransfer-Encoding: chunked\t\r\n\r\n5\r\nfirst\r\n0\r\n\r\n"
+    run(check_body(b"first", *(bytes([byte]) for byte in data), pause=0.001))
