transport: the end of a connection ends no body while its request is still being written

Cause: any orderly end of a connection completed a response without a length, and the gateway closed its own side at once, so the reset behind it went unseen. Why this works: the response counts only if the target's system has acknowledged the whole request by then, whatever the order of end and reset; where it has, a reset within the check whether the target is up is seen as well.

--- a/celeryrun/gateway/_hedge.py
+++ b/celeryrun/gateway/_hedge.py
@@ -6,7 +6,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from celeryrun.catalog import Target
 from celeryrun.gateway._attempt import Attempt, AttemptChain
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._metrics import GatewayMetrics
@@ -30,7 +29,7 @@
 from celeryrun.platform import read_response
 from celeryrun.scheduling import LOST, UNUSED, Denial
 from celeryrun.settings import GatewaySettings
-from celeryrun.transport import Exchange, TargetFailedError
+from celeryrun.transport import TargetFailedError
 
 __all__ = ["Hedge", "HedgeSteps", "Hedging"]
 
@@ -48,13 +47,13 @@
     end_attempt : callable
         Reports the result of an attempt and closes it.
     has_survived : callable
-        Returns whether a target still accepts connections.
+        Returns whether the target of an attempt is still up and has not reset the connection.
     """
 
     open_attempt: Callable[[RequestState], Awaitable[object]]
     send: Callable[[RequestState, Attempt], Awaitable[None]]
     end_attempt: Callable[[RequestState, Attempt, Result], Awaitable[None]]
-    has_survived: Callable[[Target], Awaitable[bool]]
+    has_survived: Callable[[Attempt], Awaitable[bool]]
 
 
 class Hedge:
@@ -158,11 +157,11 @@
                 return Broken("malformed")
         except TargetFailedError as error:
             return Broken(error.kind)
-        return await self._find_cut(exchange, attempt.target)
+        return await self._find_cut(attempt)
 
-    async def _find_cut(self, exchange: Exchange, target: Target) -> Broken | None:
+    async def _find_cut(self, attempt: Attempt) -> Broken | None:
         """Return the result if the end of a target may have cut its response."""
-        if exchange.ended_by_close and not await self._steps.has_survived(target):
+        if attempt.exchange.ended_by_close and not await self._steps.has_survived(attempt):
             return Broken("closed")
         return None
 
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -461,7 +461,7 @@
             silence,
             on_accepted=attempts.drop_reserve,
             on_event=lambda: self._bind_stream(state, attempt.target),
-            has_survived=lambda: self._has_survived(attempt.target),
+            has_survived=lambda: self._has_survived(attempt),
             on_statements=attempt.report_statements,
         )
 
@@ -524,13 +524,15 @@
                 return BROKEN
         return FAILED
 
-    async def _has_survived(self, target: Target) -> bool:
-        """Return whether a target still accepts connections.
+    async def _has_survived(self, attempt: Attempt) -> bool:
+        """Return whether a target still accepts connections, and has not reset that of an attempt.
 
         One that leaves goes on serving. If it has ended, nothing tells a response that it completed
         before from one that its end has cut.
         """
-        return await accepts_connections(target.host, target.port, PROBE_TIMEOUT)
+        target = attempt.target
+        is_up = await accepts_connections(target.host, target.port, PROBE_TIMEOUT)
+        return is_up and not attempt.exchange.was_reset()
 
     def _report_suspects(
         self, state: RequestState, target: Target, outcome: str, began: float
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -181,8 +181,8 @@
         on_event : callable
             Called before each event of a stream is passed on; returns the origin to report.
         has_survived : callable
-            Returns whether the target is still up. A response that only the end of its connection
-            delimits may have been cut by a crash.
+            Returns whether the target is still up and has not reset the connection. A response that
+            only the end of its connection delimits may have been cut otherwise.
         on_statements : callable
             Called with a response to the request, for what its target says of itself.
         """
--- a/celeryrun/gateway/tests/raw_targets.py
+++ b/celeryrun/gateway/tests/raw_targets.py
@@ -7,6 +7,7 @@
 
 # Headers without which no response is passed on, by the protocol of the platform's runners.
 SEAL = "Celeryrun-Attempt-Id: {id}\r\nCeleryrun-Response-Seal: seal-raw\r\n"
+READ_AHEAD = 4096  # bytes of a request that are read before they are asked for, at most twice
 
 
 def responder(response):
@@ -48,7 +49,7 @@
         self.attempt_ids = []
 
     async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self._server = await asyncio.start_server(self._serve, HOST, 0, limit=READ_AHEAD)
         host, port = self._server.sockets[0].getsockname()
         entry = {
             "service": self._service,
--- a/celeryrun/gateway/tests/test_malformed_responses.py
+++ b/celeryrun/gateway/tests/test_malformed_responses.py
@@ -1,12 +1,14 @@
 """Responses that are none in HTTP/1.1, or of which a part is missing, reach no caller as whole."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
 from celeryrun.gateway.tests.raw_targets import SEAL, RawTarget, responder
 from celeryrun.transport import LAST_CHUNK, format_chunk
-from standins.site import Site, run
+from standins.site import Site, build_config, run
 
 PATHS = ["/calls/a", "/bookings/a", "/drafts/a", "/chats/a"]
 EVENT = b"id: 1\ndata: a\n\n"
@@ -139,3 +141,79 @@
 )
 def test_sound_status_line_is_passed_on(line):
     check_whole(line + b"\r\n{seal}Content-Length: %d\r\n\r\n" % len(BODY) + BODY)
+
+
+class EarlyTarget:
+    """Target that responds before it has read the body of a request.
+
+    Parameters
+    ----------
+    head : bytes
+        Headers of the response besides the seal.
+    pause : float or None
+        Seconds from the end of its side of the connection to the reset, None to read the body.
+    """
+
+    def __init__(self, head, pause):
+        self.head = head
+        self.pause = pause
+
+    async def respond(self, reader, writer, attempt_id):
+        if self.pause is None:
+            await reader.readexactly(UPLOAD_BYTES)
+        lines = SEAL.format(id=attempt_id).encode() + self.head
+        writer.write(b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n" + BODY)
+        if self.pause is not None:
+            writer.write_eof()
+            await asyncio.sleep(self.pause)
+            linger = struct.pack("ii", 1, 0)  # closing sends a reset
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+
+UPLOAD_BYTES = 1_000_000
+
+
+async def responses_to_uploads(respond, upload_bytes=UPLOAD_BYTES):
+    """Return what callers get who upload a long body."""
+    config = build_config()
+    config["limits"]["maxBodyBytes"] = 4 * UPLOAD_BYTES
+    async with (
+        Site(apps=0, models=0, config=config) as site,
+        RawTarget(site, "app", respond),
+        RawTarget(site, "model", respond),
+    ):
+        body = b"u" * upload_bytes
+        return await asyncio.gather(*(site.send_request(path, body=body) for path in PATHS))
+
+
+@pytest.mark.parametrize(
+    ("pause", "upload_bytes"),
+    [
+        *((pause, size) for pause in (0.0, 0.01, 0.05, 0.3) for size in (300_000, UPLOAD_BYTES)),
+        # The target's system has received all of it, so that only the reset tells.
+        (0.0, 40_000),
+        (0.01, 40_000),
+    ],
+)
+def test_body_that_ends_with_its_connection_while_its_request_is_written_is_not_whole(
+    pause, upload_bytes
+):
+    """A part of a body was passed on as whole if the target reset the upload a moment later."""
+
+    async def scenario():
+        responses = await responses_to_uploads(EarlyTarget(b"", pause).respond, upload_bytes)
+        assert not [r for r in responses if r.complete and r.status != 502]
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("head", "pause"), [(b"", None), (b"Content-Length: %d\r\n" % len(BODY), 0.3)]
+)
+def test_sound_response_to_a_long_upload_is_passed_on(head, pause):
+    async def scenario():
+        responses = await responses_to_uploads(EarlyTarget(head, pause).respond)
+        assert all(r.complete and r.status == 200 and r.body == BODY for r in responses)
+
+    run(scenario())
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import socket
+import struct
+import termios
 from collections import deque
 from typing import Any
 
@@ -18,6 +22,7 @@
 READ_BYTES = 16_384  # that one connection may bring in a turn of the event loop
 PIECE_RATE = 5000.0  # pieces of a response per second, which take a few milliseconds to parse
 MAX_PIECES = 10_000.0  # pieces that may come at once
+QUEUE_SIZE = struct.Struct("i")  # bytes that a socket has not delivered, as the system returns it
 # Filled and parsed within one callback of the event loop, so all connections share it.
 _READ_BUFFER = bytearray(READ_BYTES)
 
@@ -60,6 +65,7 @@
         "_failure",
         "_framing_bytes",
         "_is_full",
+        "_is_sending",
         "_parser",
         "_pieces",
         "_pieces_at",
@@ -80,6 +86,7 @@
         self._buffered_bytes = 0
         self._framing_bytes = 0
         self._is_full = False
+        self._is_sending = False
         self._pieces = 0.0
         self._pieces_at = now()
         self._resume_handle: asyncio.TimerHandle | None = None
@@ -142,14 +149,36 @@
             self._transport.abort()
 
     def eof_received(self) -> bool:
-        """Complete a response whose body is delimited by the end of the connection."""
+        """Complete a response whose body is delimited by the end of the connection.
+
+        It may be cut if the target has not received the whole request. Otherwise the connection
+        stays half open, as the target may still reset it.
+        """
         head = self.head
         is_unframed = head is not None and not head.chunked and head.content_length is None
-        if is_unframed and not self.complete:
+        if is_unframed and not self.complete and not self._has_unsent_bytes():
             self.ended_by_close = True
             self._on_end()
         self._fail("closed")
-        return False
+        return self.ended_by_close
+
+    def _has_unsent_bytes(self) -> bool:
+        """Return whether the system of the target has not acknowledged the whole request."""
+        if self._is_sending or self._transport.get_write_buffer_size():
+            return True
+        sock = self._transport.get_extra_info("socket")
+        (queued,) = QUEUE_SIZE.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, QUEUE_SIZE.pack(0)))
+        return queued > 0
+
+    def was_reset(self) -> bool:
+        """Return whether the target has reset the connection, or it is closed.
+
+        A target that closes a connection from which it has not read all resets it.
+        """
+        if self._transport.is_closing():
+            return True
+        sock = self._transport.get_extra_info("socket")
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the failure of an incomplete response and wake all waiting tasks."""
@@ -169,11 +198,13 @@
     async def send(self, data: bytes) -> None:
         """Write a request and wait until the write buffer accepts more."""
         view = memoryview(data)
+        self._is_sending = True
         for start in range(0, len(data), SENT_BYTES):
             if self._transport.is_closing():
                 return
             self._transport.write(view[start : start + SENT_BYTES])
             await self._writable.wait()
+        self._is_sending = False
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the response once it is received.
