gateway: a grant for a request of a killed process fits none of the next process

Cause: each process numbered its slot requests from 1, and a grant names only that number; the requests of the killed process were still queued, since its silent link had not been closed. No check compared the target's pool. Why this works: numbers begin at random, so a former grant is unexpected and returned; and a target outside the pool of a request is withdrawn whatever the grant says.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import secrets
 from dataclasses import dataclass
 
 from celeryrun.catalog import TargetRun
@@ -51,6 +52,7 @@
 DIAL_INTERVAL = 1.0  # s between attempts to connect to a node
 MAX_DIALS = 2  # concurrent attempts, so that starting nodes do not all dial each other
 DIAL_TIMEOUT = 0.3  # s
+FIRST_REQUEST_ID_BITS = 62  # ids are sent as signed 64-bit numbers and count up from a random one
 MAX_STARTUP_WAIT = 0.4  # s after the start that slot requests wait for a scheduler
 
 
@@ -113,7 +115,8 @@
         self._crash_tracker.is_scheduler = self._is_scheduler
         self._name = settings.node.name
         self._current_scheduler = self._name
-        self._request_ids = itertools.count(1)
+        # Replies to a former process of this node must not fit requests of this one.
+        self._request_ids = itertools.count(secrets.randbits(FIRST_REQUEST_ID_BITS))
         self._heartbeat_number = 0
         self._sent_at_by_number: dict[int, float] = {}
         self._links_by_node: dict[str, Link] = {}
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -365,9 +365,10 @@
         return recheck_admission(catalog, state.admission, state.request.api_key, self._freshness())
 
     def _may_send(self, state: RequestState, target: Target) -> bool:
-        """Return whether a target takes new requests of this node and may continue a stream."""
+        """Return whether a target of a request's pool takes new requests and may continue it."""
         return (
-            self._discovery.is_ready(target)
+            target.pool == state.pool.name
+            and self._discovery.is_ready(target)
             and self._may_continue(state, target)
             and not self._scheduler_client.pause_left(target.run)
         )
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -43,7 +43,7 @@
     Parameters
     ----------
     id : int
-        Number of this slot request, unique within its node.
+        Number of this slot request, unique within its node, also over restarts of its process.
     tier, rank : int
         Order of urgency, 0 first. The tier is that of the workspace, or of the route where the
         workspace has none; the rank is that of the route and orders requests of equal tier.
