dispatch: a malformed head of a target's response leaves the outcome unknown

Callers would see: the answer to another request as their own, if a malformed line (a blank or control character in a name) stands before the other request's id; gzip bytes or cut bodies as whole. Found by looking for the class in celeryrun node. Cause: http.client ends a head at its first malformed line without an error, takes any status, and takes a length that is no number for none; read_response looked for "chunked" anywhere. Why this works: one response class checks the parsed head before anybody uses it, for calls and for engines.

--- a/celeryrun/dispatch/_connection.py
+++ b/celeryrun/dispatch/_connection.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import email.message
 import http.client
+import re
 import socket
 import time
 from collections.abc import Mapping
@@ -29,6 +31,9 @@
 MAX_HEAD_END_BYTES = 3  # of an end that is received in two parts
 TIMEOUT_ERRORS = (TimeoutError, urllib3.exceptions.TimeoutError)
 
+LENGTH = re.compile(r"[0-9]+[ \t]*")
+STATUSES = range(100, 600)
+
 CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 
 
@@ -70,6 +75,38 @@
         return remaining
 
 
+class _CheckedResponse(http.client.HTTPResponse):
+    """Response whose head is an error where `http.client` passes over what is wrong in it."""
+
+    __slots__ = ()
+
+    def begin(self) -> None:
+        """Read the head.
+
+        Raises
+        ------
+        http.client.HTTPException
+            If the head is malformed, or does not tell how long the body is.
+        """
+        super().begin()
+        if self.status not in STATUSES:
+            raise http.client.HTTPException(f"the response has the status {self.status}")
+        if self.msg.defects:
+            # What follows the malformed line does not count as part of the head.
+            raise http.client.HTTPException(f"malformed head: {self.msg.defects[0]!r}")
+        if not _has_known_framing(self.msg):
+            raise http.client.HTTPException("the length of the response is unknown")
+
+
+def _has_known_framing(headers: email.message.Message) -> bool:
+    """Return whether a body has chunks alone, or at most a length that is a number."""
+    codings = headers.get_all("Transfer-Encoding", [])
+    lengths = headers.get_all("Content-Length", [])
+    if codings:
+        return not lengths and [coding.strip().lower() for coding in codings] == ["chunked"]
+    return all(LENGTH.fullmatch(length) for length in lengths) and len(lengths) <= 1
+
+
 class TargetConnection:
     """Connection that carries one request.
 
@@ -87,6 +124,7 @@
         self._sock = sock
         self._http = HTTPConnection(address.host, address.port)
         self._http.auto_open = 0
+        self._http.response_class = _CheckedResponse
         self._http.sock = sock
         self._response: urllib3.BaseHTTPResponse | None = None
 
