transport: trailers of a response are no headers

Callers saw: fields behind the chunks of a plain response as headers of it, unchecked; with Content-Encoding there, a body that could not be decoded. Found by feeding forms of responses to the parser. Cause: the parser beneath reports both alike, and the head of a held response is formatted after its end. Why this works: nothing is added to the headers once the head is complete; a recipient may drop trailers.

--- a/celeryrun/gateway/tests/test_malformed_responses.py
+++ b/celeryrun/gateway/tests/test_malformed_responses.py
@@ -217,3 +217,17 @@
         assert all(r.complete and r.status == 200 and r.body == BODY for r in responses)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("name", ["Content-Encoding", "Server-Leaving", "Set-Cookie"])
+def test_trailer_is_no_header(name):
+    """Trailers were added to the headers of a body that was held back until its end."""
+    trailers = b"0\r\n%b: gzip\r\n\r\n" % name.encode()
+    head = b"HTTP/1.1 200 OK\r\n{seal}Transfer-Encoding: chunked\r\n\r\n"
+
+    async def scenario():
+        responses = await responses_to(responder(head + format_chunk(BODY) + trailers))
+        assert all(r.complete and r.body == BODY for r in responses.values())
+        assert not [r for r in responses.values() if name.lower() in r.headers]
+
+    run(scenario())
--- a/celeryrun/transport/_message.py
+++ b/celeryrun/transport/_message.py
@@ -417,6 +417,11 @@
         super().on_message_begin()
         self._reason = b""
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; trailers, which follow the body, are dropped."""
+        if self.head is None:
+            super().on_header(name, value)
+
     def on_status(self, reason: bytes) -> None:
         """Append a fragment of the reason phrase."""
         self._reason += reason
