continuity: a target that was down is in doubt until its entry is renewed

Cause: a list read 0.2 s after the break was taken to confirm the entry, which a run without the store can't renew. Why this works: what refused connections may be another run until its entry says otherwise; its streams go on nowhere and no bound stream is placed on it. One existing test assumed the contrary for crashed and unreachable targets: it asks for a renewed entry as well now, which is stricter.

--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -263,7 +263,9 @@
                         OriginReport(message.version, (message.stream,), (int(message.lifetime),))
                     )
                     target = self.scheduler.target_of(message.grant_id, time)
-                    if target is not None:
+                    if self.scheduler.may_be_unlisted_run(message.grant_id):
+                        self._origins.give_up(message.stream)
+                    elif target is not None:
                         self._origins.note_target(message.stream, *target)
             case OriginReport():
                 self._apply_origins(message)
--- a/celeryrun/gateway/_stream_origins.py
+++ b/celeryrun/gateway/_stream_origins.py
@@ -154,6 +154,16 @@
             streams.popleft()
         streams.append((time, stream))
 
+    def give_up(self, stream: int) -> None:
+        """Give up the origin of a stream, as its target may be of another version than listed."""
+        moment = now()
+        origin = self._table.find(stream, moment)
+        if origin is None:
+            return
+        self._table.record(stream, CONTRADICTORY, origin.expires_at - moment, moment)
+        for report in build_reports([(stream, origin)]):
+            self.on_contradiction(report)
+
     def merge(self, report: OriginReport) -> bool:
         """Record the origins that another node reports; return whether there is any news."""
         time = now()
--- a/celeryrun/gateway/tests/test_stream_versions.py
+++ b/celeryrun/gateway/tests/test_stream_versions.py
@@ -7,6 +7,7 @@
 import pytest
 
 from celeryrun.gateway.tests.callers import (
+    PAUSE,
     StreamCaller,
     begin_streams,
     build_mixed_site,
@@ -20,6 +21,7 @@
 from standins.site import run
 
 STREAMS = 12
+LONG_PAUSE = 0.08  # s between two events of streams that are still in progress at a second crash
 
 
 def assert_one_version(callers):
@@ -373,3 +375,35 @@
             assert count_whole(own) == STREAMS
 
     run(scenario())
+
+
+def test_streams_of_a_run_that_the_list_does_not_have_go_on_nowhere():
+    """Streams of a new run, listed as the former one, went on at the former one's version."""
+
+    async def scenario():
+        async with build_mixed_site(("v1",) * 4, gateways=1) as site:
+            model = site.models[0]
+            model.register = lambda state: None
+            for each in site.models:
+                each.work = LONG_PAUSE
+            callers, tasks = [], []
+
+            async def begin(seconds):
+                for _ in range(int(seconds / PAUSE)):
+                    callers.append(StreamCaller(site))
+                    tasks.append(asyncio.create_task(callers[-1].take()))
+                    await asyncio.sleep(PAUSE)
+
+            async def crash_twice():
+                await asyncio.sleep(0.5)
+                for version in ("v2", None):
+                    await model.restart(version, down=0.3)
+                    await asyncio.sleep(1.5)
+
+            await asyncio.gather(begin(4.0), crash_twice())
+            await asyncio.gather(*tasks)
+            assert [request for request in model.executed_requests if request.born > 1]
+            assert_one_version(callers)
+            assert count_whole(callers) >= len(callers) / 2
+
+    run(scenario())
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -5,6 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
+from celeryrun.catalog import Target
 from celeryrun.scheduling._lengths import MIN_CUT_EVENTS, LengthErrors
 
 __all__ = ["BREAK_REPORT_DELAY", "ActiveGrant", "TargetLoad"]
@@ -23,6 +24,7 @@
 OVERDUE_FACTOR = 4.0  # multiple of the prediction after which a missing first byte is overdue
 MIN_OVERDUE_DELAY = 1.0  # s
 BREAK_REPORT_DELAY = 0.05  # s within which all nodes report that a target ended its connections
+ENTRIES_UNDER_WAY = 1  # of a run that has ended, which it wrote before and are read after that
 
 
 @dataclass(slots=True)
@@ -110,6 +112,9 @@
     broken_at : float
         Time at which the target was last known to be down or to end a connection early, unless
         another response outlasted that.
+    down_entry : tuple of (int, float) or None
+        Start and sequence number of the target's entry when it was last known to be down, None if
+        it never was, or another response outlasted that.
     """
 
     engine: bool
@@ -126,6 +131,7 @@
     next_overdue: float = math.inf
     busy_since: float = math.inf
     broken_at: float = -math.inf
+    down_entry: tuple[int, float] | None = None
     active_grants_by_id: dict[int, ActiveGrant] = field(default_factory=dict)
 
     def predict(
@@ -268,20 +274,38 @@
         """Note that the target may have started again."""
         self.broken_at = now
 
+    def record_down(self, target: Target) -> None:
+        """Note that the run that a target's entry describes may have ended."""
+        self.down_entry = target.born, target.sequence
+
+    def may_be_unlisted_run(self, target: Target) -> bool:
+        """Return whether a target may be another run than its entry says.
+
+        It may if it was down and its entry has not been renewed since by the same run or another.
+        """
+        if self.down_entry is None:
+            return False
+        born, sequence = self.down_entry
+        return target.born == born and 0 <= target.sequence - sequence <= ENTRIES_UNDER_WAY
+
     def record_completion(self, active_grant: ActiveGrant, seconds: float) -> None:
         """Note that the target was at work for some seconds from a grant on."""
         end = active_grant.granted + seconds
         if self._began_before_break(active_grant) and end > self.broken_at + BREAK_REPORT_DELAY:
-            self.broken_at = -math.inf
+            self._forget_break()
 
     def at_work_since(self, now: float) -> float:
         """Return since when the target has certainly not started again, infinite if idle."""
         if now > self.broken_at + BREAK_REPORT_DELAY and any(
             map(self._began_before_break, self.active_grants_by_id.values())
         ):
-            self.broken_at = -math.inf
+            self._forget_break()
         return max(self.busy_since, self.broken_at)
 
+    def _forget_break(self) -> None:
+        self.broken_at = -math.inf
+        self.down_entry = None
+
     def _began_before_break(self, active_grant: ActiveGrant) -> bool:
         seconds = active_grant.first_byte_seconds
         if seconds is None:
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -308,7 +308,8 @@
         """Return the loads of targets that are of a request's version beyond doubt.
 
         A target may have started again at another version since the list was read. None has that
-        has been at work without a break since, or whose entry was read after the slot request.
+        has been at work without a break since, or whose entry was read after the slot request;
+        but one that was down may be another run until its entry is renewed.
         """
         slot_request = queued.slot_request
         earliest = queued.arrived + (BREAK_REPORT_DELAY if slot_request.retry else 0.0)
@@ -320,6 +321,8 @@
             load = loads.get(target.id)
             if load is None or target.version != slot_request.version:
                 continue
+            if load.may_be_unlisted_run(target):
+                continue
             read_by = max(earliest, load.broken_at + ENTRY_DELAY)
             if confirmed_at >= read_by or load.at_work_since(now) <= busy_since:
                 found[target.id] = load
@@ -387,6 +390,26 @@
         is_certain = load.at_work_since(now) <= confirmed_at - ENTRY_DELAY - MIN_RUN_AGE
         return active_grant.target, is_certain
 
+    def may_be_unlisted_run(self, grant_id: int) -> bool:
+        """Return whether the target of an active grant may be another run than its entry says."""
+        load = self._load_by_grant_id.get(grant_id)
+        if load is None:
+            return False
+        target = self._find_target(load.active_grants_by_id[grant_id])
+        return target is not None and load.may_be_unlisted_run(target)
+
+    def _find_target(self, active_grant: ActiveGrant) -> Target | None:
+        """Return the listed target of a grant, None if it takes no new requests."""
+        targets = self._targets(active_grant.pool)
+        return next((target for target in targets if target.id == active_grant.target), None)
+
+    def _record_down(self, load: TargetLoad, active_grant: ActiveGrant, now: float) -> None:
+        load.record_unreachable(now)
+        load.record_break(now)
+        target = self._find_target(active_grant)
+        if target is not None:
+            load.record_down(target)
+
     def report_first_byte(self, grant_id: int, seconds: float, now: float) -> None:
         """Update the target's load from a measured time to the first byte."""
         load = self._load_by_grant_id.get(grant_id)
@@ -449,12 +472,10 @@
                 load.record_result(failed=True)
                 load.record_break(now)
             case messages.CRASHED:
-                load.record_unreachable(now)
-                load.record_break(now)
+                self._record_down(load, active_grant, now)
                 self._crash_history.record_crash(active_grant.fingerprint, active_grant.target, now)
             case messages.UNREACHABLE:
-                load.record_unreachable(now)
-                load.record_break(now)
+                self._record_down(load, active_grant, now)
                 self.rate_limits.refund(active_grant.target, now)
             case messages.UNUSED:
                 self.rate_limits.refund(active_grant.target, now)
--- a/celeryrun/scheduling/tests/builders.py
+++ b/celeryrun/scheduling/tests/builders.py
@@ -13,9 +13,9 @@
 )
 
 
-def build_target(id="t0", pool="model", slots=2, ready=True, version="v1"):
+def build_target(id="t0", pool="model", slots=2, ready=True, version="v1", **changes):
     """Build a target of one pool."""
-    return Target(id, pool, "127.0.0.1", 1, "zone-a", slots, ready, version=version)
+    return Target(id, pool, "127.0.0.1", 1, "zone-a", slots, ready, version=version, **changes)
 
 
 def build_slot_request(id=1, **changes):
--- a/celeryrun/scheduling/tests/test_versions.py
+++ b/celeryrun/scheduling/tests/test_versions.py
@@ -1,5 +1,7 @@
 """Placement of streams that are bound to a version, and denial of those of unknown origin."""
 
+from dataclasses import replace
+
 import pytest
 
 from celeryrun.continuity import Bound, Unknown
@@ -43,6 +45,11 @@
     return grant
 
 
+def list_instead(scheduler, *targets):
+    """Replace the targets of a scheduler's pool."""
+    scheduler._targets = lambda pool: targets
+
+
 def plan(scheduler, now):
     grants, denials = scheduler.plan("model", now)
     return [grant for _, grant in grants], [denial for _, denial in denials]
@@ -147,13 +154,18 @@
 @pytest.mark.parametrize("outcome", [BROKEN, CRASHED, UNREACHABLE])
 def test_target_that_broke_off_is_doubted_until_its_entry_was_read_again(outcome):
     knowledge = Knowledge(confirmed_at=9.0)
-    scheduler = build_mixed_scheduler(knowledge, [build_target("a", slots=3)])
+    target = build_target("a", slots=3, sequence=7.0)
+    scheduler = build_mixed_scheduler(knowledge, [target])
     first = begin(scheduler, 1, 5.0)
     begin(scheduler, 2, 9.9)
     scheduler.release(SlotReleased(first.grant_id, outcome, 1.0), 10.0)
     scheduler.submit("n", build_slot_request(3, stream=9, version="v1"), 11.0)
     assert plan(scheduler, 11.0) == ([], [])
     knowledge.confirmed_at = 11.1
+    if outcome != BROKEN:
+        # Its run may have ended, so the entry must have been written again as well.
+        assert plan(scheduler, 11.1) == ([], [])
+        list_instead(scheduler, replace(target, sequence=9.0))
     (grant,), _ = plan(scheduler, 11.1)
     assert grant.target == "a"
 
@@ -173,3 +185,29 @@
     assert plan(scheduler, 1.9) == ([], [])
     _, (denial,) = plan(scheduler, 2.0)
     assert denial.kind == "no-target"
+
+
+@pytest.mark.parametrize("outcome", [CRASHED, UNREACHABLE])
+@pytest.mark.parametrize(
+    ("renewed", "is_certain"),
+    [
+        ({}, False),
+        ({"sequence": 8.0}, False),
+        ({"sequence": 9.0}, True),
+        ({"born": 2, "sequence": 0.0}, True),
+    ],
+    ids=["not renewed", "written before it was down", "renewed", "of another run"],
+)
+def test_target_that_was_down_is_in_doubt_until_its_entry_is_renewed(outcome, renewed, is_certain):
+    """A list read after a crash was taken to confirm an entry from before it."""
+    target = build_target("a", born=1, sequence=7.0)
+    scheduler = build_mixed_scheduler(targets=[target])
+    grant = begin(scheduler, 1, now=0.0)
+    scheduler.release(SlotReleased(grant.grant_id, outcome, 1.0), 1.0)
+    list_instead(scheduler, replace(target, **renewed))
+    scheduler.submit("n", build_slot_request(2), 10.0)
+    (unbound,), _ = plan(scheduler, 10.0)
+    assert scheduler.may_be_unlisted_run(unbound.grant_id) is not is_certain
+    scheduler.submit("n", build_slot_request(3, stream=9, version="v1"), 10.0)
+    grants, _ = plan(scheduler, 10.0)
+    assert bool(grants) is is_certain
