gateway: requests without an end make room for new connections

Cause: only idle connections and callers who read nothing made room; requests that stop in their bodies were kept.

--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -347,6 +347,17 @@
         self.drop()
         return True
 
+    def reading_time(self, time: float) -> float:
+        """Return the seconds for which nothing but a request that has no end yet is read.
+
+        It is 0 if that takes less than `STALL_TIME`, or the connection is closed.
+        """
+        if self.transport is None or self.transport.is_closing() or not self._is_reading_only():
+            return 0.0
+        assert self._reading_since is not None
+        age = time - self._reading_since
+        return age if age >= STALL_TIME else 0.0
+
     def _is_reading_only(self) -> bool:
         is_busy = self.is_serving or self._requests or self._read_refusal is not None
         return self._reading_since is not None and not is_busy
