transport: an interim response waits for the responses before it

Cause: it was written when the head of that request was read, which is done ahead, while an earlier one is served. Evidence: test_interim_responses.py, two of four tests failed before. Why this works: only the connection's task, between two responses, or a connection without any sends it.

--- a/celeryrun/transport/_caller.py
+++ b/celeryrun/transport/_caller.py
@@ -125,6 +125,7 @@
         "_limits",
         "_method",
         "_on_closed",
+        "_is_continue_due",
         "_on_dropped",
         "_on_read_refusal",
         "_parser",
@@ -179,6 +180,7 @@
         self._head_bytes = 0
         self._framing_bytes = 0
         self._in_head = True
+        self._is_continue_due = False
         self._reading_since: float | None = None
         self._read_refusal: Refusal | None = None
         self._refused_method = b""
@@ -428,6 +430,8 @@
                 if self._read_refusal is not None:
                     await self._send_read_refusal(self._read_refusal)
                     return
+                # It must not stand inside the response to an earlier request.
+                self._send_due_continue()
                 self._changed.clear()
                 await self._changed.wait()
             # What the caller has not read of earlier responses must not pile up.
@@ -516,9 +520,16 @@
             self._set_read_refusal(BODY_TOO_LARGE)
         elif lengths:
             self._body_length = int(lengths[0])
-        if self._read_refusal is None and any(
+        self._is_continue_due = self._read_refusal is None and any(
             value.lower() == b"100-continue" for value in head.values(b"expect")
-        ):
+        )
+        if not self.is_serving and not self._requests:
+            self._send_due_continue()
+
+    def _send_due_continue(self) -> None:
+        """Send the interim response to the request being read, if its caller waits for it."""
+        if self._is_continue_due:
+            self._is_continue_due = False
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _on_body(self, data: bytes) -> None:
@@ -531,6 +542,7 @@
         self._body.append(data)
 
     def _on_end(self) -> None:
+        self._is_continue_due = False
         if self._read_refusal is not None:
             return
         head = self._parser.head
