gateway: all connections are looked at once in 20 ms when one must make room

Now one is dropped for one, from a list that is made at most once in 20 ms; a connection for which room was made is taken even at the last descriptors.

--- a/celeryrun/gateway/_listeners.py
+++ b/celeryrun/gateway/_listeners.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
+from collections import deque
 
 from celeryrun.catalog import CallerLimits
 from celeryrun.exception import Refusal
@@ -34,10 +34,7 @@
 RESERVED_DESCRIPTORS = 200  # for files, and for connections to the store and between nodes
 DESCRIPTORS_PER_CALLER = 2  # a caller's connection and the one to its target
 MIN_REFUSED_CONNECTIONS = 32  # kept beyond the limit until each is told that the node is full
-DROPPED_AT_ONCE = (
-    16  # unfinished requests, as each search takes time with the number of connections
-)
-DROP_PAUSE = 0.05  # s without a search after one that has found none
+SEARCH_PAUSE = 0.02  # s between two looks at all connections, each of which takes milliseconds
 PAGE_LIMITS = CallerLimits(body_bytes=1024)
 PAGE_MEMORY = 1 << 20  # bytes that the connections to one page may keep
 MAX_PAGE_CONNECTIONS = 32  # to one page
@@ -59,10 +56,11 @@
         "_discovery",
         "_request_log",
         "_max_connections",
-        "_next_drop_at",
+        "_next_search_at",
         "_relay",
         "_server",
         "_settings",
+        "_unfinished",
         "connections",
         "draining",
     )
@@ -77,7 +75,8 @@
         self._max_connections = max(
             1, (node.descriptors - RESERVED_DESCRIPTORS) // DESCRIPTORS_PER_CALLER
         )
-        self._next_drop_at = 0.0
+        self._next_search_at = 0.0
+        self._unfinished: deque[CallerConnection] = deque()
         self._server: asyncio.Server | None = None
         self.connections: set[CallerConnection] = set()
         self.draining = False
@@ -126,8 +125,6 @@
         return sum(1 for connection in self.connections if connection.is_serving)
 
     def _connect(self) -> CallerConnection:
-        if not self._has_descriptors():
-            self._drop_unfinished()
         is_full = len(self.connections) >= self._max_connections and not self._close_one()
         connection = CallerConnection(
             self._refuse_full if is_full else self._relay.serve,
@@ -138,7 +135,7 @@
             self._budget,
             self._request_log.log_dropped,
         )
-        if not self._has_descriptors():
+        if is_full and not self._has_descriptors():
             connection.drop()
             return connection
         self.connections.add(connection)
@@ -152,34 +149,37 @@
         return kept + self.active < self._settings.node.descriptors - RESERVED_DESCRIPTORS
 
     def _close_one(self) -> bool:
-        """Close a connection that is idle, or else one whose caller reads or sends too slowly."""
-        longest_first = sorted(self.connections, key=lambda connection: connection.idle_since)
-        if any(connection.close_if_idle() for connection in longest_first):
-            return True
-        if any(connection.drop_if_unread() for connection in longest_first):
-            return True
-        return self._drop_unfinished()
+        """Close a connection to make room for another; return whether there is one to close.
 
-    def _drop_unfinished(self) -> bool:
-        """Drop the connections that have been reading one request the longest, some at a time.
-
-        Returns
-        -------
-        bool
-            Whether there were any.
+        It is one that is idle, else one whose caller has long read no response, else the one that
+        has been reading a request without an end for the longest time.
         """
         time = now()
-        if time < self._next_drop_at:
-            return False
-        by_age = {connection: connection.reading_time(time) for connection in self.connections}
-        longest = heapq.nlargest(DROPPED_AT_ONCE, by_age, key=by_age.__getitem__)
-        unfinished = [connection for connection in longest if by_age[connection]]
-        for connection in unfinished:
-            connection.drop()
-            self.connections.discard(connection)
-        if not unfinished:
-            self._next_drop_at = time + DROP_PAUSE
-        return bool(unfinished)
+        if time >= self._next_search_at:
+            longest_first = sorted(self.connections, key=lambda connection: connection.idle_since)
+            if any(connection.close_if_idle() for connection in longest_first):
+                return True
+            if any(connection.drop_if_unread() for connection in longest_first):
+                return True
+            self._unfinished = self._find_unfinished(time)
+            self._next_search_at = time + SEARCH_PAUSE
+        while self._unfinished:
+            connection = self._unfinished.popleft()
+            if connection.reading_time(time):
+                connection.drop()
+                self.connections.discard(connection)
+                return True
+        return False
+
+    def _find_unfinished(self, time: float) -> deque[CallerConnection]:
+        """Return the connections that have long been reading one request, the longest first."""
+        age_by_connection = {
+            connection: age
+            for connection in self.connections
+            if (age := connection.reading_time(time))
+        }
+        longest_first = sorted(age_by_connection, key=age_by_connection.__getitem__, reverse=True)
+        return deque(longest_first)
 
     async def _refuse_full(self, connection: CallerConnection, _: ReceivedRequest) -> None:
         self._log_unreadable(NODE_FULL)
