--- a/celeryrun/gateway/tests/test_malformed_responses.py
+++ b/celeryrun/gateway/tests/test_malformed_responses.py
@@ -143,6 +143,20 @@
     check_whole(line + b"\r\n{seal}Content-Length: %d\r\n\r\n" % len(BODY) + BODY)
 
 
+@pytest.mark.parametrize(
+    "name", [b"Bad Name", b"Name ", b" Name", b"Na\x01me", b"\x7f", b"", b"Na\x00me"]
+)
+def test_head_with_a_malformed_name_is_not_passed_on(name):
+    """Other systems pass such a line on, or take the lines behind it for the body."""
+    lines = b"{seal}%b: a\r\nContent-Length: %d\r\n\r\n" % (name, len(BODY))
+    check_not_passed_on(b"HTTP/1.1 200 OK\r\n" + lines + BODY)
+
+
+def test_head_with_a_name_of_all_token_characters_is_passed_on():
+    lines = b"{seal}!#$%&'*+-.^_`|~0aZ: a\r\nContent-Length: 60\r\n\r\n"
+    check_whole(b"HTTP/1.1 200 OK\r\n" + lines + BODY)
+
+
 class EarlyTarget:
     """Target that responds before it has read the body of a request.
 
