--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,4 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH="$PWD:$PWD/target/deps" exec python3 review/14/case.py
