gateway: silence of other nodes counts from the loss of the scheduler

Cause: a node that uses another's scheduler hears nothing of the other nodes, and noted their silence from its own first question after its start. After 30 s it took all for gone, and had the whole fleet's limits and the word of most nodes as soon as its link was lost.

FleetView keeps the signs of life. Silence counts from the loss of the scheduler; only a scheduler that most nodes use finds nodes gone, and names them in its replies to heartbeats, so that the next one does not reserve their shares anew. A node without the store speaks for most nodes only if they use its scheduler.

Measured: test_gateways_that_are_cut_off_late_admit_their_shares_of_a_quota failed before (2 and 5 requests served instead of 1 each), passes.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -339,14 +339,18 @@
     def _switch_to(self, scheduler: str) -> None:
         if scheduler == self._current_scheduler:
             return
-        self._events.emit("scheduler-chosen", peer=scheduler, former=self._current_scheduler)
-        self._current_scheduler = scheduler
+        former, self._current_scheduler = self._current_scheduler, scheduler
         self._local_server.has_local_requests = scheduler == self._name
+        share = round(self._local_server.fleet_share(), 4)
+        self._events.emit("scheduler-chosen", peer=scheduler, former=former, share=share)
         if scheduler == self._name:
             self._local_server.add_held_slots(self._name, self._build_held_slots())
             for follower in self._local_server.followers:
                 follower.resume_reading()
         else:
+            absent = self._links_by_node[scheduler].absent
+            if absent is not None:
+                self._local_server.fleet_view.replace_absent(absent)
             # What this node knows must precede the slot requests of callers that come back.
             for report in self._origins.reports():
                 self._send(scheduler, report)
@@ -434,10 +438,13 @@
 
     def _on_message(self, link: Link, message: Message) -> None:
         link.last_received_at = now()
+        if link.node == self._current_scheduler:
+            self._local_server.fleet_view.record_in_touch(link.last_received_at)
         match message:
             case Grant() | Denial():
                 self._apply_reply(link.node, message)
             case Heartbeat():
+                self._apply_absent_nodes(link, message)
                 self._apply_freshness(link, message)
                 self._local_server.compare_versions(link, message)
             case NewerConfiguration():
@@ -466,6 +473,12 @@
             case _:
                 pass
 
+    def _apply_absent_nodes(self, link: Link, heartbeat: Heartbeat) -> None:
+        if heartbeat.absent is not None:
+            link.absent = frozenset(heartbeat.absent)
+            if link.node == self._current_scheduler:
+                self._local_server.fleet_view.replace_absent(link.absent)
+
     def _apply_freshness(self, link: Link, heartbeat: Heartbeat) -> None:
         """Apply the freshness of the scheduler's data, counted from the heartbeat's send time."""
         sent_at = self._sent_at_by_number.get(heartbeat.number)
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -78,12 +78,15 @@
         Of the configuration that the sender has in force, 0 without any.
     version_age : float
         Seconds since it came into force there.
+    absent : tuple of str or None
+        Nodes that the scheduler has found to be gone; None if it has told the receiver before.
     """
 
     number: int
     freshness: tuple[tuple[float, int, int], ...] = ()
     version: int = 0
     version_age: float = 0.0
+    absent: tuple[str, ...] | None = None
 
 
 class Feed(msgspec.Struct, array_like=True, tag=True):
@@ -332,6 +335,8 @@
 
     Attributes
     ----------
+    absent : frozenset of str or None
+        Absent nodes of which this end last told the peer, or was told by it; None before.
     configuration_sent_at : float
         Time at which the peer was last sent a newer configuration, -inf before.
     last_received_at : float
@@ -345,6 +350,7 @@
         "_on_closed",
         "_on_message",
         "_transport",
+        "absent",
         "closed",
         "configuration_sent_at",
         "last_received_at",
@@ -361,6 +367,7 @@
         self._buffer = bytearray()
         self._transport: Any = None
         self.closed = False
+        self.absent: frozenset[str] | None = None
         self.configuration_sent_at = float("-inf")
         self.last_received_at = 0.0
         self.node = ""
--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -39,6 +39,8 @@
         Peer address of each node, including this one once it is registered.
     follower : TopicFollower
         Follower of the registry.
+    on_registration : callable
+        Called with the name of each node that has registered since the last read.
     page_watchers : list of callable
         Called with each page of the registry, which also holds records of other services.
     speed_by_node : dict
@@ -54,6 +56,7 @@
         "address_by_node",
         "follower",
         "on_change",
+        "on_registration",
         "page_watchers",
         "speed_by_node",
     )
@@ -69,6 +72,7 @@
         self.address_by_node: dict[str, Address] = {}
         self.speed_by_node: dict[str, float] = {}
         self.on_change: Callable[[], None] = lambda: None
+        self.on_registration: Callable[[str], None] = lambda node: None
         self._registered_era: int | None = None
         self.page_watchers: list[Callable[[KeyedPage], None]] = []
 
@@ -143,4 +147,6 @@
                 continue
             self.address_by_node[name] = address
             self.speed_by_node[name] = node_record.speed
+            if not page.is_snapshot:
+                self.on_registration(name)
         self.on_change()
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -12,6 +12,7 @@
 from celeryrun.gateway._crash_tracker import CrashTracker
 from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._events import EventLog
+from celeryrun.gateway._fleet_view import MAJORITY_SHARE, FleetView
 from celeryrun.gateway._intervals import MAX_MISSED_HEARTBEATS, heartbeat_interval
 from celeryrun.gateway._links import (
     MAX_FRAME,
@@ -61,10 +62,8 @@
 MAX_FEED_BYTES = 2 * 1024 * 1024  # bytes of records in one page that is forwarded to nodes
 REPLICATION_INTERVAL = 0.1  # s between reports of new origins to the replicas
 REPLICAS = 3  # nodes ranked next that know the origins of all streams
-MAJORITY_SHARE = 0.5  # fleet share above which most nodes have told what they know
 SWEEP_INTERVAL = 1.0  # s between sweeps for grants that were not released
 EXTRA_HEARTBEATS = 1.0  # heartbeats; a scheduler waits this much longer for a node than vice versa
-SILENT_SHARE_TIMEOUT = 30.0  # s after which a silent node's fleet share is redistributed
 FLEET_START_TIMEOUT = 6.0  # s after process start; a new fleet is up long before its first callers
 UNLISTED_NODE_TIMEOUT = 2.0  # s that a node may be missing from the registry, several reads of it
 MAX_UNLISTED_MESSAGES = (
@@ -92,6 +91,8 @@
 
     Attributes
     ----------
+    fleet_view : FleetView
+        What this node knows of the others.
     followers : tuple of TopicFollower
         Followers whose pages are forwarded to connected nodes, in the order of topic numbers.
     has_local_requests : bool
@@ -100,7 +101,6 @@
 
     __slots__ = (
         "_events",
-        "_last_received_at_by_node",
         "_leaving",
         "_links_by_node",
         "_local_reply_handler",
@@ -124,6 +124,7 @@
         "_unreplicated",
         "_version_records",
         "_work_available",
+        "fleet_view",
         "followers",
         "has_local_requests",
         "scheduler",
@@ -150,8 +151,9 @@
         self._unreplicated: list[OriginReport] = []
         self._settings = settings
         self._name = settings.node.name
+        self.fleet_view = FleetView(self._name)
+        self._members.on_registration = self._on_registration
         self._links_by_node: dict[str, Link] = {}
-        self._last_received_at_by_node: dict[str, float] = {}
         self._leaving = False
         self._next_plan_at = 0.0
         self._delayed_pools: set[str] = set()
@@ -228,18 +230,15 @@
 
         Portions of silent nodes stay reserved, since cut-off nodes may still use them.
         """
-        time = now()
-        connected = len(self._links_by_node) + (1 if self.has_local_requests else 0)
-        silent = sum(
-            1
-            for node in self._members.address_by_node
-            if node != self._name
-            and node not in self._links_by_node
-            and time - self._last_received_at_by_node.setdefault(node, time) < SILENT_SHARE_TIMEOUT
-        )
-        if not self.has_local_requests:
-            silent += 1
-        return max(1, connected) / max(1, connected + silent)
+        return self.fleet_view.share(self._members.address_by_node, self._users(), now())
+
+    def _users(self) -> set[str]:
+        """Return the nodes that use this scheduler."""
+        own = {self._name} if self.has_local_requests else set()
+        return own | self._links_by_node.keys()
+
+    def _on_registration(self, node: str) -> None:
+        self.fleet_view.record_seen(node, now())
 
     def handle_message(self, node: str, message: Message) -> None:
         """Handle a message of a connected node or of this one."""
@@ -285,10 +284,11 @@
         Silent nodes lose their share in time; a node that has lost the store besides may be the
         one that is cut off.
         """
-        connected = len(self._links_by_node) + (1 if self.has_local_requests else 0)
-        is_most = connected > MAJORITY_SHARE * len(self._members.address_by_node)
-        is_cut_off = self._discovery.targets.is_store_lost and not is_most
-        return connected > 0 and self._has_majority() and not is_cut_off
+        users = self._users()
+        is_cut_off = self._discovery.targets.is_store_lost and not self.fleet_view.are_most(
+            self._members.address_by_node, users
+        )
+        return bool(users) and self._has_majority() and not is_cut_off
 
     def _must_store_origins(self) -> bool:
         return self._has_majority() and self._version_records.has_several()
@@ -302,7 +302,7 @@
         """Return whether neither this node nor any that uses this scheduler reaches the store."""
         return (
             self._discovery.targets.is_store_lost
-            and self._has_majority()
+            and self._schedules_for_most()
             and self._links_by_node.keys() <= self._nodes_without_store
         )
 
@@ -508,6 +508,7 @@
                 self._replicate_origins()
             if time - swept_at > SWEEP_INTERVAL:
                 swept_at = time
+                self._update_absent_nodes(time)
                 self.scheduler.expire(time)
                 self.scheduler.forget_targets(set(self._discovery.targets_by_id))
 
@@ -533,10 +534,9 @@
                 self._unlisted_nodes.append(UnlistedNode(link, message, link.last_received_at))
                 self._work_available.set()
             case Heartbeat() if link.node:
-                self._last_received_at_by_node[link.node] = link.last_received_at
+                self.fleet_view.record_seen(link.node, link.last_received_at)
                 self._note_store_of_node(link.node, message)
-                freshness = tuple(follower.freshness() for follower in self.followers)
-                link.send(Heartbeat(message.number, freshness, *self._discovery.version_in_force()))
+                link.send(self._reply_to_heartbeat(link, message))
                 self.compare_versions(link, message)
             case NewerConfiguration() if link.node:
                 self.apply_newer_configuration(link, message)
@@ -557,6 +557,20 @@
             case _:
                 link.close()
 
+    def _reply_to_heartbeat(self, link: Link, heartbeat: Heartbeat) -> Heartbeat:
+        freshness = tuple(follower.freshness() for follower in self.followers)
+        reply = Heartbeat(heartbeat.number, freshness, *self._discovery.version_in_force())
+        absent = self.fleet_view.absent
+        if absent != link.absent:
+            link.absent = absent
+            reply.absent = tuple(absent)
+        return reply
+
+    def _update_absent_nodes(self, time: float) -> None:
+        listed = self._members.address_by_node
+        for node in self.fleet_view.update_absent(listed, self._users(), time):
+            self._events.emit("node-absent", peer=node)
+
     def _add_node(self, link: Link, hello: Hello) -> None:
         link.node = hello.node
         if not self._links_by_node:
@@ -567,7 +581,7 @@
         self._work_available.set()
         if previous is not None and previous is not link:
             previous.close()
-        self._last_received_at_by_node[hello.node] = link.last_received_at
+        self.fleet_view.record_seen(hello.node, link.last_received_at)
         self.add_held_slots(hello.node, hello.held_slots)
         self._events.emit("node-joined", peer=hello.node, holds=len(hello.held_slots))
         for report in self._crash_tracker.reports():
