continuity: a version is inferred only from a list that is newer than the request

A stream of unknown origin was bound to the only listed version if the list was at most 4 s old. A version younger than the list may have begun it, and targets of the listed one that were at work took it.

The list must have been confirmed by a read that began after the request came; it is read at once, and the request waits for at most the second that it waits for origins. While the store is down for all nodes, a list with one version still counts as the newest.

test_list_from_before_the_request_allows_no_inference failed before, passes.

--- a/celeryrun/gateway/_stream_origins.py
+++ b/celeryrun/gateway/_stream_origins.py
@@ -176,15 +176,19 @@
         """Yield reports of all origins in the table."""
         return build_reports(self._table.origins(now()))
 
-    def resolve(self, slot_request: SlotRequest, time: float, is_last: bool) -> Resolution:
+    def resolve(
+        self, slot_request: SlotRequest, arrived: float, time: float, is_last: bool
+    ) -> Resolution:
         """Return the version at which a resumed stream may go on.
 
         Parameters
         ----------
+        arrived : float
+            Time at which the slot request came to this node's scheduler, in seconds.
         is_last : bool
             Whether a stream of unknown origin is refused now.
         """
-        resolution = self._resolve(slot_request, time)
+        resolution = self._resolve(slot_request, arrived, time)
         is_unrecorded = self._table.find(slot_request.stream, time) is None
         if isinstance(resolution, Unknown) and slot_request.stream and is_unrecorded:
             self._origin_records.refresh()
@@ -205,7 +209,7 @@
                 self._metrics.resumed_streams.labels("unknown").inc()
         return resolution
 
-    def _resolve(self, slot_request: SlotRequest, time: float) -> Resolution:
+    def _resolve(self, slot_request: SlotRequest, arrived: float, time: float) -> Resolution:
         stream, pool = slot_request.stream, slot_request.pool
         origin = self._table.find(stream, time) if stream else None
         if origin is None and slot_request.version:
@@ -223,14 +227,19 @@
         life = self._longest_life(pool)
         if life is None or self._observed_since is None:
             return Unknown("the routes or targets are not known")
-        return resolve(
+        # A version that is younger than the list may have begun a stream of unknown origin.
+        is_current = self.list_confirmed_at(pool) >= arrived
+        resolution = resolve(
             origin,
             self._history(pool),
             life,
             self._version_records.versions_of(pool),
             time,
-            self._list_is_current(),
+            is_current,
         )
+        if origin is None and not is_current:
+            self._discovery.targets.hurry()
+        return resolution
 
     def list_confirmed_at(self, pool: str) -> float:
         """Return the start of the last read that showed the list of targets to be the newest.
--- a/celeryrun/gateway/tests/test_stream_origins.py
+++ b/celeryrun/gateway/tests/test_stream_origins.py
@@ -99,9 +99,9 @@
     return origins, discovery
 
 
-def resolve(origins, stream=9):
+def resolve(origins, stream=9, arrived=0.0):
     slot_request = build_slot_request(stream=stream, resumed=True)
-    return origins.resolve(slot_request, now(), is_last=True)
+    return origins.resolve(slot_request, arrived, now(), is_last=True)
 
 
 def test_system_that_has_never_run_has_no_earlier_version():
@@ -180,10 +180,27 @@
 def test_old_list_allows_no_inference_and_is_not_told():
     origins, discovery = build_origins("v1", first_start="yes")
     discovery.targets.confirmed_at -= 60.0
-    assert isinstance(resolve(origins), Unknown)
+    assert isinstance(resolve(origins, arrived=now()), Unknown)
     assert origins.version_report() is None
 
 
+def test_list_from_before_the_request_allows_no_inference():
+    """A stream was taken for one of the only version in a list that was older than it."""
+    origins, discovery = build_origins("v1", first_start="yes")
+    arrived = now()
+    assert resolve(origins, arrived=arrived) == Unknown("the list of targets is old")
+    assert discovery.targets.hurried == 1
+    discovery.targets.confirmed_at = now()
+    assert resolve(origins, arrived=arrived).version == "v1"
+
+
+def test_list_with_one_version_allows_inference_while_the_store_is_down_for_all():
+    origins, discovery = build_origins("v1", first_start="yes")
+    discovery.targets.is_store_lost = True
+    origins.is_store_down = lambda: True
+    assert resolve(origins, arrived=now()).version == "v1"
+
+
 def test_list_that_may_lack_changes_begins_a_new_history():
     origins, discovery = build_origins("v1", first_start="yes")
     discovery.on_snapshot()
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -80,8 +80,9 @@
     crash_history : CrashHistory, optional
         Crashes by request, shared with other nodes; by default, those of this scheduler's grants.
     resolve_origin : callable, optional
-        Returns the version at which a resumed stream may go on; by default, none is known. Its
-        last argument is whether a stream of unknown origin will be denied.
+        Returns the version at which a resumed stream may go on; by default, none is known. Called
+        with the slot request, the times of its arrival and of the call, and whether a stream of
+        unknown origin will be denied.
     list_confirmed_at : callable, optional
         Returns the start of the last read that showed the targets of a pool to be the newest list.
     confirm_list : callable, optional
@@ -129,8 +130,8 @@
         seed: int | None = None,
         no_prior_usage: bool = False,
         crash_history: CrashHistory | None = None,
-        resolve_origin: Callable[[SlotRequest, float, bool], Resolution] = (
-            lambda slot_request, now, is_last: Unknown("no origins are recorded")
+        resolve_origin: Callable[[SlotRequest, float, float, bool], Resolution] = (
+            lambda slot_request, arrived, now, is_last: Unknown("no origins are recorded")
         ),
         list_confirmed_at: Callable[[str], float] = lambda pool: math.inf,
         confirm_list: Callable[[], None] = lambda: None,
@@ -290,7 +291,7 @@
                 del unresolved[key]
                 continue
             is_last = now >= resolve_by
-            match self._resolve_origin(queued.slot_request, now, is_last):
+            match self._resolve_origin(queued.slot_request, queued.arrived, now, is_last):
                 case Bound(version):
                     queued.slot_request.version = version
                     del unresolved[key]
--- a/celeryrun/scheduling/tests/test_versions.py
+++ b/celeryrun/scheduling/tests/test_versions.py
@@ -17,7 +17,7 @@
         self.confirmed_at = confirmed_at
         self.asked_to_confirm = 0
 
-    def resolve(self, slot_request, now, is_last):
+    def resolve(self, slot_request, arrived, now, is_last):
         version = slot_request.version or self.versions_by_stream.get(slot_request.stream)
         return Unknown("nobody knows") if version is None else Bound(version, "recorded", 0.0)
 
