gateway: nodes that start without the registry read its copy

Cause: a node that has not read the registry knows only itself, and took that for the whole fleet; it was ready as soon as it had the configuration and the targets.

The scheduler of most nodes copies the registry into a topic of its own. A node that starts reads the copy if the registry can't be read or is late, and finds the scheduler and the size of the fleet by it, so that callers keep their whole quota. With neither, the largest fleet supported is assumed, and callers over that share are told to return soon.

--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -309,7 +309,7 @@
         self._resend_orphaned()
         self._close_unused_links(candidates[candidates.index(chosen) + 1 :])
         is_late = time - self._started_at > MAX_STARTUP_WAIT
-        if is_late or (self._members.is_loaded() and not self._dialing):
+        if is_late or (self._members.is_known() and not self._dialing):
             self._startup_done.set()
 
     def _select_scheduler(self, candidates: list[str], time: float) -> str:
--- a/celeryrun/gateway/_fleet_view.py
+++ b/celeryrun/gateway/_fleet_view.py
@@ -5,10 +5,11 @@
 import math
 from collections.abc import Collection, Iterable
 
-__all__ = ["MAJORITY_SHARE", "SILENCE_TIMEOUT", "FleetView"]
+__all__ = ["ASSUMED_NODES", "MAJORITY_SHARE", "SILENCE_TIMEOUT", "FleetView"]
 
 SILENCE_TIMEOUT = 30.0  # s without a sign of a node after which its share is redistributed
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes have told what they know
+ASSUMED_NODES = 400  # nodes of the largest fleet supported, assumed while the fleet is not known
 
 
 class FleetView:
@@ -79,12 +80,24 @@
             if self._silence(node, time) < SILENCE_TIMEOUT
         ]
 
-    def share(self, listed: Collection[str], connected: Collection[str], time: float) -> float:
-        """Return the portion of the fleet's limits for the connected nodes."""
+    def share(
+        self,
+        listed: Collection[str],
+        connected: Collection[str],
+        time: float,
+        is_complete: bool = True,
+    ) -> float:
+        """Return the portion of the fleet's limits for the connected nodes.
+
+        Parameters
+        ----------
+        is_complete : bool
+            Whether the listed nodes are known to be all; the largest fleet is assumed otherwise.
+        """
         nodes = len(connected) + len(self.silent_nodes(listed, connected, time))
         if self._own not in connected:
             nodes += 1
-        return max(1, len(connected)) / max(1, nodes)
+        return max(1, len(connected)) / (nodes if is_complete else max(nodes, ASSUMED_NODES))
 
     def are_most(self, listed: Collection[str], connected: Collection[str]) -> bool:
         """Return whether the connected nodes are most of those not known to be gone.
--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -18,6 +18,7 @@
 from celeryrun.gateway._metrics import GatewayMetrics
 from celeryrun.gateway._origin_records import OriginRecords
 from celeryrun.gateway._planned_stop import STOPPING, StopSchedule
+from celeryrun.gateway._registry_copy import RegistryCopy
 from celeryrun.gateway._relay import Relay
 from celeryrun.gateway._request_log import RequestLog
 from celeryrun.gateway._rollouts import Rollouts
@@ -78,6 +79,7 @@
         kernel.register("store", store)
         kernel.register("discovery", Discovery(kernel, settings))
         kernel.register("members", Members(kernel, settings))
+        kernel.register("registry-copy", RegistryCopy(kernel))
         kernel.register("crash-tracker", CrashTracker(kernel))
         kernel.register("version-records", VersionRecords(kernel))
         kernel.register("origin-records", OriginRecords(kernel))
--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Annotated
 
 import msgspec
@@ -14,7 +14,7 @@
 from celeryrun.platform import NODES_TOPIC, KeyedPage, KeyedRecord, Store, StoreUnavailableError
 from celeryrun.settings import Address, GatewaySettings
 
-__all__ = ["SCHEDULER_KEY", "Members"]
+__all__ = ["SCHEDULER_KEY", "ListedNode", "Members"]
 
 MAX_READ_WAIT = 10.0  # s that the store may hold a read; nodes rarely join or leave
 READ_DELAY = 0.3  # s between reads; nodes that start together are read together
@@ -24,10 +24,20 @@
 MAX_SPEED = 1e6  # cores
 
 
+Speed = Annotated[float, msgspec.Meta(ge=0, le=MAX_SPEED)]
+
+
 class _NodeRecord(msgspec.Struct):
     address: str
     zone: str
-    speed: Annotated[float, msgspec.Meta(ge=0, le=MAX_SPEED)] = 1.0
+    speed: Speed = 1.0
+
+
+class ListedNode(msgspec.Struct, array_like=True):
+    """Peer address and processor speed of a node, as kept in the copy of the registry."""
+
+    address: str
+    speed: Speed
 
 
 class Members:
@@ -48,6 +58,7 @@
     """
 
     __slots__ = (
+        "_copied_nodes",
         "_events",
         "_registered_era",
         "_settings",
@@ -69,6 +80,7 @@
         self.follower = TopicFollower(
             self._store, self._events, NODES_TOPIC, MAX_READ_WAIT, READ_DELAY, self._apply_page
         )
+        self._copied_nodes: set[str] = set()
         self.address_by_node: dict[str, Address] = {}
         self.speed_by_node: dict[str, float] = {}
         self.on_change: Callable[[], None] = lambda: None
@@ -96,6 +108,42 @@
         """Return whether the registry was read."""
         return self.follower.confirmed_at > float("-inf")
 
+    def is_known(self) -> bool:
+        """Return whether the registry or its copy was read, so that the fleet is known."""
+        return self.is_loaded() or bool(self._copied_nodes)
+
+    def listed_nodes(self) -> dict[str, ListedNode]:
+        """Return the registry by node, for its copy."""
+        return {
+            node: ListedNode(str(address), self.speed_by_node[node])
+            for node, address in self.address_by_node.items()
+        }
+
+    def apply_copy(self, nodes: Mapping[str, ListedNode]) -> None:
+        """Use the copy of the registry until the registry is read.
+
+        Raises
+        ------
+        ValueError
+            If it holds an address that is none.
+        """
+        if self.is_loaded():
+            return
+        address_by_node = {name: Address.from_text(node.address) for name, node in nodes.items()}
+        self._copied_nodes = set(nodes)
+        self.address_by_node |= address_by_node
+        self.speed_by_node |= {name: node.speed for name, node in nodes.items()}
+        self.on_change()
+
+    def _drop_copy(self, page: KeyedPage) -> None:
+        """Forget the nodes of the copy that the registry does not have."""
+        listed = {record.key for record in page.records}
+        for node in self._copied_nodes:
+            if KEY_PREFIX + node not in listed:
+                self.address_by_node.pop(node, None)
+                self.speed_by_node.pop(node, None)
+        self._copied_nodes.clear()
+
     def _own_record(self) -> KeyedRecord:
         node = self._settings.node
         node_record = _NodeRecord(str(node.peer_address), node.zone, round(node.speed, 1))
@@ -128,6 +176,8 @@
 
     def _apply_page(self, page: KeyedPage) -> None:
         self._register_again_if_lost(page)
+        if page.is_snapshot:
+            self._drop_copy(page)
         for watcher in self.page_watchers:
             watcher(page)
         for record in page.records:
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -35,6 +36,7 @@
 from celeryrun.gateway._listen import listen
 from celeryrun.gateway._members import SCHEDULER_KEY, Members
 from celeryrun.gateway._origin_records import OriginRecords
+from celeryrun.gateway._registry_copy import RegistryCopy
 from celeryrun.gateway._rollouts import Rollouts
 from celeryrun.gateway._stream_origins import StreamOrigins, merge_reports
 from celeryrun.gateway._topic_follower import MAX_REASON_CHARS, TopicFollower
@@ -73,6 +75,7 @@
 Reply = Grant | Denial
 TargetNotice = TargetLeaving | TargetLimit | TargetPaused
 MIN_VERSION_AGE = 0.3  # s; a version is usually forwarded to all nodes within it
+UNKNOWN_FLEET_RETRY = 0.5  # s, in which the registry or its copy is usually read
 CONFIGURATION_INTERVAL = 1.0  # s between two sendings of a configuration to one peer
 
 
@@ -138,6 +141,8 @@
         self._origins: StreamOrigins = kernel.find("stream-origins")
         self._version_records: VersionRecords = kernel.find("version-records")
         self._version_records.is_scheduler = self._has_majority
+        registry_copy: RegistryCopy = kernel.find("registry-copy")
+        registry_copy.is_writer = self._schedules_for_most
         rollouts: Rollouts = kernel.find("rollouts")
         rollouts.is_decider = self._schedules_for_most
         self._origin_records: OriginRecords = kernel.find("origin-records")
@@ -230,7 +235,9 @@
 
         Portions of silent nodes stay reserved, since cut-off nodes may still use them.
         """
-        return self.fleet_view.share(self._members.address_by_node, self._users(), now())
+        return self.fleet_view.share(
+            self._members.address_by_node, self._users(), now(), self._members.is_known()
+        )
 
     def _users(self) -> set[str]:
         """Return the nodes that use this scheduler."""
@@ -249,6 +256,7 @@
                     self._mark_usage_unknown_if_late()
                 denial = self.scheduler.submit(node, message, time)
                 if denial is not None:
+                    self._shorten_return(denial)
                     self._reply(node, denial)
                 else:
                     self._work_available.set()
@@ -275,6 +283,12 @@
                 if pool is not None:
                     self._schedule_plan(pool)
 
+    def _shorten_return(self, denial: Denial) -> None:
+        """Let callers return soon if their quota grows once the fleet is known."""
+        if denial.kind == "quota" and not self._members.is_known():
+            longest = random.uniform(UNKNOWN_FLEET_RETRY, 2 * UNKNOWN_FLEET_RETRY)
+            denial.retry_after = min(denial.retry_after, longest)
+
     def _has_majority(self) -> bool:
         return self.fleet_share() > MAJORITY_SHARE
 
--- a/celeryrun/gateway/tests/test_fleet_view.py
+++ b/celeryrun/gateway/tests/test_fleet_view.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from celeryrun.gateway._fleet_view import SILENCE_TIMEOUT, FleetView
+from celeryrun.gateway._fleet_view import ASSUMED_NODES, SILENCE_TIMEOUT, FleetView
 
 LISTED = {"a", "b", "c", "d", "e", "f"}
 LONG = 10 * SILENCE_TIMEOUT
@@ -90,3 +90,11 @@
     view.update_absent(rest, rest, LONG + 1)
     assert view.absent == frozenset()
     assert view.share(rest, rest, LONG + 1) == 1.0
+
+
+def test_unknown_fleet_counts_as_the_largest():
+    """A node that could not read the registry took itself for the whole fleet."""
+    view = FleetView("a")
+    assert view.share((), {"a"}, 0.0, is_complete=False) == 1 / ASSUMED_NODES
+    assert view.share((), {"a", "b"}, LONG, is_complete=False) == 2 / ASSUMED_NODES
+    assert view.share((), {"a"}, 0.0) == 1.0
--- a/celeryrun/platform/__init__.py
+++ b/celeryrun/platform/__init__.py
@@ -20,6 +20,7 @@
 from celeryrun.platform._store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
+    FLEET_TOPIC,
     NODES_TOPIC,
     STREAMS_TOPIC,
     TARGETS_TOPIC,
@@ -31,6 +32,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
+    "FLEET_TOPIC",
     "NODES_TOPIC",
     "READY_PATH",
     "ROLLOUT_PREFIX",
--- a/celeryrun/platform/_store.py
+++ b/celeryrun/platform/_store.py
@@ -21,6 +21,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
+    "FLEET_TOPIC",
     "NODES_TOPIC",
     "STREAMS_TOPIC",
     "TARGETS_TOPIC",
@@ -32,7 +33,9 @@
 CONFIGURATION_KEY = "config"
 TARGETS_TOPIC = "keyed.servers"
 NODES_TOPIC = "keyed.status"
-STREAMS_TOPIC = "keyed.streams"  # the system's own, unlike those above
+# The system's own topics, unlike those above.
+STREAMS_TOPIC = "keyed.streams"
+FLEET_TOPIC = "keyed.fleet"
 
 CONNECT_TIMEOUT = 0.5  # s, enough for several round trips and one lost packet
 RESPONSE_TIMEOUT = 0.6  # s on top of the wait of a call; the store responds within milliseconds
@@ -172,16 +175,9 @@
             raise StoreUnavailableError(
                 f"read of {topic} returned no whole record; wait for the store to recover"
             )
-        records = [
-            record for record in map(_decode_keyed_record, raw_records) if record is not None
-        ]
-        next_offset = start.offset + len(raw_records)
-        return KeyedPage(
-            tuple(records),
-            Position(era, next_offset),
-            is_snapshot=False,
-            at_end=next_offset >= end,
-        )
+        records = tuple(filter(None, map(_decode_keyed_record, raw_records)))
+        next_read = Position(era, start.offset + len(raw_records))
+        return KeyedPage(records, next_read, is_snapshot=False, at_end=next_read.offset >= end)
 
     async def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a new value of a key; return the era, whose end the value may not survive.
--- a/standins/site.py
+++ b/standins/site.py
@@ -215,9 +215,9 @@
         self.store.stop()
         self.log_file.close()
 
-    async def add_gateway(self, name, first_start="yes"):
-        """Start and return another gateway."""
-        ports = lease_ports(4)
+    async def add_gateway(self, name, first_start="yes", ports=None):
+        """Start and return another gateway, on free ports by default."""
+        ports = ports or lease_ports(4)
         text = format_settings(name, ports, self.store.port, self.bounds, self.node, first_start)
         settings = parse_gateway_settings(text)
         events = EventLog(name, os.dup(self.log_file.fileno()))
--- a/standins/store.py
+++ b/standins/store.py
@@ -87,6 +87,8 @@
     ----------
     faults : set of str
         Active faults.
+    busy_topics : set of str
+        Topics whose calls are answered 503, as if their partition were away.
     lost_responses : int
         Number of further calls that are executed but get no response.
     called_paths : list of str
@@ -99,6 +101,7 @@
         self.topics: dict[str, Topic] = {}
         self.appended = asyncio.Event()
         self.faults: set[str] = set()
+        self.busy_topics: set[str] = set()
         self.lost_responses = 0
         self.called_paths: list[str] = []
         self.era = 1
@@ -159,7 +162,7 @@
             return
         if "silent" in self.faults:
             await asyncio.sleep(3600)
-        if "busy" in self.faults:
+        if "busy" in self.faults or query.get("topic") in self.busy_topics:
             send_response(connection, 503, b"{}", Store_Era=str(self.era))
             return
         era = self.era
