--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -105,6 +105,7 @@
         "_request",
         "_route",
         "_splitter",
+        "_unconfirmed_response",
         "events",
         "first_byte",
         "longest_pause",
@@ -118,6 +119,7 @@
         self._route = route
         self._splitter = EventSplitter()
         self._held_response: bytes | None = None
+        self._unconfirmed_response: bytes | None = None
         self._is_chunked = False
         self._last_event_at = 0.0
         self.events = 0
@@ -196,6 +198,7 @@
                 silence.end_hedge()
 
         is_stream = False
+        self._unconfirmed_response = None
         try:
             head = await silence.wait(exchange.read_head)
             response = read_response(head, self._request)
@@ -220,8 +223,10 @@
             if isinstance(result, Broken):
                 return result
             if exchange.ended_by_close and not await has_survived():
-                self._held_response = None
                 return Broken("closed")
+            if self._unconfirmed_response is not None:
+                # Only now; the request's time may end while it is not known to be whole.
+                self._held_response = self._unconfirmed_response
             self._end_response()
             return result
         except TargetFailedError as error:
@@ -259,7 +264,7 @@
         length = len(body) if has_body else head.content_length
         if length is not None:
             headers.append((b"Content-Length", b"%d" % length))
-        self._held_response = format_head(_start_line(head), headers) + body
+        self._unconfirmed_response = format_head(_start_line(head), headers) + body
         return Finished(head.status, failed, is_held=failed)
 
     async def _relay_chunked(
--- a/celeryrun/gateway/tests/test_malformed_responses.py
+++ b/celeryrun/gateway/tests/test_malformed_responses.py
@@ -245,3 +245,21 @@
         assert not [r for r in responses.values() if name.lower() in r.headers]
 
     run(scenario())
+
+
+@pytest.mark.parametrize("path", ["/calls/a", "/bookings/a"])
+def test_body_that_is_not_known_to_be_whole_at_the_deadline_is_not_passed_on(monkeypatch, path):
+    """It was sent as complete while its target was being asked whether it was up (review/11)."""
+
+    async def never_returns(*_):
+        await asyncio.sleep(3600)
+
+    async def scenario():
+        respond = responder(b"HTTP/1.1 200 OK\r\n{seal}\r\n" + BODY[: len(BODY) // 2])
+        async with Site(apps=0, models=0) as site, RawTarget(site, "app", respond) as app:
+            response = await site.send_request(path, deadline=400)
+            assert app.attempt_ids
+            assert response.status == 504
+
+    monkeypatch.setattr("celeryrun.gateway._relay.accepts_connections", never_returns)
+    run(scenario())
