--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -329,6 +329,7 @@
                 target=reply.target,
                 tier=state.admission.tier,
                 prompt=state.request.prompt_tokens,
+                length=round(state.expected_size, 1),
                 fingerprint=state.fingerprint,
                 parts=state.logged_parts,
                 waited=round(now() - state.arrived_at, 4),
--- a/celeryrun/gateway/_request_log.py
+++ b/celeryrun/gateway/_request_log.py
@@ -58,6 +58,8 @@
                 "route": state.admission.route.name,
                 "workspace": state.admission.workspace.name,
                 "waited": round(now() - state.arrived_at, 4),
+                "prompt": state.request.prompt_tokens,
+                "length": round(state.expected_size, 1),
                 "fingerprint": state.fingerprint,
                 "parts": state.logged_parts,
             }
