--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -32,6 +32,7 @@
 LOSS_COST = 0.3  # cost of a stream that is late or has no end, in seconds that it had left
 PAUSE_COST = 1.0  # cost of each stream whose events are paused too long, in objectives
 HOPELESS_COST = 1e9  # cost of a first byte after the caller has left, above all others
+MAX_OVERRUN_RISK = 0.75  # of a stream, above which it does not take a slot that others wait for
 UNEVEN_RATIO = 2.0  # of the quartiles of event gaps, above which targets are of unlike speed
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler, others few slots
@@ -110,6 +111,8 @@
         Number of queued requests for which a placement was searched.
     is_uneven : bool
         Whether streams last several times longer on some targets than on others.
+    may_keep_slots : bool
+        Whether a free slot may be kept for a request that would be late elsewhere.
     loads_of_version : callable
         Returns those of the targets that are certainly of the version that a request needs.
     allowance : Allowance or None
@@ -127,6 +130,7 @@
     limits_to_check: set[str] = field(default_factory=set)
     placed: int = 0
     is_uneven: bool = False
+    may_keep_slots: bool = True
     loads_of_version: Callable[[QueuedRequest], dict[str, TargetLoad]] = lambda queued: {}
     allowance: Allowance | None = None
     _general_loads: dict[str, TargetLoad] | None = None
@@ -298,7 +302,8 @@
     The cost is the time until the end, plus the delay beyond the objective, the risk of a
     failure, and the pauses caused in other streams on the target. Of unlike targets it is also the
     risk that it is late, or that it does not end in time since it is longer than expected. A
-    placement that is too late for the caller is chosen only if all are.
+    placement that is too late for the caller is chosen only if all are; so is one that probably
+    does not end in time, while others wait for its slot.
     """
     slot_request = queued.slot_request
     objective = max(MIN_OBJECTIVE, slot_request.objective)
@@ -321,9 +326,12 @@
                 load.event_gap,
                 queued.deadline_time - start - first_byte,
             )
-            if start + first_byte > queued.objective_time:
-                loss = 1.0 + loss * LATE_WORTH
-            cost += loss * LOSS_COST * slot_request.deadline
+            if planning_round.may_keep_slots:
+                if start + first_byte > queued.objective_time:
+                    loss = 1.0 + loss * LATE_WORTH
+                cost += loss * LOSS_COST * slot_request.deadline
+            elif loss > MAX_OVERRUN_RISK:
+                cost += HOPELESS_COST
         if (
             slot_request.max_pause > 0
             and load.event_gap_during_prefill(slot_request.prompt_tokens, planning_round.now)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -259,7 +259,7 @@
             queued, targets, now
         )
         # A slot that is kept free for the right request is lost to all others where many wait.
-        planning_round.is_uneven &= len(queue) <= len(targets)
+        planning_round.may_keep_slots = len(queue) <= len(targets)
         full_scan = full_scan or len(queue) * len(targets) <= FULL_SCAN_LIMIT
         if not full_scan and not planning_round.idle_targets:
             return [], denials
--- a/celeryrun/scheduling/tests/test_uneven_targets.py
+++ b/celeryrun/scheduling/tests/test_uneven_targets.py
@@ -88,6 +88,20 @@
     assert not denials
 
 
+def test_long_stream_under_a_queue_is_not_begun_where_it_cannot_end_in_time():
+    scheduler = build_scheduler(build_target("fast", slots=1), build_target("slow", slots=1))
+    scheduler._load("fast", "model").event_gap = 0.02
+    scheduler._load("slow", "model").event_gap = 0.08
+    taken = build_slot_request(1, expected_events=300.0, excluded_targets=("slow",))
+    scheduler.submit("n", taken, 0.0)
+    scheduler.plan("model", 0.0)
+    scheduler.submit("n", build_slot_request(2, expected_events=200.0, deadline=12.0), 0.1)
+    for number in (3, 4):
+        scheduler.submit("n", build_slot_request(number, rank=1, expected_events=5.0), 0.1)
+    grants, _ = scheduler.plan("model", 0.1)
+    assert [(grant.slot_request_id, grant.target) for _, grant in grants] == [(3, "slow")]
+
+
 def test_stream_that_is_cut_off_tells_the_speed_of_its_target():
     scheduler = build_scheduler(build_target("t0", slots=1))
     scheduler.submit("n", build_slot_request(1), 0.0)
