--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, replace
+from http import HTTPStatus
 
 from celeryrun.catalog import Target
 from celeryrun.exception import Refusal
@@ -50,6 +51,7 @@
     COMPLETE,
     CRASHED,
     FAILED,
+    MISDIRECTED,
     REJECTED,
     UNREACHABLE,
     UNUSED,
@@ -507,6 +509,8 @@
         match result:
             case Finished(failed=failed):
                 return FAILED if failed else COMPLETE
+            case Rejected(status=HTTPStatus.MISDIRECTED_REQUEST):
+                return MISDIRECTED
             case Rejected():
                 return REJECTED
             case Broken(kind="reset" | "closed" | "cut") if not await accepts_connections(
@@ -563,7 +567,9 @@
             Whether another target works on the request, or may still go on with its response.
         """
         route = state.admission.route
-        may_repeat = state.attempts < route.max_attempts or has_other
+        if isinstance(result, Rejected) and result.status == HTTPStatus.MISDIRECTED_REQUEST:
+            state.misdirections += 1
+        may_repeat = has_other or state.may_be_sent_again()
         is_paused = self._scheduler_client.pause_left(target.run) > 0
         if not (isinstance(result, Rejected) and is_paused):
             state.excluded_targets.append(target.id)
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -44,6 +44,7 @@
 SILENCE_TIMEOUT_FACTOR = 5.0  # multiple of the predicted time to the first byte
 MIN_STREAM_SILENCE_TIMEOUT = 1.2  # s without an event before a resumable stream changes target
 PATIENCE_MARGIN = 0.1  # s of a caller's patience reserved for the network and late timers
+MAX_MISDIRECTIONS = 3  # of a request that do not count as attempts
 MAX_LOGGED_PARTS = 8  # parts of a prompt in a log line
 OUTCOME_UNKNOWN_REMEDY = "find out whether it ran before you send it again"
 OUTCOME_UNKNOWN = Refusal(502, "unknown", OUTCOME_UNKNOWN_REMEDY)
@@ -69,6 +70,8 @@
         Number of targets that the request was sent to.
     failed_connects : int
         Number of targets that could not be reached.
+    misdirections : int
+        Number of targets in whose place another server responded.
     charged : bool
         Whether the request was charged to its workspace's quota.
     excluded_targets : list of str
@@ -97,6 +100,7 @@
     fingerprint: int
     attempts: int = 0
     failed_connects: int = 0
+    misdirections: int = 0
     charged: bool = False
     excluded_targets: list[str] = field(default_factory=list)
     paused_targets: set[str] = field(default_factory=set)
@@ -135,6 +139,14 @@
             paused_targets=set(self.paused_targets),
         )
 
+    def may_be_sent_again(self) -> bool:
+        """Return whether the request may be sent to another target after the last attempt.
+
+        An attempt that met another server than its target does not count, unless there are many.
+        """
+        uncounted = min(self.misdirections, MAX_MISDIRECTIONS)
+        return self.attempts - uncounted < self.admission.route.max_attempts
+
     @property
     def is_resumed(self) -> bool:
         """Whether the caller takes up a stream of which it has events."""
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -11,6 +11,7 @@
     "CRASHED",
     "FAILED",
     "LOST",
+    "MISDIRECTED",
     "REJECTED",
     "UNREACHABLE",
     "UNUSED",
@@ -31,6 +32,7 @@
 CRASHED = "crashed"  # the target went down while it ran the request
 REJECTED = "rejected"  # the target responded that it did not run the request
 UNREACHABLE = "unreachable"  # nothing was sent
+MISDIRECTED = "misdirected"  # another server, which has the target's address now, responded
 UNUSED = "unused"  # the node no longer needed the grant
 CANCELLED = "cancelled"
 LOST = "lost"  # ended since another attempt at the same request has won
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -475,7 +475,7 @@
             case messages.CRASHED:
                 self._record_down(load, active_grant, now)
                 self._crash_history.record_crash(active_grant.fingerprint, active_grant.target, now)
-            case messages.UNREACHABLE:
+            case messages.UNREACHABLE | messages.MISDIRECTED:
                 self._record_down(load, active_grant, now)
                 self.rate_limits.refund(active_grant.target, now)
             case messages.UNUSED:
--- a/celeryrun/scheduling/tests/test_deployments.py
+++ b/celeryrun/scheduling/tests/test_deployments.py
@@ -10,6 +10,7 @@
     COMPLETE,
     CRASHED,
     FAILED,
+    MISDIRECTED,
     REJECTED,
     UNREACHABLE,
     UNUSED,
@@ -20,7 +21,7 @@
 )
 from celeryrun.scheduling.tests.builders import LIMITS, build_slot_request, build_target
 
-OUTCOMES = (CANCELLED, COMPLETE, CRASHED, FAILED, REJECTED, UNREACHABLE, UNUSED)
+OUTCOMES = (CANCELLED, COMPLETE, CRASHED, FAILED, MISDIRECTED, REJECTED, UNREACHABLE, UNUSED)
 POOLS = ("engine", "app")
 NODES = ("n0", "n1", "n2", "n3", "n4", "n5", "n6")
 OTHER_GRANT_IDS = range(10**15, 10**15 + 5)  # grant ids of another scheduler
