--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -103,6 +103,8 @@
         Time before which the target gets no requests.
     backoff : float
         Seconds for which the target is excluded when it is unreachable again.
+    must_respond : bool
+        Whether the target was unreachable, and has not responded since.
     last_responsive_grant : float
         Time of the latest grant whose first byte has arrived.
     next_overdue : float
@@ -127,6 +129,7 @@
     failure_rate: float = 0.0
     excluded_until: float = 0.0
     backoff: float = INITIAL_BACKOFF
+    must_respond: bool = False
     last_responsive_grant: float = -math.inf
     next_overdue: float = math.inf
     busy_since: float = math.inf
@@ -236,7 +239,7 @@
         """Update the prefill time from a measured time to the first byte."""
         active_grant.first_byte_seconds = seconds
         self.last_responsive_grant = max(self.last_responsive_grant, active_grant.granted)
-        self.backoff = INITIAL_BACKOFF
+        self.record_response()
         if not self.engine:
             return
         prefill = max(0.0, active_grant.predicted_first_byte - BASE_LATENCY)
@@ -267,7 +270,8 @@
             ) * SAMPLE_WEIGHT
 
     def record_result(self, failed: bool) -> None:
-        """Update the failure rate."""
+        """Update the failure rate from a request that the target has run."""
+        self.must_respond = False
         self.failure_rate += ((1.0 if failed else 0.0) - self.failure_rate) * FAILURE_WEIGHT
 
     def record_break(self, now: float) -> None:
@@ -312,8 +316,14 @@
             return False
         return active_grant.granted + seconds < self.broken_at - BREAK_REPORT_DELAY
 
+    def record_response(self) -> None:
+        """Note that the target has responded."""
+        self.backoff = INITIAL_BACKOFF
+        self.must_respond = False
+
     def record_unreachable(self, now: float) -> None:
         """Exclude the target for a time that doubles with each consecutive failure."""
+        self.must_respond = True
         if now >= self.excluded_until:
             self.excluded_until = now + self.backoff
             self.backoff = min(MAX_BACKOFF, 2 * self.backoff)
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -37,6 +37,7 @@
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
 MAJORITY_SHARE = 0.5  # fleet share above which most nodes use this scheduler, others few slots
 OVERRUN_DELAY = 0.05  # s from now until the expected end of a request that overruns its own
+PROBE_PAUSE = 0.5  # s, a failed connection and the delay after it
 NEW_PATIENCE = 0.6  # fraction of its patience within which a new request needs its first byte
 
 
@@ -135,6 +136,7 @@
     allowance: Allowance | None = None
     _general_loads: dict[str, TargetLoad] | None = None
     _next_send_by_target: dict[str, float] = field(default_factory=dict)
+    _probed_targets: set[str] = field(default_factory=set)
     _returns_by_target: dict[str, int] = field(default_factory=dict)
     _free_times_by_target: dict[str, list[float]] = field(default_factory=dict)
     grants: list[tuple[str, Grant]] = field(default_factory=list)
@@ -170,6 +172,12 @@
                 planning_round._returns_by_target[name] = pause.free_slots(occupying, now)
                 if not planning_round._returns_by_target[name]:
                     next_send = max(next_send, pause.next_send(now))
+            if load.must_respond:
+                # One request at a time, as those that meet a target that is still down lose time.
+                planning_round._probed_targets.add(name)
+                since = load.excluded_until
+                if any(active_grant.granted >= since for active_grant in occupying):
+                    next_send = max(next_send, now + PROBE_PAUSE)
             if excess < 0:
                 planning_round.next_free_by_target[name] = next_send
                 planning_round.idle_targets += next_send <= now
@@ -229,6 +237,8 @@
             if self._returns_by_target[target] <= 0:
                 pause = self.pauses_by_target[target]
                 next_free = max(next_free, pause.next_send(self.now))
+        if target in self._probed_targets:
+            next_free = max(next_free, self.now + PROBE_PAUSE)
         if self.next_free_by_target[target] <= self.now < next_free:
             self.idle_targets -= 1
         self.next_free_by_target[target] = next_free
--- a/celeryrun/scheduling/tests/test_load.py
+++ b/celeryrun/scheduling/tests/test_load.py
@@ -4,8 +4,14 @@
 
 import pytest
 
+from celeryrun.scheduling import MISDIRECTED, UNREACHABLE, SlotReleased
 from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
+from celeryrun.scheduling.tests.builders import (
+    build_scheduler,
+    build_slot_request,
+    build_target,
+)
 from celeryrun.scheduling.tests.simulation import RequestClass, Simulation, fraction
 
 DRAFT = RequestClass("draft", 0, 6000, 80, 1.0, 4.0, rate=5.0, burst_rate=14.0)
@@ -82,3 +88,18 @@
 def test_few_requests_are_denied_without_a_burst(seed):
     results = simulate(seed, seconds=5.0)
     assert fraction(results, lambda result: result.denial_waits) < 0.02
+
+
+@pytest.mark.parametrize("outcome", [MISDIRECTED, UNREACHABLE])
+def test_target_that_was_not_found_gets_one_request_until_it_responds(outcome):
+    scheduler = build_scheduler(build_target("t0", slots=4))
+    scheduler.submit("n", build_slot_request(1), 0.0)
+    ((_, grant),), _ = scheduler.plan("model", 0.0)
+    scheduler.release(SlotReleased(grant.grant_id, outcome), 0.01)
+    for number in range(2, 6):
+        scheduler.submit("n", build_slot_request(number, patience=8.0), 0.02)
+    assert not scheduler.plan("model", 0.02)[0]
+    ((_, grant),), _ = scheduler.plan("model", 0.6)
+    assert not scheduler.plan("model", 0.61)[0]
+    scheduler.report_first_byte(grant.grant_id, 0.05, 0.65)
+    assert len(scheduler.plan("model", 0.65)[0]) == 3
