--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -104,7 +104,7 @@
     backoff : float
         Seconds for which the target is excluded when it is unreachable again.
     must_respond : bool
-        Whether the target was unreachable, and has not responded since.
+        Whether the target was unreachable, and neither responded nor renewed its entry since.
     last_responsive_grant : float
         Time of the latest grant whose first byte has arrived.
     next_overdue : float
--- a/celeryrun/scheduling/_placement.py
+++ b/celeryrun/scheduling/_placement.py
@@ -31,7 +31,8 @@
 LATE_WORTH = 0.2  # of a response whose first byte is late, against one on time
 LOSS_COST = 0.3  # cost of a stream that is late or has no end, in seconds that it had left
 PAUSE_COST = 1.0  # cost of each stream whose events are paused too long, in objectives
-HOPELESS_COST = 1e9  # cost of a first byte after the caller has left, above all others
+HOPELESS_COST = 1e9  # cost of a first byte after the caller has left, above all before
+OVERRUN_COST = 4e9  # cost of a stream that takes a slot in vain while others wait for it
 MAX_OVERRUN_RISK = 0.75  # of a stream, above which it does not take a slot that others wait for
 UNEVEN_RATIO = 2.0  # of the quartiles of event gaps, above which targets are of unlike speed
 MIN_OBJECTIVE = 0.1  # s, unit of costs once an objective has passed; that of a fast call
@@ -341,7 +342,7 @@
                     loss = 1.0 + loss * LATE_WORTH
                 cost += loss * LOSS_COST * slot_request.deadline
             elif loss > MAX_OVERRUN_RISK:
-                cost += HOPELESS_COST
+                cost += OVERRUN_COST
         if (
             slot_request.max_pause > 0
             and load.event_gap_during_prefill(slot_request.prompt_tokens, planning_round.now)
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -598,6 +598,8 @@
         for target in self._targets(pool):
             load = self._load(target.id, pool, target.slots)
             load.slots = target.slots
+            if load.must_respond and not load.may_be_unlisted_run(target):
+                load.must_respond = False
             if now >= load.excluded_until and not load.is_unresponsive(now):
                 loads[target.id] = load
         return loads
