--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -37,6 +37,7 @@
     sort_by_urgency,
 )
 from celeryrun.scheduling._rate_limits import TargetRateLimits
+from celeryrun.scheduling._returning import RefusedCallers
 from celeryrun.scheduling._returns import add_jitter, choose_return
 
 __all__ = ["Scheduler"]
@@ -111,6 +112,7 @@
         "_pool",
         "_probes",
         "_random",
+        "_refused_callers",
         "_resolve_origin",
         "_resolve_by_key_by_pool",
         "_targets",
@@ -161,6 +163,7 @@
         self._lengths_by_kind: defaultdict[tuple[str, int], LengthErrors] = defaultdict(
             LengthErrors
         )
+        self._refused_callers = RefusedCallers()
         self.loads_by_target: dict[str, TargetLoad] = {}
         self.queues_by_pool: dict[str, dict[tuple[str, int], QueuedRequest]] = {}
 
@@ -195,11 +198,12 @@
             wait = min(wait, slot_request.deadline)
             retry_after = add_jitter(wait, slot_request.deadline, self._random)
             return Denial(slot_request.id, "quota", retry_after)
+        first_arrival = self._refused_callers.first_arrival(slot_request.fingerprint, now)
         queued = QueuedRequest(
             node,
             slot_request,
             now,
-            now + slot_request.objective,
+            first_arrival + slot_request.objective,
             now + slot_request.patience,
             now + slot_request.deadline,
             self._lengths_by_kind[slot_request.pool, slot_request.rank],
@@ -677,6 +681,9 @@
         wait = max(MIN_RETRY_AFTER, retry_time - now)
         time_left = queued.deadline_time - now
         if kind == "overload":
+            self._refused_callers.record(
+                slot_request.fingerprint, queued.arrived, queued.deadline_time, now
+            )
             retry_after = choose_return(wait, time_left, self._random)
         else:
             retry_after = add_jitter(wait, time_left, self._random)
--- a/celeryrun/scheduling/tests/test_load.py
+++ b/celeryrun/scheduling/tests/test_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from celeryrun.scheduling import MISDIRECTED, UNREACHABLE, SlotReleased
+from celeryrun.scheduling import COMPLETE, MISDIRECTED, UNREACHABLE, SlotReleased
 from celeryrun.scheduling._demand import PoolDemand
 from celeryrun.scheduling._fair_shares import FairShares
 from celeryrun.scheduling.tests.builders import (
@@ -90,6 +90,23 @@
     assert fraction(results, lambda result: result.denial_waits) < 0.02
 
 
+def test_caller_that_returns_does_not_delay_one_that_can_still_be_served_on_time():
+    scheduler = build_scheduler(build_target("t0", slots=1))
+    scheduler.submit("n", build_slot_request(1, expected_events=200.0), 0.0)
+    ((_, grant),), _ = scheduler.plan("model", 0.0)
+    scheduler.submit("n", build_slot_request(2, fingerprint=77), 0.1)
+    _, denials = scheduler.plan("model", 0.1)
+    assert [denial.kind for _, denial in denials] == ["overload"]
+    scheduler.release(SlotReleased(grant.grant_id, COMPLETE, 2.0, 200), 2.0)
+    scheduler.submit("n", build_slot_request(3, fingerprint=77), 2.0)
+    scheduler.submit("n", build_slot_request(4), 2.0)
+    ((_, grant),), _ = scheduler.plan("model", 2.0)
+    assert grant.slot_request_id == 4
+    scheduler.release(SlotReleased(grant.grant_id, COMPLETE, 0.2, 10), 2.2)
+    ((_, grant),), _ = scheduler.plan("model", 2.2)
+    assert grant.slot_request_id == 3
+
+
 @pytest.mark.parametrize("outcome", [MISDIRECTED, UNREACHABLE])
 def test_target_that_was_not_found_gets_one_request_until_it_responds(outcome):
     scheduler = build_scheduler(build_target("t0", slots=4))
