--- a/celeryrun/gateway/_client.py
+++ b/celeryrun/gateway/_client.py
@@ -29,6 +29,7 @@
     VersionReport,
 )
 from celeryrun.gateway._members import SCHEDULER_KEY, Members
+from celeryrun.gateway._paths import Paths
 from celeryrun.gateway._server import Reply, SchedulerServer, TargetNotice
 from celeryrun.gateway._stream_origins import RecordedOrigin, StreamOrigins
 from celeryrun.history import Position
@@ -95,6 +96,7 @@
         "_pending_by_request_id",
         "_members",
         "_origins",
+        "_paths",
         "_sent_at_by_number",
         "_startup_done",
         "_store",
@@ -110,6 +112,7 @@
         self._store: Store = kernel.find("store")
         self._discovery: Discovery = kernel.find("discovery")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
+        self._paths: Paths = kernel.find("paths")
         self._origins: StreamOrigins = kernel.find("stream-origins")
         self._crash_tracker.forward = self._forward
         self._crash_tracker.is_scheduler = self._is_scheduler
@@ -284,7 +287,12 @@
 
     def _heartbeat(self) -> Heartbeat:
         freshness = (self._discovery.targets.freshness(),)
-        return Heartbeat(self._heartbeat_number, freshness, *self._discovery.version_in_force())
+        return Heartbeat(
+            self._heartbeat_number,
+            freshness,
+            *self._discovery.version_in_force(),
+            lost_paths=self._paths.lost,
+        )
 
     def _heartbeat_interval(self) -> float:
         return heartbeat_interval(len(self._members.address_by_node))
--- a/celeryrun/gateway/_gateway.py
+++ b/celeryrun/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from celeryrun.gateway._members import Members
 from celeryrun.gateway._metrics import GatewayMetrics
 from celeryrun.gateway._origin_records import OriginRecords
+from celeryrun.gateway._paths import Paths
 from celeryrun.gateway._planned_stop import STOPPING, StopSchedule
 from celeryrun.gateway._registry_copy import RegistryCopy
 from celeryrun.gateway._relay import Relay
@@ -85,6 +86,7 @@
         kernel.register("origin-records", OriginRecords(kernel))
         kernel.register("stream-origins", StreamOrigins(kernel, settings))
         kernel.register("rollouts", Rollouts(kernel, settings))
+        kernel.register("paths", Paths(kernel, settings))
         kernel.register("scheduler", SchedulerServer(kernel, settings))
         kernel.register("scheduler-client", SchedulerClient(kernel, settings))
         kernel.register("request-log", RequestLog(kernel))
@@ -157,7 +159,8 @@
         relay: Relay = self.kernel.find("relay")
         schedule = StopSchedule.from_config(self.settings.bounds.stop_grace, now())
         events.emit("draining", active=callers.active, connections=len(callers.connections))
-        callers.draining = True
+        carrier = self.kernel.find("paths").carrier
+        callers.draining = carrier.is_stopping = True
         relay.begin_stop(schedule)
         self.kernel.find("scheduler-client").leave()
         await asyncio.sleep(min(BALANCER_DELAY, self.settings.bounds.stop_grace / 2))
@@ -167,7 +170,7 @@
                 relay.end_unanswered()
                 callers.refuse_unread(STOPPING)
             callers.close_idle()
-            if not callers.connections:
+            if not callers.connections and not carrier.active:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         events.emit("stopped", active=callers.active, connections=len(callers.connections))
--- a/celeryrun/gateway/_links.py
+++ b/celeryrun/gateway/_links.py
@@ -27,6 +27,7 @@
 __all__ = [
     "MAX_FRAME",
     "PROTOCOL",
+    "Carry",
     "CrashReport",
     "Feed",
     "Heartbeat",
@@ -41,6 +42,7 @@
     "TargetPaused",
     "TraitsCompleted",
     "VersionReport",
+    "encode",
 ]
 
 log = logbook.Logger("links")
@@ -64,6 +66,12 @@
     protocol: int = PROTOCOL
 
 
+class Carry(msgspec.Struct, array_like=True, tag=True):
+    """First message of a connection on which the receiver carries bytes to and from a target."""
+
+    target: str
+
+
 class Heartbeat(msgspec.Struct, array_like=True, tag="Beat"):
     """Heartbeat of a node, returned by its scheduler.
 
@@ -80,6 +88,8 @@
         Seconds since it came into force there.
     absent : tuple of str or None
         Nodes that the scheduler has found to be gone; None if it has told the receiver before.
+    lost_paths : tuple of str
+        Targets that the sender reaches by way of other nodes only.
     """
 
     number: int
@@ -87,6 +97,7 @@
     version: int = 0
     version_age: float = 0.0
     absent: tuple[str, ...] | None = None
+    lost_paths: tuple[str, ...] = ()
 
 
 class Feed(msgspec.Struct, array_like=True, tag=True):
@@ -287,6 +298,7 @@
 
 Message = (
     Hello
+    | Carry
     | Heartbeat
     | Feed
     | Leaving
@@ -323,6 +335,12 @@
 _records_decoder = msgspec.msgpack.Decoder(Records)
 
 
+def encode(message: Message) -> bytes:
+    """Return a message with its length."""
+    frame = _encoder.encode(message)
+    return LENGTH_PREFIX.pack(len(frame)) + frame
+
+
 class Link(asyncio.Protocol):
     """One end of a connection between nodes.
 
@@ -417,8 +435,12 @@
         if self._transport.get_write_buffer_size() > MAX_WRITE_BUFFER:
             self.close()
             return
-        frame = _encoder.encode(message)
-        self._transport.write(LENGTH_PREFIX.pack(len(frame)) + frame)
+        self._transport.write(encode(message))
+
+    def detach(self) -> Any:
+        """Return the transport, which serves another purpose from now on."""
+        self.closed = True
+        return self._transport
 
     def close(self) -> None:
         """Close the link immediately."""
--- a/celeryrun/gateway/_members.py
+++ b/celeryrun/gateway/_members.py
@@ -55,6 +55,8 @@
         Called with each page of the registry, which also holds records of other services.
     speed_by_node : dict
         Processor speed of each node, in cores.
+    zone_by_node : dict
+        Availability zone of each node whose record was read.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "on_registration",
         "page_watchers",
         "speed_by_node",
+        "zone_by_node",
     )
 
     def __init__(self, kernel: Kernel, settings: GatewaySettings) -> None:
@@ -83,6 +86,7 @@
         self._copied_nodes: set[str] = set()
         self.address_by_node: dict[str, Address] = {}
         self.speed_by_node: dict[str, float] = {}
+        self.zone_by_node: dict[str, str] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.on_registration: Callable[[str], None] = lambda node: None
         self._registered_era: int | None = None
@@ -187,6 +191,7 @@
             if record.value is None:
                 self.address_by_node.pop(name, None)
                 self.speed_by_node.pop(name, None)
+                self.zone_by_node.pop(name, None)
                 continue
             try:
                 node_record = msgspec.json.decode(record.value, type=_NodeRecord)
@@ -197,6 +202,7 @@
                 continue
             self.address_by_node[name] = address
             self.speed_by_node[name] = node_record.speed
+            self.zone_by_node[name] = node_record.zone
             if not page.is_snapshot:
                 self.on_registration(name)
         self.on_change()
--- a/celeryrun/gateway/_metrics.py
+++ b/celeryrun/gateway/_metrics.py
@@ -41,9 +41,11 @@
         "_topic_era",
         "_topic_offset",
         "aborts",
+        "carried",
         "answers",
         "first_byte",
         "hedges",
+        "lost_paths",
         "hedge_seconds",
         "refusals",
         "resumed_streams",
@@ -85,6 +87,17 @@
             registry=self._registry,
         )
 
+        self.lost_paths = Gauge(
+            "celeryrun_lost_paths",
+            "Targets that are reached by way of other nodes only",
+            registry=self._registry,
+        )
+        self.carried = Counter(
+            "celeryrun_carried_connections",
+            "Connections to targets that another node carried",
+            registry=self._registry,
+        )
+
         self.resumed_streams = Counter(
             "celeryrun_resumed_streams",
             "Streams that callers took up again, by how their version was found",
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -21,6 +21,7 @@
 from celeryrun.gateway._discovery import Discovery
 from celeryrun.gateway._hedge import HedgeSteps, Hedging
 from celeryrun.gateway._metrics import GatewayMetrics
+from celeryrun.gateway._paths import Paths
 from celeryrun.gateway._planned_stop import STOPPING, DurationHistory, PlannedStop, StopSchedule
 from celeryrun.gateway._request_log import RequestLog
 from celeryrun.gateway._response_relay import (
@@ -45,6 +46,7 @@
 )
 from celeryrun.gateway._stream_origins import RecordedOrigin, StreamOrigins
 from celeryrun.kernel import Kernel, now
+from celeryrun.paths import PathLostError
 from celeryrun.platform import CallerRequest, format_request, read_request
 from celeryrun.scheduling import (
     BROKEN,
@@ -64,12 +66,10 @@
     ReceivedRequest,
     TargetFailedError,
     accepts_connections,
-    open_exchange,
 )
 
 __all__ = ["Relay"]
 
-CONNECT_TIMEOUT = 0.4  # s; targets are milliseconds away, and a lost packet costs a second
 PROBE_TIMEOUT = 0.25  # s within which a running target accepts a connection
 REVOCATION_MARGIN = 0.4  # s of revocation_lag reserved for the network and a late timer
 MAX_FRESHNESS_WAIT = 0.3  # s that a request waits for a newer configuration before it is refused
@@ -102,6 +102,7 @@
         "_hedging",
         "_metrics",
         "_origins",
+        "_paths",
         "_planned_stop",
         "_request_log",
         "_scheduler_client",
@@ -112,6 +113,7 @@
         self._discovery: Discovery = kernel.find("discovery")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._scheduler_client: SchedulerClient = kernel.find("scheduler-client")
+        self._paths: Paths = kernel.find("paths")
         self._origins: StreamOrigins = kernel.find("stream-origins")
         self._request_log: RequestLog = kernel.find("request-log")
         self._metrics: GatewayMetrics = kernel.find("metrics")
@@ -394,10 +396,11 @@
                 return self._withdraw(state, reply.target, refusal)
             began = now()
             try:
-                exchange = await open_exchange(target.host, target.port, CONNECT_TIMEOUT)
-            except TargetFailedError:
-                outcome = UNREACHABLE
-                self._request_log.emit(state, "unreachable", target=target.id)
+                exchange = await self._paths.open(target)
+            except (TargetFailedError, PathLostError) as error:
+                is_lost = isinstance(error, PathLostError)
+                outcome = UNUSED if is_lost else UNREACHABLE
+                self._request_log.emit(state, "unreachable", target=target.id, path_lost=is_lost)
                 if self._has_other_target(state, target):
                     state.excluded_targets.append(target.id)
                 state.failed_connects += 1
@@ -513,9 +516,7 @@
                 return MISDIRECTED
             case Rejected():
                 return REJECTED
-            case Broken(kind="reset" | "closed" | "cut") if not await accepts_connections(
-                target.host, target.port, PROBE_TIMEOUT
-            ):
+            case Broken(kind="reset" | "closed" | "cut") if not await self._is_up(target):
                 self._request_log.emit(
                     state,
                     "target-down",
@@ -536,9 +537,14 @@
         One that leaves goes on serving. If it has ended, nothing tells a response that it completed
         before from one that its end has cut.
         """
-        target = attempt.target
-        is_up = await accepts_connections(target.host, target.port, PROBE_TIMEOUT)
-        return is_up and not attempt.exchange.was_reset()
+        return await self._is_up(attempt.target) and not attempt.exchange.was_reset()
+
+    async def _is_up(self, target: Target) -> bool:
+        """Return whether a target accepts connections, of this node or of another."""
+        is_lost = self._paths.is_lost(target)
+        if not is_lost and await accepts_connections(target.host, target.port, PROBE_TIMEOUT):
+            return True
+        return await self._paths.is_up_for_others(target)
 
     def _report_suspects(
         self, state: RequestState, target: Target, outcome: str, began: float
--- a/celeryrun/gateway/_server.py
+++ b/celeryrun/gateway/_server.py
@@ -18,6 +18,7 @@
 from celeryrun.gateway._links import (
     MAX_FRAME,
     PROTOCOL,
+    Carry,
     CrashReport,
     Feed,
     Heartbeat,
@@ -36,6 +37,7 @@
 from celeryrun.gateway._listen import listen
 from celeryrun.gateway._members import SCHEDULER_KEY, Members
 from celeryrun.gateway._origin_records import OriginRecords
+from celeryrun.gateway._paths import Paths
 from celeryrun.gateway._registry_copy import RegistryCopy
 from celeryrun.gateway._rollouts import Rollouts
 from celeryrun.gateway._stream_origins import StreamOrigins, merge_reports
@@ -116,6 +118,7 @@
         "_members",
         "_origin_records",
         "_origins",
+        "_paths",
         "_replicas",
         "_replicas_are_stale",
         "_replicated_at",
@@ -139,6 +142,7 @@
         self._members: Members = kernel.find("members")
         self._crash_tracker: CrashTracker = kernel.find("crash-tracker")
         self._origins: StreamOrigins = kernel.find("stream-origins")
+        self._paths: Paths = kernel.find("paths")
         self._version_records: VersionRecords = kernel.find("version-records")
         self._version_records.is_scheduler = self._has_majority
         registry_copy: RegistryCopy = kernel.find("registry-copy")
@@ -522,6 +526,7 @@
                 self._replicate_origins()
             if time - swept_at > SWEEP_INTERVAL:
                 swept_at = time
+                self.scheduler.note_lost_paths(self._name, self._paths.lost)
                 self._update_absent_nodes(time)
                 self.scheduler.expire(time)
                 self.scheduler.forget_targets(set(self._discovery.targets_by_id))
@@ -547,7 +552,10 @@
             case Hello():
                 self._unlisted_nodes.append(UnlistedNode(link, message, link.last_received_at))
                 self._work_available.set()
+            case Carry() if not link.node:
+                self._paths.carry(link, message)
             case Heartbeat() if link.node:
+                self.scheduler.note_lost_paths(link.node, message.lost_paths)
                 self.fleet_view.record_seen(link.node, link.last_received_at)
                 self._note_store_of_node(link.node, message)
                 link.send(self._reply_to_heartbeat(link, message))
--- a/celeryrun/scheduling/_load.py
+++ b/celeryrun/scheduling/_load.py
@@ -49,6 +49,8 @@
         Seconds charged to the budget of hedges, 0 if it is no hedge or has won.
     route : str
         Name of the route if its response times decide on hedges, else empty.
+    is_path_lost : bool
+        Whether its node no longer reaches the target.
     """
 
     node: str
@@ -66,10 +68,11 @@
     lengths: LengthErrors | None = None
     hedge_work: float = 0.0
     route: str = ""
+    is_path_lost: bool = False
 
     def overdue_time(self) -> float:
         """Return when the first byte becomes overdue; infinity once it has arrived."""
-        if self.first_byte_seconds is not None:
+        if self.first_byte_seconds is not None or self.is_path_lost:
             return math.inf
         return self.granted + max(MIN_OVERDUE_DELAY, OVERDUE_FACTOR * self.predicted_first_byte)
 
@@ -235,6 +238,12 @@
             for active_grant in self.active_grants_by_id.values()
         )
 
+    def disregard_silence(self, node: str) -> None:
+        """Note that a node no longer reaches the target, which may be sound."""
+        for active_grant in self.active_grants_by_id.values():
+            if active_grant.node == node:
+                active_grant.is_path_lost = True
+
     def learn_first_byte(self, active_grant: ActiveGrant, seconds: float) -> None:
         """Update the prefill time from a measured time to the first byte."""
         active_grant.first_byte_seconds = seconds
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -415,6 +415,13 @@
         if target is not None:
             load.record_down(target)
 
+    def note_lost_paths(self, node: str, targets: Iterable[str]) -> None:
+        """Note that a node does not reach targets, so that its silence there says nothing."""
+        for target in targets:
+            load = self.loads_by_target.get(target)
+            if load is not None:
+                load.disregard_silence(node)
+
     def report_first_byte(self, grant_id: int, seconds: float, now: float) -> None:
         """Update the target's load from a measured time to the first byte."""
         load = self._load_by_grant_id.get(grant_id)
--- a/celeryrun/transport/__init__.py
+++ b/celeryrun/transport/__init__.py
@@ -8,6 +8,7 @@
     Exchange,
     TargetFailedError,
     accepts_connections,
+    is_kept,
     open_exchange,
 )
 from celeryrun.transport._message import (
@@ -43,5 +44,6 @@
     "format_head",
     "has_unaccepted",
     "ignore_new_connections",
+    "is_kept",
     "open_exchange",
 ]
--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -13,7 +13,7 @@
 from celeryrun.kernel import now
 from celeryrun.transport._message import MalformedMessageError, ResponseHead, ResponseParser
 
-__all__ = ["Exchange", "TargetFailedError", "accepts_connections", "open_exchange"]
+__all__ = ["Exchange", "TargetFailedError", "accepts_connections", "is_kept", "open_exchange"]
 
 MAX_BUFFERED_BYTES = 65_536  # of a response that a slow caller has not read; then reading pauses
 SETTLE_TIME = 0.03  # s, a round trip, that a new connection must last to count as accepted
@@ -307,6 +307,11 @@
         exchange = await open_exchange(host, port, timeout)
     except TargetFailedError:
         return False
+    return await is_kept(exchange)
+
+
+async def is_kept(exchange: Exchange) -> bool:
+    """Return whether a target keeps a new connection for a moment, and close it."""
     try:
         async with asyncio.timeout(SETTLE_TIME):
             await exchange.read_head()
