--- a/celeryrun/gateway/_attempt.py
+++ b/celeryrun/gateway/_attempt.py
@@ -32,8 +32,9 @@
         Whether the request was sent on the connection.
     events : int
         Number of events that its target has sent.
-    last_event_at : float
-        Time at which the last of them was read, in seconds; that of the grant before the first.
+    first_event_at, last_event_at : float
+        Times at which the first and the last of them were read, in seconds; that of the grant
+        before the first.
     stall : float
         Seconds since then for which the caller did not read, and so the target was not read.
     stalled : float
@@ -47,6 +48,7 @@
         "began",
         "events",
         "exchange",
+        "first_event_at",
         "grant",
         "is_open",
         "last_event_at",
@@ -77,6 +79,7 @@
         self.received = b""
         self.was_sent = False
         self.events = 0
+        self.first_event_at = began
         self.last_event_at = began
         self.stall = 0.0
         self.stalled = 0.0
@@ -108,8 +111,10 @@
     def count_events(self, count: int) -> None:
         """Count events that were read, with the time of the last of them."""
         if count:
-            self.events += count
             self.last_event_at = now()
+            if not self.events:
+                self.first_event_at = self.last_event_at
+            self.events += count
             self.stalled += self.stall
             self.stall = 0.0
 
@@ -174,11 +179,21 @@
         Attempt that another target works on beside the current one.
     hedge_won : bool
         Whether the hedge has its response, or its first event, before the current one.
+    is_relocated : bool
+        Whether the successor replaces a target that is too slow, not a silent one.
     on_hedge_lost : callable
         Called with a hedge that is closed because it is no longer needed.
     """
 
-    __slots__ = ("_reserve", "current", "hedge", "hedge_won", "on_hedge_lost", "successor")
+    __slots__ = (
+        "_reserve",
+        "current",
+        "hedge",
+        "hedge_won",
+        "is_relocated",
+        "on_hedge_lost",
+        "successor",
+    )
 
     def __init__(self) -> None:
         self.current: Attempt | None = None
@@ -186,6 +201,7 @@
         self._reserve: Attempt | None = None
         self.hedge: Attempt | None = None
         self.hedge_won = False
+        self.is_relocated = False
         self.on_hedge_lost: Callable[[Attempt], None] = lambda attempt: None
 
     def take_next(self) -> Attempt | None:
@@ -195,6 +211,7 @@
             self._take_hedge()
         elif self.successor is not None:
             self.current, self.successor = self.successor, None
+            self.is_relocated = False
         elif self.has_reserve:
             self.current, self._reserve = self._reserve, None
             assert self.current is not None
@@ -206,9 +223,14 @@
     def _take_hedge(self) -> None:
         self.current, self.hedge, self.hedge_won = self.hedge, None, False
 
+    def relocate_to(self, attempt: Attempt) -> None:
+        """Keep an attempt to replace the current one, whose target is too slow."""
+        self.successor = attempt
+        self.is_relocated = True
+
     def offer_successor(self, attempt: Attempt, is_allowed: bool) -> bool:
         """Keep an attempt to replace a silent current one; return whether it may."""
-        if not is_allowed or self.hedge_won:
+        if not is_allowed or self.hedge_won or self.is_relocated:
             attempt.close(UNUSED)
             return False
         self.successor = attempt
@@ -246,8 +268,14 @@
             self._reserve.close()
             self._reserve = None
 
+    def drop_silence_successor(self) -> None:
+        """Close the successor unless it replaces a target that is too slow, not a silent one."""
+        if not self.is_relocated:
+            self.drop_successor()
+
     def drop_successor(self) -> None:
         """Close the successor, which was not used."""
+        self.is_relocated = False
         if self.successor is not None:
             self.successor.close(UNUSED)
             self.successor = None
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 
@@ -23,6 +24,7 @@
 from celeryrun.gateway._metrics import GatewayMetrics
 from celeryrun.gateway._paths import Paths
 from celeryrun.gateway._planned_stop import STOPPING, DurationHistory, PlannedStop, StopSchedule
+from celeryrun.gateway._relocation import Relocation
 from celeryrun.gateway._request_log import RequestLog
 from celeryrun.gateway._response_relay import (
     Broken,
@@ -245,6 +247,18 @@
         if attempts.hedge_won:
             self._hedging.end_loser(state, attempt, attempts)
             return
+        if attempts.is_relocated and attempts.successor is not None:
+            response_relay.record_progress(state)
+            self._request_log.emit(
+                state,
+                "stream-moved",
+                target=attempt.target.id,
+                successor=attempts.successor.target.id,
+                events=response_relay.events,
+                seconds=round(now() - attempt.began, 4),
+            )
+            attempt.close()
+            return
         if attempts.successor is None:
             self._request_log.emit(state, "silence-ended", unused=attempt.target.id)
             attempt.close()
@@ -458,10 +472,11 @@
         silence = SilenceWatch(
             silence_timeout(state, attempt.grant.expected_first_byte),
             lambda: self._find_successor(state, response_relay, attempts),
-            attempts.drop_successor,
+            attempts.drop_silence_successor,
             (lambda: attempts.reserve_goes_on(is_stream)) if attempts.has_reserve else None,
             self._hedging.plan(state, attempts, attempt, response_relay),
             attempts.drop_hedge,
+            self._plan_relocation(state, response_relay, attempts, attempt),
         )
         return await response_relay.relay(
             attempt,
@@ -472,6 +487,18 @@
             on_statements=attempt.report_statements,
         )
 
+    def _plan_relocation(
+        self,
+        state: RequestState,
+        response_relay: ResponseRelay,
+        attempts: AttemptChain,
+        attempt: Attempt,
+    ) -> Callable[[], Awaitable[bool] | None]:
+        """Return what finds a faster target for a stream that won't end in time, once it shows."""
+        if not state.admission.route.kind.resumable:
+            return lambda: None
+        return Relocation(state, attempts, attempt, response_relay, self._open_attempt).start_if_due
+
     async def _send(self, state: RequestState, attempt: Attempt) -> None:
         """Send a request to the target of an attempt."""
         attempt.was_sent = True
--- a/celeryrun/gateway/_response_relay.py
+++ b/celeryrun/gateway/_response_relay.py
@@ -154,6 +154,7 @@
         if self.events:
             state.last_event = self.last_id
             state.last_event_at = self.last_event_at
+            state.events = self.events
 
     def send_held(self) -> bool:
         """Send the response that is held back; return whether there was one."""
--- a/celeryrun/gateway/_silence.py
+++ b/celeryrun/gateway/_silence.py
@@ -40,6 +40,9 @@
         response; that one is as good as a successor.
     discard_hedge : callable, optional
         Called when the response of the target is passed on, so that no hedge may follow.
+    relocate : callable, optional
+        Called as the target goes on; returns a search for a faster one if that is due. What it
+        finds takes the request although the target is not silent.
     """
 
     __slots__ = (
@@ -48,6 +51,8 @@
         "_find_successor",
         "_hedge",
         "_progress_at",
+        "_relocate",
+        "_relocation",
         "_reserve",
         "_search",
         "_timeout",
@@ -61,6 +66,7 @@
         reserve_goes_on: Callable[[], Awaitable[bool]] | None = None,
         hedge: Callable[[], Awaitable[bool]] | None = None,
         discard_hedge: Callable[[], None] = lambda: None,
+        relocate: Callable[[], Awaitable[bool] | None] = lambda: None,
     ) -> None:
         self._timeout = timeout
         self._find_successor = find_successor
@@ -72,6 +78,8 @@
             self._reserve = _start(reserve_goes_on())
         self._hedge = None if hedge is None else _start(hedge())
         self._discard_hedge = discard_hedge
+        self._relocate = relocate
+        self._relocation: asyncio.Future[bool] | None = None
 
     def end_reserve(self) -> None:
         """Note that the earlier target is no longer an alternative, even if it has gone on."""
@@ -94,6 +102,12 @@
             self._search.cancel()
             self._search = None
             self._discard_successor()
+        if self._relocation is not None and self._relocation.done():
+            if _is_found(self._relocation):
+                return
+            self._relocation = None
+        if self._relocation is None and (search := self._relocate()) is not None:
+            self._relocation = _start(search)
 
     async def wait(self, read: Callable[[], Awaitable[T]]) -> T:
         """Return the result of a read that may be cancelled and repeated.
@@ -139,7 +153,7 @@
             raise SuccessorFoundError
 
     def _searches(self) -> list[asyncio.Future[bool]]:
-        searches = (self._reserve, self._search, self._hedge)
+        searches = (self._reserve, self._search, self._hedge, self._relocation)
         return [search for search in searches if search is not None]
 
     def _has_found(self) -> bool:
--- a/celeryrun/gateway/_state.py
+++ b/celeryrun/gateway/_state.py
@@ -21,6 +21,7 @@
     "UNREACHABLE_TARGETS",
     "RequestState",
     "build_slot_request",
+    "expect_remaining",
     "expected_events",
     "fingerprint",
     "refusal_for_denial",
@@ -44,6 +45,7 @@
 SILENCE_TIMEOUT_FACTOR = 5.0  # multiple of the predicted time to the first byte
 MIN_STREAM_SILENCE_TIMEOUT = 1.2  # s without an event before a resumable stream changes target
 PATIENCE_MARGIN = 0.1  # s of a caller's patience reserved for the network and late timers
+TAIL_SHARE = 0.25  # of the events so far, expected to follow once a stream is longer than expected
 MAX_MISDIRECTIONS = 3  # of a request that do not count as attempts
 MAX_LOGGED_PARTS = 8  # parts of a prompt in a log line
 OUTCOME_UNKNOWN_REMEDY = "find out whether it ran before you send it again"
@@ -82,6 +84,8 @@
         Id of the last event sent to the caller, from which another target continues the stream.
     last_event_at : float or None
         Time at which it was sent, in seconds.
+    events : int
+        Number of events that the caller had then.
     stream : int
         Key of the stream, 0 if it can't be resumed or its first attempt is not known.
     version : str
@@ -106,6 +110,7 @@
     paused_targets: set[str] = field(default_factory=set)
     last_event: bytes | None = None
     last_event_at: float | None = None
+    events: int = 0
     stream: int = 0
     version: str = ""
     is_bound: bool = False
@@ -147,6 +152,14 @@
         uncounted = min(self.misdirections, MAX_MISDIRECTIONS)
         return self.attempts - uncounted < self.admission.route.max_attempts
 
+    def for_relocation(self, target: str) -> RequestState:
+        """Return a copy that gets a slot of another target than the one that makes its stream."""
+        return replace(
+            self,
+            excluded_targets=[*self.excluded_targets, target],
+            paused_targets=set(self.paused_targets),
+        )
+
     @property
     def is_resumed(self) -> bool:
         """Whether the caller takes up a stream of which it has events."""
@@ -223,7 +236,7 @@
         rank=route.tier,
         workspace=workspace.name,
         prompt_tokens=max(1, request.prompt_tokens),
-        expected_events=expected_events(state),
+        expected_events=_expect_further_events(state),
         objective=objective - elapsed,
         patience=min(route.patience - elapsed - PATIENCE_MARGIN, remaining),
         deadline=remaining,
@@ -244,6 +257,23 @@
     )
 
 
+def _expect_further_events(state: RequestState) -> float:
+    """Return the number of events that a stream is expected to have beyond those sent."""
+    expected = expected_events(state)
+    return max(1.0, expect_remaining(expected, state.events)) if state.events else expected
+
+
+def expect_remaining(expected: float, events: int) -> float:
+    """Return the number of events that a stream is expected to have left.
+
+    Examples
+    --------
+    >>> expect_remaining(100.0, 40), expect_remaining(100.0, 200)
+    (60.0, 50.0)
+    """
+    return max(expected - events, TAIL_SHARE * events)
+
+
 def _quota_charge(state: RequestState) -> float:
     """Return the request's cost against its workspace's quota, 0 if already charged."""
     workspace, request = state.admission.workspace, state.request
--- a/celeryrun/scheduling/_messages.py
+++ b/celeryrun/scheduling/_messages.py
@@ -128,6 +128,8 @@
         Version to which the stream is bound, empty for a new one.
     hedge_delay : float
         Seconds without a response after which a hedge may start, 0 for never.
+    duration : float
+        Predicted seconds to the end of the response.
     """
 
     slot_request_id: int
@@ -136,6 +138,7 @@
     expected_first_byte: float
     version: str = ""
     hedge_delay: float = 0.0
+    duration: float = 0.0
 
 
 class Denial(msgspec.Struct, array_like=True, tag=True):
--- a/celeryrun/scheduling/_scheduler.py
+++ b/celeryrun/scheduling/_scheduler.py
@@ -659,6 +659,7 @@
             placement.first_byte,
             slot_request.version,
             self.hedge_gate.find_delay(slot_request.route, slot_request.prompt_tokens),
+            placement.duration,
         )
 
     def _record_in_gate(
