--- a/celeryrun/gateway/_paths.py
+++ b/celeryrun/gateway/_paths.py
@@ -88,17 +88,23 @@
         """Return whether this node reaches a target by way of others only."""
         return self._opener.table.is_lost(target.id)
 
-    async def is_up_for_others(self, target: Target) -> bool:
+    def has_lost_other(self, target: Target) -> bool:
+        """Return whether this node has lost its paths to other targets."""
+        return self._opener.table.has_lost_other(target.id)
+
+    async def is_up_for_others(self, target: Target, timeout: float) -> bool:
         """Return whether a target accepts a connection by way of another node, and keeps it.
 
-        If none can tell, it counts as up while this node has lost its paths to other targets.
+        Parameters
+        ----------
+        timeout : float
+            Limit in seconds for establishing the connection.
         """
         try:
-            exchange = await self._opener.open_carried(target.id)
-        except TargetFailedError:
+            async with asyncio.timeout(timeout):
+                exchange = await self._opener.open_carried(target.id)
+        except (TargetFailedError, PathLostError, TimeoutError):
             return False
-        except PathLostError:
-            return self._opener.table.has_lost_other(target.id)
         return await is_kept(exchange)
 
     def carry(self, link: Link, message: Carry) -> None:
--- a/celeryrun/gateway/_relay.py
+++ b/celeryrun/gateway/_relay.py
@@ -543,7 +543,7 @@
                 return MISDIRECTED
             case Rejected():
                 return REJECTED
-            case Broken(kind="reset" | "closed" | "cut") if not await self._is_up(target):
+            case Broken(kind="reset" | "closed" | "cut") if await self._has_crashed(target):
                 self._request_log.emit(
                     state,
                     "target-down",
@@ -564,14 +564,23 @@
         One that leaves goes on serving. If it has ended, nothing tells a response that it completed
         before from one that its end has cut.
         """
-        return await self._is_up(attempt.target) and not attempt.exchange.was_reset()
-
-    async def _is_up(self, target: Target) -> bool:
-        """Return whether a target accepts connections, of this node or of another."""
-        is_lost = self._paths.is_lost(target)
-        if not is_lost and await accepts_connections(target.host, target.port, PROBE_TIMEOUT):
-            return True
-        return await self._paths.is_up_for_others(target)
+        target = attempt.target
+        # A second opinion comes late, when the target may have started again.
+        if self._paths.is_lost(target):
+            is_up = await self._paths.is_up_for_others(target, PROBE_TIMEOUT)
+        else:
+            is_up = await accepts_connections(target.host, target.port, PROBE_TIMEOUT)
+        return is_up and not attempt.exchange.was_reset()
+
+    async def _has_crashed(self, target: Target) -> bool:
+        """Return whether neither this node nor others reach a target that has broken off."""
+        checks = [self._paths.is_up_for_others(target, PROBE_TIMEOUT)]
+        if not self._paths.is_lost(target):
+            checks.append(accepts_connections(target.host, target.port, PROBE_TIMEOUT))
+        for check in asyncio.as_completed(checks):
+            if await check:
+                return False
+        return not self._paths.has_lost_other(target)
 
     def _report_suspects(
         self, state: RequestState, target: Target, outcome: str, began: float
--- a/celeryrun/gateway/tests/test_malformed_responses.py
+++ b/celeryrun/gateway/tests/test_malformed_responses.py
@@ -263,3 +263,23 @@
 
     monkeypatch.setattr("celeryrun.gateway._relay.accepts_connections", never_returns)
     run(scenario())
+
+
+def test_response_is_not_whole_if_its_target_is_up_again_when_another_node_is_asked(monkeypatch):
+    """A second opinion on whether a target was up came after its restart."""
+
+    async def scenario():
+        respond = responder(b"HTTP/1.1 200 OK\r\n{seal}\r\n" + BODY[: len(BODY) // 2])
+        async with (
+            Site(apps=0, models=0, gateways=2) as site,
+            RawTarget(site, "app", respond) as app,
+        ):
+            response = await site.send_request("/bookings/a")
+            assert app.attempt_ids
+            assert response.status == 502
+
+    async def is_down(*_):
+        return False
+
+    monkeypatch.setattr("celeryrun.gateway._relay.accepts_connections", is_down)
+    run(scenario())
