--- a/celeryrun/transport/_exchange.py
+++ b/celeryrun/transport/_exchange.py
@@ -180,6 +180,11 @@
         sock = self._transport.get_extra_info("socket")
         return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the exchange has ended without a complete response."""
+        return self._failure is not None
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the failure of an incomplete response and wake all waiting tasks."""
         self._writable.set()
@@ -318,7 +323,8 @@
     except TargetFailedError:
         return False
     except TimeoutError:
-        return True
+        # The end may have arrived together with the time-out, while the event loop stood still.
+        return not exchange.has_failed
     finally:
         exchange.close()
     return True
--- a/celeryrun/transport/tests/test_exchange.py
+++ b/celeryrun/transport/tests/test_exchange.py
@@ -3,11 +3,18 @@
 import asyncio
 import socket
 import struct
+import threading
+import time
 import tracemalloc
 
 import pytest
 
-from celeryrun.transport import TargetFailedError, accepts_connections, open_exchange
+from celeryrun.transport import (
+    TargetFailedError,
+    accepts_connections,
+    is_kept,
+    open_exchange,
+)
 from celeryrun.transport._exchange import MAX_FRAMING_BYTES
 from standins.site import run
 
@@ -162,3 +169,23 @@
     interim = b"\r\nHTTP/1.1 103 Early\r\nLink: a \r\n\r\n"
     data = interim + b"HTTP/1.1 200\r\nTransfer-Encoding: chunked\t\r\n\r\n5\r\nfirst\r\n0\r\n\r\n"
     run(check_body(b"first", *(bytes([byte]) for byte in data), pause=0.001))
+
+
+def test_connection_that_ended_while_the_event_loop_stood_still_does_not_count_as_kept():
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def close_after_a_moment():
+        connection, _ = listener.accept()
+        time.sleep(0.02)
+        connection.close()
+
+    async def scenario():
+        exchange = await open_exchange("127.0.0.1", listener.getsockname()[1], 1.0)
+        asyncio.get_running_loop().call_later(0.005, time.sleep, 0.1)
+        assert not await is_kept(exchange)
+
+    thread = threading.Thread(target=close_after_a_moment)
+    thread.start()
+    run(scenario())
+    thread.join()
+    listener.close()
