--- a/celeryrun/gateway/tests/test_permissions.py
+++ b/celeryrun/gateway/tests/test_permissions.py
@@ -5,19 +5,20 @@
 import pytest
 
 from celeryrun.gateway import _relay
+from celeryrun.paths import _opener
 from standins.site import Site, build_config, build_tenant, run
 
 
 def suspend_while_connecting(monkeypatch, meanwhile):
     """Let something happen after a connection to a target is made, before the request is sent."""
-    connect = _relay.open_exchange
+    connect = _opener.open_exchange
 
     async def open_exchange(*arguments):
         exchange = await connect(*arguments)
         await meanwhile()
         return exchange
 
-    monkeypatch.setattr(_relay, "open_exchange", open_exchange)
+    monkeypatch.setattr(_opener, "open_exchange", open_exchange)
 
 
 @pytest.mark.parametrize("path", ["/calls/a", "/bookings/a", "/drafts/a"])
